Add the design, the package layout and the first request path

Sets down the shape of the code base: npm workspaces with one package for each peer, pure decisions, tasks with mailboxes, string unions. One request travels from a caller through entry and agent to a runner stand-in, after an operator has applied a document to the platform stand-in.

Ruled out: `ask` as a free function, because TypeScript then widens the `kind` of the message; it is a method of the task.

Result: 2 tests pass; a refusal without a configuration and a whole answer after the document is applied.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,57 @@
+import js from "@eslint/js";
+import tseslint from "typescript-eslint";
+
+const DECISIONS_FORBIDDEN = ["node:*", "undici", "@trpc/*", "bunyan", "prom-client", "@tanagerdeck/*"];
+
+export default tseslint.config(
+    { ignores: ["dist/**", "node_modules/**"] },
+    js.configs.recommended,
+    ...tseslint.configs.recommended,
+    {
+        rules: {
+            curly: ["error", "all"],
+            eqeqeq: ["error", "always"],
+            "no-restricted-syntax": [
+                "error",
+                { selector: "TSEnumDeclaration", message: "Use a string union." },
+                { selector: "Literal[raw='null']", message: "Use undefined." },
+                { selector: "CallExpression[callee.property.name='forEach']", message: "Use for of." },
+            ],
+            "@typescript-eslint/no-unused-vars": [
+                "error",
+                { argsIgnorePattern: "^_", varsIgnorePattern: "^_" },
+            ],
+            "@typescript-eslint/naming-convention": [
+                "error",
+                {
+                    selector: "typeLike",
+                    format: ["PascalCase"],
+                    custom: { regex: "^(I[A-Z][a-z]|T[A-Z][a-z])", match: false },
+                },
+            ],
+        },
+    },
+    {
+        files: ["packages/decisions/src/**/*.ts"],
+        ignores: ["**/*.spec.ts"],
+        rules: {
+            "no-restricted-imports": ["error", { patterns: [{ group: DECISIONS_FORBIDDEN }] }],
+            "no-restricted-globals": [
+                "error",
+                "setTimeout",
+                "setInterval",
+                "setImmediate",
+                "fetch",
+                "process",
+            ],
+        },
+    },
+    {
+        files: ["**/*.spec.ts"],
+        rules: { "@typescript-eslint/no-unused-expressions": "off" },
+    },
+    {
+        files: ["**/*.js", "**/*.mjs"],
+        languageOptions: { globals: { process: "readonly", console: "readonly" } },
+    },
+);
--- /dev/null
+++ b/packages/backend/src/runner/runnerClient.ts
@@ -0,0 +1,57 @@
+import { createHash } from "node:crypto";
+import { Pool } from "undici";
+import type { Request } from "@tanagerdeck/decisions/request/requestTypes";
+import { failure, type Answer, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+const NOT_STARTED_STATUS = 503;
+
+/** Runs a request on the backend server; the outcome carries the verdict. */
+export type RunRequest = (request: Request, signal: AbortSignal) => Promise<Outcome>;
+
+/** Client of the runner at `ip:port`, with at most `connections` connections. */
+export function createRunnerClient(
+    address: string,
+    connections: number,
+): { run: RunRequest; close(): Promise<void> } {
+    const pool = new Pool(`http://${address}`, {
+        connections,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    });
+
+    async function run(request: Request, signal: AbortSignal): Promise<Outcome> {
+        try {
+            const response = await pool.request({
+                path: "/run",
+                method: "POST",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify({ id: request.id, kind: request.kind, body: request.body }),
+                signal,
+            });
+            if (response.statusCode === NOT_STARTED_STATUS) {
+                await response.body.dump();
+                return failure("not-run", "backend-error", "The runner did not start the request.");
+            }
+            const reply = (await response.body.json()) as { body: string };
+            if (response.statusCode !== 200) {
+                return failure("ran", "backend-error", `The runner answered status ${response.statusCode}.`);
+            }
+            return { kind: "answer", verdict: "ran", answer: createAnswer(reply.body) };
+        } catch (error) {
+            const code = (error as { code?: string }).code ?? "unknown";
+            const verdict = NOT_SENT_CODES.has(code) ? "not-run" : "may-have-run";
+            return failure(verdict, "backend-error", `The connection to the runner failed with ${code}.`);
+        }
+    }
+
+    return { run, close: () => pool.destroy() };
+}
+
+/** Builds an answer with its length and digest. */
+export function createAnswer(body: string): Answer {
+    const bytes = Buffer.from(body, "utf8");
+    return { body, length: bytes.length, digest: createHash("sha256").update(bytes).digest("base64") };
+}
--- /dev/null
+++ b/packages/decisions/src/request/requestTypes.ts
@@ -0,0 +1,46 @@
+import type { Outcome } from "../verdict/verdictTypes.ts";
+import type { Priority } from "../document/documentTypes.ts";
+
+/** A request as it travels from entry to agent. */
+export interface Request {
+    id: string;
+    clientAccount: string;
+    kind: string;
+    priority: Priority;
+    repeatable: boolean;
+    /** Milliseconds left until the caller's deadline when the request was sent. */
+    remainingMs: number;
+    body: string;
+}
+
+/** Reply of an agent to a long poll. */
+export type Progress = { kind: "pending" } | { kind: "done"; outcome: Outcome };
+
+/**
+ * Identifier of a request that runs at most once. It names the only agent incarnation that may run it.
+ * `expiresAt` is wall-clock milliseconds on the agent.
+ */
+export interface Ticket {
+    agent: string;
+    incarnation: string;
+    random: string;
+    expiresAt: number;
+}
+
+const SEPARATOR = "~";
+
+/** Formats a ticket as a request id. */
+export function formatTicket(ticket: Ticket): string {
+    return [ticket.agent, ticket.incarnation, ticket.random, String(ticket.expiresAt)].join(SEPARATOR);
+}
+
+/** Reads a ticket from a request id; undefined if the id is not a ticket. */
+export function parseTicket(id: string): Ticket | undefined {
+    const parts = id.split(SEPARATOR);
+    const [agent, incarnation, random, expiry] = parts;
+    const expiresAt = Number(expiry);
+    if (parts.length !== 4 || !agent || !incarnation || !random || !Number.isSafeInteger(expiresAt)) {
+        return undefined;
+    }
+    return { agent, incarnation, random, expiresAt };
+}
--- /dev/null
+++ b/packages/operator/src/document/documentSchema.ts
@@ -0,0 +1,52 @@
+import { z } from "zod";
+import type { Document } from "@tanagerdeck/decisions/document/documentTypes";
+
+const name = z
+    .string()
+    .regex(
+        /^[a-z0-9][a-z0-9-]{0,62}$/,
+        "must be 1 to 63 lower-case letters, digits or hyphens and start with no hyphen",
+    );
+const count = z.number().int().nonnegative();
+const positive = z.number().positive();
+
+const shape = z.strictObject({
+    span: z.enum(["worker", "rack", "neighbouring-racks"]),
+    accelerators: z.number().int().positive(),
+});
+
+const clientAccount = z.strictObject({
+    name,
+    tokenDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/, "must be a hex SHA-256 digest")),
+    guarantees: z.array(shape),
+    quota: z.strictObject({ accelerators: count, requestsPerSecond: positive, waiting: count }),
+    weight: positive,
+});
+
+const kind = z.strictObject({
+    name,
+    clientAccounts: z.array(name).min(1),
+    repeatable: z.boolean(),
+    form: z.enum(["request", "gang"]),
+    limits: z.strictObject({ seconds: positive, bytes: z.number().int().positive(), accelerators: count }),
+    priority: z.enum(["urgent", "normal", "batch"]),
+});
+
+const rack = z.strictObject({
+    name,
+    availabilityZone: name,
+    workers: z.number().int().positive(),
+    acceleratorsPerWorker: z.number().int().positive(),
+});
+
+/** Exact shape of the operators' document. */
+export const documentSchema = z.strictObject({
+    environment: name,
+    clientAccounts: z.array(clientAccount),
+    kinds: z.array(kind),
+    racks: z.array(rack),
+    weights: z.strictObject({ completionTime: count, fragmentation: count }),
+    whenPlatformUnreachable: z
+        .enum(["serve", "serve-while-peers-agree", "refuse"])
+        .default("serve-while-peers-agree"),
+}) satisfies z.ZodType<Document>;
--- /dev/null
+++ b/packages/peer/src/link/agentRouter.ts
@@ -0,0 +1,51 @@
+import type { Request, Progress } from "@tanagerdeck/decisions/request/requestTypes";
+import type { Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { authorizedProcedure, passThrough, router } from "./trpcBase.ts";
+
+/** Reply to a call that names a request. */
+export interface RequestReference {
+    id: string;
+    clientAccount: string;
+}
+
+/** A request with the entry's configuration revision. */
+export interface Submission {
+    request: Request;
+    configurationRevision: number;
+}
+
+/** What an agent beside a runner does for entries; independent of the transport. */
+export interface RequestHandlers {
+    submit(submission: Submission): Promise<Progress>;
+    result(reference: RequestReference): Promise<Progress>;
+    settle(reference: RequestReference): Promise<Progress>;
+    cancel(reference: RequestReference): Promise<Outcome | undefined>;
+}
+
+/** Operations of every agent. */
+export interface AgentHandlers {
+    requests: RequestHandlers;
+    drain(): Promise<{ draining: true }>;
+}
+
+/** Maps the agent's operations to trpc procedures. */
+export function createAgentRouter(handlers: AgentHandlers) {
+    return router({
+        submit: authorizedProcedure
+            .input(passThrough<Submission>)
+            .mutation(({ input }) => handlers.requests.submit(input)),
+        result: authorizedProcedure
+            .input(passThrough<RequestReference>)
+            .mutation(({ input }) => handlers.requests.result(input)),
+        settle: authorizedProcedure
+            .input(passThrough<RequestReference>)
+            .mutation(({ input }) => handlers.requests.settle(input)),
+        cancel: authorizedProcedure
+            .input(passThrough<RequestReference>)
+            .mutation(({ input }) => handlers.requests.cancel(input)),
+        drain: authorizedProcedure.mutation(() => handlers.drain()),
+    });
+}
+
+/** Type of the agent's router, for clients. */
+export type AgentRouter = ReturnType<typeof createAgentRouter>;
--- /dev/null
+++ b/packages/peer/src/link/peerCall.ts
@@ -0,0 +1,54 @@
+import { Either, Left, Right } from "purify-ts/Either";
+import { TRPCClientError } from "@trpc/client";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+
+/** Error codes of connections that failed before any byte of the request was sent. */
+const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/**
+ * Runs one remote call with a timeout and turns its error into a failure.
+ * The verdict is `not-run` if nothing was sent, else `may-have-run`.
+ */
+export async function peerCall<T>(
+    timeoutMs: number,
+    call: (signal: AbortSignal) => Promise<T>,
+): Promise<Either<Failure, T>> {
+    try {
+        return Right(await call(AbortSignal.timeout(timeoutMs)));
+    } catch (error) {
+        return Left(callFailure(error));
+    }
+}
+
+/** The failure that an error of a remote call stands for. */
+export function callFailure(error: unknown): Failure {
+    const code = errorCode(error);
+    if (code && NOT_SENT_CODES.has(code)) {
+        return failure("not-run", "unreachable", `The connection failed with ${code}.`);
+    }
+    if (error instanceof TRPCClientError && error.data?.code === "UNAUTHORIZED") {
+        return failure("not-run", "access-denied", "The peer refused the token.");
+    }
+    return failure("may-have-run", "unreachable", `The call failed: ${errorText(error)}.`);
+}
+
+/** True if the failure means that no connection could be made. */
+export function isRefusedConnection(value: Failure): boolean {
+    return value.reason === "unreachable" && value.verdict === "not-run";
+}
+
+function errorCode(error: unknown): string | undefined {
+    let current: unknown = error;
+    for (let depth = 0; depth < 5 && current instanceof Error; depth++) {
+        const code = (current as { code?: unknown }).code;
+        if (typeof code === "string" && code.length > 0) {
+            return code;
+        }
+        current = current.cause;
+    }
+    return undefined;
+}
+
+function errorText(error: unknown): string {
+    return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/peer/src/link/peerClient.ts
@@ -0,0 +1,71 @@
+import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { Agent, fetch as undiciFetch } from "undici";
+import type { AgentRouter } from "./agentRouter.ts";
+import type { EntryRouter } from "./entryRouter.ts";
+
+/** Connections to one address; large answers then do not block small ones. */
+const CONNECTIONS_PER_ADDRESS = 16;
+/** A connection that is not open after this time counts as not sent. */
+const CONNECT_TIMEOUT_MS = 1_000;
+const KEEP_ALIVE_MS = 30_000;
+
+/** Clients of the other processes, by `ip:port`. Owns the connection pool. */
+export interface PeerClients {
+    agent(address: string): TRPCClient<AgentRouter>;
+    entry(address: string): TRPCClient<EntryRouter>;
+    /** Drops the clients whose address is not listed. */
+    retain(addresses: Set<string>): void;
+    close(): Promise<void>;
+}
+
+/** Builds clients that show the peers' token. */
+export function createPeerClients(token: string): PeerClients {
+    const dispatcher = new Agent({
+        connections: CONNECTIONS_PER_ADDRESS,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        keepAliveTimeout: KEEP_ALIVE_MS,
+    });
+    const agents = new Map<string, TRPCClient<AgentRouter>>();
+    const entries = new Map<string, TRPCClient<EntryRouter>>();
+
+    function link(address: string) {
+        return httpLink({
+            url: `http://${address}`,
+            headers: { authorization: `Bearer ${token}` },
+            fetch: (url, options) =>
+                undiciFetch(url as string, {
+                    ...(options as object),
+                    dispatcher,
+                }) as unknown as Promise<Response>,
+        });
+    }
+
+    return {
+        agent(address) {
+            let client = agents.get(address);
+            if (!client) {
+                client = createTRPCClient<AgentRouter>({ links: [link(address)] });
+                agents.set(address, client);
+            }
+            return client;
+        },
+        entry(address) {
+            let client = entries.get(address);
+            if (!client) {
+                client = createTRPCClient<EntryRouter>({ links: [link(address)] });
+                entries.set(address, client);
+            }
+            return client;
+        },
+        retain(addresses) {
+            for (const clients of [agents, entries]) {
+                for (const address of clients.keys()) {
+                    if (!addresses.has(address)) {
+                        clients.delete(address);
+                    }
+                }
+            }
+        },
+        close: () => dispatcher.destroy(),
+    };
+}
--- /dev/null
+++ b/packages/platform/src/configuration/configurationKeys.ts
@@ -0,0 +1,14 @@
+/** Key of the accepted configuration of an environment. */
+export function currentKey(environment: string): string {
+    return `${environment}/configuration/current`;
+}
+
+/** Key of one accepted revision. */
+export function historyKey(environment: string, revision: number): string {
+    return `${historyPrefix(environment)}${String(revision).padStart(10, "0")}`;
+}
+
+/** Prefix of all accepted revisions. */
+export function historyPrefix(environment: string): string {
+    return `${environment}/configuration/history/`;
+}
--- /dev/null
+++ b/packages/runtime/src/http/listener.ts
@@ -0,0 +1,67 @@
+import { createServer, type IncomingMessage, type RequestListener, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** An HTTP listener that owns its sockets. */
+export interface Listener {
+    /** `ip:port` that it is bound to. */
+    address: string;
+    /** Stops accepting, lets requests in flight finish, then closes. */
+    close(): Promise<void>;
+}
+
+/** Starts an HTTP listener on `ip:port`; port 0 takes any free port. Rejects if the address is in use. */
+export function startListener(address: string, handle: RequestListener): Promise<Listener> {
+    const { host, port } = splitAddress(address);
+    const server = createServer(handle);
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, () => {
+            server.off("error", reject);
+            const bound = server.address() as AddressInfo;
+            resolve({ address: `${bound.address}:${bound.port}`, close: () => closeServer(server) });
+        });
+    });
+}
+
+/** Splits `ip:port`. */
+export function splitAddress(address: string): { host: string; port: number } {
+    const separator = address.lastIndexOf(":");
+    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+}
+
+/** The body of a request, or undefined if it is longer than `limitBytes`. Rejects if the client goes away. */
+export async function readBody(request: IncomingMessage, limitBytes: number): Promise<string | undefined> {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        bytes += chunk.length;
+        if (bytes > limitBytes) {
+            return undefined;
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
+
+/** Sends a JSON body. */
+export function sendJson(
+    response: ServerResponse,
+    status: number,
+    value: unknown,
+    headers: Record<string, string> = {},
+): void {
+    const body = Buffer.from(JSON.stringify(value), "utf8");
+    response.writeHead(status, {
+        "content-type": "application/json",
+        "content-length": String(body.length),
+        ...headers,
+    });
+    response.end(body);
+}
+
+function closeServer(server: ReturnType<typeof createServer>): Promise<void> {
+    return new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+    });
+}
--- /dev/null
+++ b/packages/runtime/src/settings/settingsFile.ts
@@ -0,0 +1,35 @@
+import { readFileSync } from "node:fs";
+import { Either, Left, Right } from "purify-ts/Either";
+import { z } from "zod";
+
+/** Reads and checks a JSON settings file. The error text names each path, the value seen and what is allowed. */
+export function readSettings<T>(path: string, schema: z.ZodType<T>): Either<string, T> {
+    let value: unknown;
+    try {
+        value = JSON.parse(readFileSync(path, "utf8"));
+    } catch (error) {
+        return Left(`The settings file cannot be read: ${String(error)}.`);
+    }
+    const parsed = schema.safeParse(value);
+    if (!parsed.success) {
+        return Left(parsed.error.issues.map(issue => describeIssue(issue, value)).join("\n"));
+    }
+    return Right(parsed.data);
+}
+
+function describeIssue(issue: z.core.$ZodIssue, root: unknown): string {
+    const path = issue.path.map(String).join(".") || "(root)";
+    const seen = JSON.stringify(valueAt(root, issue.path));
+    return `${path}: ${issue.message}; the value is ${seen ?? "missing"}`;
+}
+
+function valueAt(root: unknown, path: PropertyKey[]): unknown {
+    let current = root;
+    for (const key of path) {
+        if (typeof current !== "object" || !current) {
+            return undefined;
+        }
+        current = (current as Record<PropertyKey, unknown>)[key];
+    }
+    return current;
+}
--- /dev/null
+++ b/packages/runtime/src/task/task.ts
@@ -0,0 +1,142 @@
+import type { Clock, TimerStop } from "../clock/clock.ts";
+
+/** A message is discriminated by `kind`. */
+export interface TaskMessage {
+    kind: string;
+}
+
+/** Delivers the answer to an asked message; only the first call counts. */
+export type Reply<R> = (value: R) => void;
+
+/** Handle of a running task. Others reach its state only through messages. */
+export interface Task<M extends TaskMessage> {
+    send(message: M): void;
+    /** Sends a message that carries a reply function and resolves with the reply. */
+    ask<R>(build: (reply: Reply<R>) => M): Promise<R>;
+    /** Handles the messages already queued, drops later ones and stops the task's timers. */
+    stop(): Promise<void>;
+}
+
+/** What a handler may do besides changing its own state. */
+export interface TaskContext<M extends TaskMessage> {
+    clock: Clock;
+    /** Queues a message to this task. */
+    post(message: M): void;
+    /** Queues a message to this task after a delay. */
+    after(delayMs: number, message: M): TimerStop;
+    /**
+     * Starts asynchronous work and queues its result as a message, so that the handler never waits.
+     * A rejection is passed to `failed`, or to the task's error report if there is none.
+     */
+    start<R>(work: () => Promise<R>, done: (result: R) => M, failed?: (error: unknown) => M): void;
+}
+
+/** One handler for each kind of message. Handlers are synchronous. */
+export type Handlers<S, M extends TaskMessage> = {
+    [K in M["kind"]]: (state: S, message: Extract<M, { kind: K }>, context: TaskContext<M>) => void;
+};
+
+/** Definition of a task: its name, its state and one function for each kind of message. */
+export interface TaskDefinition<S, M extends TaskMessage> {
+    name: string;
+    state: S;
+    handlers: Handlers<S, M>;
+    clock: Clock;
+    /** Called when a handler throws or started work rejects; the task goes on. */
+    report: (task: string, error: unknown) => void;
+}
+
+/** Messages handled in one turn of the event loop before others get a turn. */
+const TURN_MESSAGES = 256;
+
+/** Starts a task that owns `state` and handles one message at a time. */
+export function startTask<S, M extends TaskMessage>(definition: TaskDefinition<S, M>): Task<M> {
+    const { name, state, handlers, clock, report } = definition;
+    const queue: M[] = [];
+    const timers = new Set<TimerStop>();
+    let scheduled = false;
+    let stopping = false;
+    let stopped: (() => void) | undefined;
+
+    const context: TaskContext<M> = {
+        clock,
+        post: enqueue,
+        after(delayMs, message) {
+            const stopTimer = clock.startTimer(delayMs, () => {
+                timers.delete(cancel);
+                enqueue(message);
+            });
+            const cancel = () => {
+                timers.delete(cancel);
+                stopTimer();
+            };
+            timers.add(cancel);
+            return cancel;
+        },
+        start(work, done, failed) {
+            work().then(
+                result => enqueue(done(result)),
+                error => {
+                    if (failed) {
+                        enqueue(failed(error));
+                        return;
+                    }
+                    report(name, error);
+                },
+            );
+        },
+    };
+
+    function enqueue(message: M): void {
+        if (stopping) {
+            return;
+        }
+        queue.push(message);
+        schedule();
+    }
+
+    function schedule(): void {
+        if (scheduled) {
+            return;
+        }
+        scheduled = true;
+        queueMicrotask(drain);
+    }
+
+    function drain(): void {
+        for (let handled = 0; handled < TURN_MESSAGES; handled++) {
+            const message = queue.shift();
+            if (!message) {
+                scheduled = false;
+                stopped?.();
+                return;
+            }
+            handle(message);
+        }
+        setImmediate(drain);
+    }
+
+    function handle(message: M): void {
+        try {
+            const kind = message.kind as M["kind"];
+            handlers[kind](state, message as Extract<M, { kind: typeof kind }>, context);
+        } catch (error) {
+            report(name, error);
+        }
+    }
+
+    return {
+        send: enqueue,
+        ask: build => new Promise(resolve => enqueue(build(resolve))),
+        stop() {
+            stopping = true;
+            for (const stopTimer of timers) {
+                stopTimer();
+            }
+            return new Promise(resolve => {
+                stopped = resolve;
+                schedule();
+            });
+        },
+    };
+}
--- /dev/null
+++ b/packages/tanagerdeck/src/entry/requestPath.spec.ts
@@ -0,0 +1,128 @@
+import { expect } from "chai";
+import { startPlatformStandin, type PlatformStandin } from "@tanagerdeck/standins/platform/platformStandin";
+import {
+    echoBehaviour,
+    startRunnerStandin,
+    type RunnerStandin,
+} from "@tanagerdeck/standins/runner/runnerStandin";
+import { tokenDigest } from "@tanagerdeck/runtime/access/token";
+import { startAgent } from "../agent/agentProcess.ts";
+import { agentSettingsSchema, entrySettingsSchema } from "../settings/settingsSchema.ts";
+import { startEntry, type RunningProcess } from "./entryProcess.ts";
+
+const PEER_TOKEN = "peer-token-for-tests";
+const OPERATOR_TOKEN = "operator-token-for-tests";
+const CALLER_TOKEN = "caller-token-for-tests";
+const CALLER_ADDRESS = "127.0.0.1:7181";
+const OPERATOR_ADDRESS = "127.0.0.1:7182";
+
+const DOCUMENT = {
+    environment: "test",
+    clientAccounts: [
+        {
+            name: "counter",
+            tokenDigests: [tokenDigest(CALLER_TOKEN)],
+            guarantees: [],
+            quota: { accelerators: 8, requestsPerSecond: 100, waiting: 100 },
+            weight: 1,
+        },
+    ],
+    kinds: [
+        {
+            name: "quote",
+            clientAccounts: ["counter"],
+            repeatable: true,
+            form: "request",
+            limits: { seconds: 10, bytes: 10_000, accelerators: 0 },
+            priority: "urgent",
+        },
+    ],
+    racks: [],
+    weights: { completionTime: 3, fragmentation: 1 },
+};
+
+describe("the path of a request", () => {
+    let platform: PlatformStandin;
+    let runner: RunnerStandin;
+    let entry: RunningProcess;
+    let agent: RunningProcess;
+
+    before(async () => {
+        platform = await startPlatformStandin("127.0.0.1:0");
+        runner = await startRunnerStandin("127.0.0.1:0", echoBehaviour);
+        entry = await startEntry(
+            entrySettingsSchema.parse({
+                name: "entry-1",
+                environment: "test",
+                region: "khomas",
+                availabilityZone: "windhoek",
+                callerAddress: CALLER_ADDRESS,
+                operatorAddress: OPERATOR_ADDRESS,
+                peerAddress: "127.0.0.1:7183",
+                metricsAddress: "127.0.0.1:7184",
+                platformAddress: platform.listener.address,
+                peerToken: PEER_TOKEN,
+                operatorToken: OPERATOR_TOKEN,
+                logLevel: "error",
+            }),
+        );
+        agent = await startAgent(
+            agentSettingsSchema.parse({
+                name: "agent-1",
+                environment: "test",
+                region: "khomas",
+                availabilityZone: "windhoek",
+                peerAddress: "127.0.0.1:7185",
+                metricsAddress: "127.0.0.1:7186",
+                seeds: ["127.0.0.1:7183"],
+                peerToken: PEER_TOKEN,
+                server: { kind: "runner", address: runner.listener.address, slots: 8, connections: 64 },
+                logLevel: "error",
+            }),
+        );
+    });
+
+    after(async () => {
+        await agent.stop();
+        await entry.stop();
+        await runner.listener.close();
+        await platform.listener.close();
+    });
+
+    describe("before a document is applied", () => {
+        it("refuses with not run, so that no work runs without a configuration", async () => {
+            const response = await submit({ kind: "quote", deadlineMs: 5_000, body: "{}" });
+            expect(response.status).to.equal(503);
+            expect(response.headers.get("x-verdict")).to.equal("not-run");
+        });
+    });
+
+    describe("after a document is applied", () => {
+        before(async () => {
+            const change = { text: JSON.stringify(DOCUMENT), expectedRevision: 0, changeId: "first" };
+            const response = await fetch(`http://${OPERATOR_ADDRESS}/v1/configuration`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
+                body: JSON.stringify(change),
+            });
+            expect(response.status).to.equal(200);
+        });
+
+        it("answers the caller with the runner's whole answer", async () => {
+            const response = await submit({ kind: "quote", deadlineMs: 5_000, body: '{"ms":5}' });
+            expect(response.status).to.equal(200);
+            const body = await response.text();
+            expect(JSON.parse(body)).to.deep.equal({ kind: "quote", echo: '{"ms":5}' });
+            expect(response.headers.get("content-length")).to.equal(String(Buffer.byteLength(body)));
+            expect(runner.executed).to.have.length(1);
+        });
+    });
+});
+
+function submit(request: object): Promise<Response> {
+    return fetch(`http://${CALLER_ADDRESS}/v1/requests`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${CALLER_TOKEN}` },
+        body: JSON.stringify(request),
+    });
+}
--- /dev/null
+++ b/packages/tanagerdeck/src/main.ts
@@ -0,0 +1,42 @@
+import { cac } from "cac";
+import { readSettings } from "@tanagerdeck/runtime/settings/settingsFile";
+import { startAgent } from "./agent/agentProcess.ts";
+import { startEntry, type RunningProcess } from "./entry/entryProcess.ts";
+import { agentSettingsSchema, entrySettingsSchema } from "./settings/settingsSchema.ts";
+
+const EXIT_USAGE = 2;
+
+const cli = cac("tanagerdeck");
+
+cli.command("entry <settings>", "Run an entry process").action(async (path: string) => {
+    await readSettings(path, entrySettingsSchema).caseOf({
+        Left: async problem => exitWithUsageError(problem),
+        Right: async settings => stopOnSignal(await startEntry(settings)),
+    });
+});
+
+cli.command("agent <settings>", "Run the agent of a backend server").action(async (path: string) => {
+    await readSettings(path, agentSettingsSchema).caseOf({
+        Left: async problem => exitWithUsageError(problem),
+        Right: async settings => stopOnSignal(await startAgent(settings)),
+    });
+});
+
+cli.help();
+
+function exitWithUsageError(problem: string): void {
+    process.stderr.write(`${problem}\n`);
+    process.exitCode = EXIT_USAGE;
+}
+
+function stopOnSignal(running: RunningProcess): void {
+    const stop = () => void running.stop();
+    process.once("SIGTERM", stop);
+    process.once("SIGINT", stop);
+}
+
+cli.parse(process.argv, { run: false });
+Promise.resolve(cli.runMatchedCommand()).catch(error => {
+    process.stderr.write(`${String(error)}\n`);
+    process.exitCode = 1;
+});
--- /dev/null
+++ b/packages/tanagerdeck/src/settings/settingsSchema.ts
@@ -0,0 +1,61 @@
+import { z } from "zod";
+
+const address = z
+    .string()
+    .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, "must be an IPv4 number and a port, such as 10.0.0.1:7000");
+const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "must be lower-case letters, digits and hyphens");
+const level = z.enum(["debug", "info", "warn", "error"]).default("info");
+
+/** Settings of an entry process. */
+export const entrySettingsSchema = z.strictObject({
+    name,
+    environment: name,
+    region: name,
+    availabilityZone: name,
+    callerAddress: address,
+    operatorAddress: address,
+    peerAddress: address,
+    metricsAddress: address,
+    platformAddress: address,
+    peerToken: z.string().min(16),
+    operatorToken: z.string().min(16),
+    lingerMs: z.number().int().nonnegative().default(3_000),
+    logLevel: level,
+    traceCollector: z.string().url().optional(),
+});
+
+/** Settings of an agent process. */
+export const agentSettingsSchema = z.strictObject({
+    name,
+    environment: name,
+    region: name,
+    availabilityZone: name,
+    peerAddress: address,
+    metricsAddress: address,
+    seeds: z.array(address).min(1),
+    peerToken: z.string().min(16),
+    server: z.discriminatedUnion("kind", [
+        z.strictObject({
+            kind: z.literal("runner"),
+            address,
+            slots: z.number().int().positive(),
+            connections: z.number().int().positive(),
+        }),
+        z.strictObject({
+            kind: z.literal("worker"),
+            address,
+            rack: name,
+            slot: z.number().int().nonnegative(),
+            accelerators: z.number().int().positive(),
+        }),
+    ]),
+    drainGraceMs: z.number().int().nonnegative().default(30_000),
+    logLevel: level,
+    traceCollector: z.string().url().optional(),
+});
+
+/** Settings of an entry process. */
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+
+/** Settings of an agent process. */
+export type AgentSettings = z.infer<typeof agentSettingsSchema>;
