Register routes as objects of functions and let listeners take any port

Cause: one listener file would have held every route of callers and of operators, and fixed ports would let two test runs on one machine collide. Routes are now registered by method and path, and a process prints its bound addresses when it is ready.

--- /dev/null
+++ b/packages/caller/src/listener/outcomeResponse.ts
@@ -0,0 +1,27 @@
+import type { ServerResponse } from "node:http";
+import type { Failure, Outcome, Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { sendJson } from "@tanagerdeck/runtime/http/listener";
+
+const STATUS_BY_VERDICT: Record<Verdict, number> = { "not-run": 503, ran: 502, "may-have-run": 504 };
+
+/** Sends an outcome; an answer carries its length, digest and verdict in headers. */
+export function sendOutcome(response: ServerResponse, outcome: Outcome): void {
+    if (outcome.kind === "failure") {
+        sendFailure(response, STATUS_BY_VERDICT[outcome.verdict], outcome);
+        return;
+    }
+    const { body, digest } = outcome.answer;
+    const bytes = Buffer.from(body, "utf8");
+    response.writeHead(200, {
+        "content-type": "application/json",
+        "content-length": String(bytes.length),
+        "content-digest": `sha-256=:${digest}:`,
+        "x-verdict": outcome.verdict,
+    });
+    response.end(bytes);
+}
+
+/** Sends a failure with its verdict in the body and in a header. */
+export function sendFailure(response: ServerResponse, status: number, problem: Failure): void {
+    sendJson(response, status, problem, { "x-verdict": problem.verdict });
+}
--- /dev/null
+++ b/packages/caller/src/routing/requestRoutes.ts
@@ -0,0 +1,37 @@
+import { nanoid } from "nanoid";
+import { z } from "zod";
+import { failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { readBody } from "@tanagerdeck/runtime/http/listener";
+import { parseJson, type Routes } from "@tanagerdeck/runtime/http/routes";
+import type { CallerContext } from "../listener/callerListener.ts";
+import { sendFailure, sendOutcome } from "../listener/outcomeResponse.ts";
+import type { CallerRequest } from "./routingTask.ts";
+
+const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
+const MAX_DEADLINE_MS = 24 * 3_600_000;
+
+const requestSchema = z.strictObject({
+    kind: z.string().min(1),
+    id: z.string().min(1).max(200).optional(),
+    deadlineMs: z.number().int().positive().max(MAX_DEADLINE_MS),
+    body: z.string(),
+});
+
+/** Routes of requests that a runner answers. */
+export function createRequestRoutes(
+    submit: (request: CallerRequest) => Promise<Outcome>,
+): Routes<CallerContext> {
+    return {
+        async "POST /v1/requests"({ context, request, response }) {
+            const text = await readBody(request, BODY_LIMIT_BYTES);
+            const parsed = requestSchema.safeParse(parseJson(text));
+            if (!parsed.success) {
+                sendFailure(response, 400, failure("not-run", "invalid", z.prettifyError(parsed.error)));
+                return;
+            }
+            const { id, ...rest } = parsed.data;
+            const { clientAccount } = context;
+            sendOutcome(response, await submit({ ...rest, clientAccount, id: id ?? nanoid() }));
+        },
+    };
+}
--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -11,7 +11,7 @@
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
 import { createLog } from "@tanagerdeck/runtime/log/log";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
-import type { RunningProcess } from "../entry/entryProcess.ts";
+import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
 import type { AgentSettings } from "../settings/settingsSchema.ts";
 
 const REPORT_INTERVAL_MS = 2_000;
@@ -93,6 +93,7 @@
     log.info("The agent is serving.", { peerAddress: peerListener.address });
 
     return {
+        addresses: { peerAddress: peerListener.address },
         async stop() {
             draining = true;
             runner.send({ kind: "drain" });
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -2,8 +2,10 @@
 import type { ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startCallerListener } from "@tanagerdeck/caller/listener/callerListener";
+import { createRequestRoutes } from "@tanagerdeck/caller/routing/requestRoutes";
 import { startRoutingTask } from "@tanagerdeck/caller/routing/routingTask";
 import { applyDocument } from "@tanagerdeck/operator/document/applyDocument";
+import { createDocumentRoutes } from "@tanagerdeck/operator/document/documentRoutes";
 import { startOperatorListener } from "@tanagerdeck/operator/listener/operatorListener";
 import { createEntryRouter } from "@tanagerdeck/peer/link/entryRouter";
 import { createPeerClients } from "@tanagerdeck/peer/link/peerClient";
@@ -14,16 +16,12 @@
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
 import { createLog } from "@tanagerdeck/runtime/log/log";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
+import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
 import type { EntrySettings } from "../settings/settingsSchema.ts";
 import { createAgentCalls } from "./agentCalls.ts";
 
 const REPORT_INTERVAL_MS = 2_000;
 
-/** A running process of one role. */
-export interface RunningProcess {
-    stop(): Promise<void>;
-}
-
 /** Starts an entry and wires its tasks. */
 export async function startEntry(settings: EntrySettings): Promise<RunningProcess> {
     const log = createLog(settings.name, settings.logLevel);
@@ -76,20 +74,27 @@
     const operatorListener = await startOperatorListener({
         address: settings.operatorAddress,
         token: settings.operatorToken,
-        apply: async change => {
+        routes: createDocumentRoutes(async change => {
             const result = await applyDocument(store, change);
             result.ifRight(accepted => configuration.send({ kind: "offer", configuration: accepted }));
             return result;
-        },
+        }),
     });
     const callerListener = await startCallerListener({
         address: settings.callerAddress,
         configuration: currentConfiguration,
-        submit: request => routing.ask((reply: Reply<Outcome>) => ({ kind: "request", request, reply })),
+        routes: createRequestRoutes(request =>
+            routing.ask((reply: Reply<Outcome>) => ({ kind: "request", request, reply })),
+        ),
     });
     log.info("The entry is serving.", { callerAddress: callerListener.address });
 
     return {
+        addresses: {
+            callerAddress: callerListener.address,
+            operatorAddress: operatorListener.address,
+            peerAddress: peerListener.address,
+        },
         async stop() {
             await callerListener.close();
             await operatorListener.close();
--- a/packages/tanagerdeck/src/entry/requestPath.spec.ts
+++ b/packages/tanagerdeck/src/entry/requestPath.spec.ts
@@ -8,13 +8,13 @@
 import { tokenDigest } from "@tanagerdeck/runtime/access/token";
 import { startAgent } from "../agent/agentProcess.ts";
 import { agentSettingsSchema, entrySettingsSchema } from "../settings/settingsSchema.ts";
-import { startEntry, type RunningProcess } from "./entryProcess.ts";
+import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
+import { startEntry } from "./entryProcess.ts";
 
 const PEER_TOKEN = "peer-token-for-tests";
 const OPERATOR_TOKEN = "operator-token-for-tests";
 const CALLER_TOKEN = "caller-token-for-tests";
-const CALLER_ADDRESS = "127.0.0.1:7181";
-const OPERATOR_ADDRESS = "127.0.0.1:7182";
+const ANY_PORT = "127.0.0.1:0";
 
 const DOCUMENT = {
     environment: "test",
@@ -56,10 +56,10 @@
                 environment: "test",
                 region: "khomas",
                 availabilityZone: "windhoek",
-                callerAddress: CALLER_ADDRESS,
-                operatorAddress: OPERATOR_ADDRESS,
-                peerAddress: "127.0.0.1:7183",
-                metricsAddress: "127.0.0.1:7184",
+                callerAddress: ANY_PORT,
+                operatorAddress: ANY_PORT,
+                peerAddress: ANY_PORT,
+                metricsAddress: ANY_PORT,
                 platformAddress: platform.listener.address,
                 peerToken: PEER_TOKEN,
                 operatorToken: OPERATOR_TOKEN,
@@ -72,9 +72,9 @@
                 environment: "test",
                 region: "khomas",
                 availabilityZone: "windhoek",
-                peerAddress: "127.0.0.1:7185",
-                metricsAddress: "127.0.0.1:7186",
-                seeds: ["127.0.0.1:7183"],
+                peerAddress: ANY_PORT,
+                metricsAddress: ANY_PORT,
+                seeds: [entry.addresses.peerAddress],
                 peerToken: PEER_TOKEN,
                 server: { kind: "runner", address: runner.listener.address, slots: 8, connections: 64 },
                 logLevel: "error",
@@ -100,7 +100,7 @@
     describe("after a document is applied", () => {
         before(async () => {
             const change = { text: JSON.stringify(DOCUMENT), expectedRevision: 0, changeId: "first" };
-            const response = await fetch(`http://${OPERATOR_ADDRESS}/v1/configuration`, {
+            const response = await fetch(`http://${entry.addresses.operatorAddress}/v1/configuration`, {
                 method: "POST",
                 headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
                 body: JSON.stringify(change),
@@ -117,12 +117,12 @@
             expect(runner.executed).to.have.length(1);
         });
     });
-});
 
-function submit(request: object): Promise<Response> {
-    return fetch(`http://${CALLER_ADDRESS}/v1/requests`, {
-        method: "POST",
-        headers: { authorization: `Bearer ${CALLER_TOKEN}` },
-        body: JSON.stringify(request),
-    });
-}
+    function submit(request: object): Promise<Response> {
+        return fetch(`http://${entry.addresses.callerAddress}/v1/requests`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${CALLER_TOKEN}` },
+            body: JSON.stringify(request),
+        });
+    }
+});
--- a/packages/tanagerdeck/src/main.ts
+++ b/packages/tanagerdeck/src/main.ts
@@ -1,7 +1,8 @@
 import { cac } from "cac";
 import { readSettings } from "@tanagerdeck/runtime/settings/settingsFile";
 import { startAgent } from "./agent/agentProcess.ts";
-import { startEntry, type RunningProcess } from "./entry/entryProcess.ts";
+import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
+import { startEntry } from "./entry/entryProcess.ts";
 import { agentSettingsSchema, entrySettingsSchema } from "./settings/settingsSchema.ts";
 
 const EXIT_USAGE = 2;
@@ -11,14 +12,14 @@
 cli.command("entry <settings>", "Run an entry process").action(async (path: string) => {
     await readSettings(path, entrySettingsSchema).caseOf({
         Left: async problem => exitWithUsageError(problem),
-        Right: async settings => stopOnSignal(await startEntry(settings)),
+        Right: async settings => serveUntilSignal(await startEntry(settings)),
     });
 });
 
 cli.command("agent <settings>", "Run the agent of a backend server").action(async (path: string) => {
     await readSettings(path, agentSettingsSchema).caseOf({
         Left: async problem => exitWithUsageError(problem),
-        Right: async settings => stopOnSignal(await startAgent(settings)),
+        Right: async settings => serveUntilSignal(await startAgent(settings)),
     });
 });
 
@@ -29,7 +30,9 @@
     process.exitCode = EXIT_USAGE;
 }
 
-function stopOnSignal(running: RunningProcess): void {
+/** Prints the bound addresses as one JSON line and stops on a signal. */
+function serveUntilSignal(running: RunningProcess): void {
+    process.stdout.write(`${JSON.stringify({ ready: true, addresses: running.addresses })}\n`);
     const stop = () => void running.stop();
     process.once("SIGTERM", stop);
     process.once("SIGINT", stop);
--- /dev/null
+++ b/scripts/bench/bench.ts
@@ -0,0 +1,11 @@
+import { type Bench } from "./benchTypes.ts";
+
+/** Benches in the order in which they run. */
+const benches: Bench[] = [];
+
+for (const bench of benches) {
+    for (const measure of await bench()) {
+        const ratio = Number((measure.value / measure.baseline).toFixed(3));
+        process.stdout.write(`${JSON.stringify({ ...measure, ratio })}\n`);
+    }
+}
