Compute bindings by exhaustive search and rebind after the loss of workers

The search places the narrowest span first, then the largest shape, prefers the tightest worker and rack, and remembers failed states. Neighbouring-racks shapes are assigned to pairs; whether the pairs of an availability zone can be served is decided exactly by one pass over its racks.

--- a/packages/decisions/src/binding/bindingSearch.ts
+++ b/packages/decisions/src/binding/bindingSearch.ts
@@ -1,8 +1,123 @@
-import { Either, Right } from "purify-ts/Either";
-import type { Binding, Document } from "../document/documentTypes.ts";
-import type { Failure } from "../verdict/verdictTypes.ts";
+import { type Either, Left, Right } from "purify-ts/Either";
+import type { Accelerator, Binding, Document, Shape } from "../document/documentTypes.ts";
+import { failure, type Failure } from "../verdict/verdictTypes.ts";
+import {
+    declaredCapacity,
+    freeInRack,
+    type RackCapacity,
+    takeFromRack,
+    takeFromSlot,
+} from "./rackCapacity.ts";
+import { compareShapes, SEARCH_WORK, searchTargets, splitPairs, type Target } from "./shapeSearch.ts";
 
-/** Assigns every guaranteed shape to accelerators of the declared racks, or says which shape does not fit. */
-export function computeBindings(_document: Document): Either<Failure, Binding[]> {
-    return Right([]);
+/** A guarantee that needs accelerators. */
+export interface Claim {
+    clientAccount: string;
+    guarantee: number;
+    shape: Shape;
+}
+
+/**
+ * Assigns every guaranteed shape to accelerators of the declared racks.
+ * Fails with `infeasible` and the client account and shape that do not fit, or with `limit-exceeded` when
+ * the search ends at its bound on steps without a result.
+ */
+export function computeBindings(document: Document, work = SEARCH_WORK): Either<Failure, Binding[]> {
+    const claims: Claim[] = [];
+    for (const { name, guarantees } of document.clientAccounts) {
+        for (const [guarantee, shape] of guarantees.entries()) {
+            claims.push({ clientAccount: name, guarantee, shape });
+        }
+    }
+    return bindClaims(declaredCapacity(document.racks), claims, work);
+}
+
+/** Binds the claims to free accelerators and removes these from the capacity. */
+export function bindClaims(
+    capacity: RackCapacity[],
+    claims: Claim[],
+    work = SEARCH_WORK,
+): Either<Failure, Binding[]> {
+    const ordered = [...claims].sort((left, right) => compareShapes(left.shape, right.shape));
+    const result = searchTargets(
+        capacity,
+        ordered.map(claim => claim.shape),
+        work,
+    );
+    if (result.kind === "found") {
+        return Right(takeTargets(capacity, ordered, result.targets).sort(byAccount(claims)));
+    }
+    const name = describeClaim(ordered[result.shape]!);
+    if (result.kind === "undecided") {
+        const detail = `${name}: no decision within the bound on search steps; it may or may not fit`;
+        return Left(failure("not-run", "limit-exceeded", detail));
+    }
+    const detail = `${name} does not fit the racks together with the other guarantees`;
+    return Left(failure("not-run", "infeasible", detail));
+}
+
+/** Names a guarantee for an operator. */
+function describeClaim({ clientAccount, guarantee, shape }: Claim): string {
+    const place = shape.span === "neighbouring-racks" ? "two neighbouring racks" : `one ${shape.span}`;
+    return `client account ${clientAccount}: guarantee ${guarantee} (${shape.accelerators} accelerators in ${place})`;
+}
+
+function byAccount(claims: Claim[]): (left: Binding, right: Binding) => number {
+    const position = new Map(claims.map(({ clientAccount }, index) => [clientAccount, index]));
+    return (left, right) =>
+        position.get(left.clientAccount)! - position.get(right.clientAccount)! ||
+        left.guarantee - right.guarantee;
+}
+
+function takeTargets(capacity: RackCapacity[], claims: Claim[], targets: Target[]): Binding[] {
+    const bindings: Binding[] = [];
+    const pairs: { claim: Claim; rack: number }[] = [];
+    for (const [position, claim] of claims.entries()) {
+        const { rack, slot } = targets[position]!;
+        if (claim.shape.span === "neighbouring-racks") {
+            pairs.push({ claim, rack });
+            continue;
+        }
+        const count = claim.shape.accelerators;
+        const accelerators =
+            slot === undefined
+                ? takeFromRack(capacity[rack]!, count)
+                : takeFromSlot(capacity[rack]!, slot, count);
+        bindings.push({ ...claim, accelerators });
+    }
+    return [...bindings, ...takePairs(capacity, pairs)];
+}
+
+function takePairs(capacity: RackCapacity[], pairs: { claim: Claim; rack: number }[]): Binding[] {
+    const demands = capacity.map(() => 0);
+    for (const { claim, rack } of pairs) {
+        demands[rack]! += claim.shape.accelerators;
+    }
+    const free = capacity.map(freeInRack);
+    const splits: { left: number; right: number }[] = [];
+    for (const [position, rack] of capacity.entries()) {
+        if (rack.first) {
+            Object.assign(splits, splitPairs(capacity, free, demands, position));
+        }
+    }
+    return pairs.map(({ claim, rack }) => ({
+        ...claim,
+        accelerators: takeFromPair(capacity, rack, splits[rack]!, claim.shape.accelerators),
+    }));
+}
+
+function takeFromPair(
+    capacity: RackCapacity[],
+    rack: number,
+    split: { left: number },
+    count: number,
+): Accelerator[] {
+    const left = Math.min(split.left, count);
+    split.left -= left;
+    const taken = takeFromRack(capacity[rack]!, left);
+    const { next } = capacity[rack]!;
+    if (left < count && next !== undefined) {
+        taken.push(...takeFromRack(capacity[next]!, count - left));
+    }
+    return taken;
 }
--- /dev/null
+++ b/packages/decisions/src/binding/rebinding.ts
@@ -0,0 +1,126 @@
+import type { Accelerator, Binding, Document } from "../document/documentTypes.ts";
+import { bindClaims } from "./bindingSearch.ts";
+import {
+    declaredCapacity,
+    freeInRack,
+    type RackCapacity,
+    removeAccelerators,
+    returnAccelerators,
+    takeFromRack,
+} from "./rackCapacity.ts";
+
+/** A worker by position. */
+export interface LostWorker {
+    rack: string;
+    slot: number;
+}
+
+/** Bindings after the loss of workers, in the order before it. */
+export interface Rebinding {
+    bindings: Binding[];
+    moved: Binding[];
+    /** Bindings for which no other place is free; they stay where they are until their workers return. */
+    unplaced: Binding[];
+}
+
+/** Bounds one search, so that an entry is not busy for long while it rebinds. */
+const REBIND_WORK = 4_000_000;
+
+/**
+ * Moves the bindings that use a lost worker to accelerators that are bound to nobody.
+ * A binding keeps the accelerators that it has left when its own racks have enough unbound ones.
+ */
+export function rebind(bindings: Binding[], document: Document, lost: LostWorker[]): Rebinding {
+    const lostKeys = new Set(lost.map(workerKey));
+    const isLost = (accelerator: Accelerator) => lostKeys.has(workerKey(accelerator));
+    const affected = bindings.filter(binding => binding.accelerators.some(isLost));
+    const capacity = declaredCapacity(document.racks);
+    for (const { rack, slot } of lost) {
+        const lostSlots = capacity.find(({ name }) => name === rack)?.slots;
+        if (lostSlots?.[slot]) {
+            lostSlots[slot] = [];
+        }
+    }
+    removeAccelerators(
+        capacity,
+        bindings.flatMap(({ accelerators }) => accelerators),
+    );
+    const places = moveAll(capacity, affected, isLost);
+    return {
+        bindings: bindings.map(binding => places.get(binding) ?? binding),
+        moved: [...places.values()],
+        unplaced: affected.filter(binding => !places.has(binding)),
+    };
+}
+
+/** Moves one binding after the other, the largest first; if one does not fit, tries all of them at once. */
+function moveAll(
+    capacity: RackCapacity[],
+    affected: Binding[],
+    isLost: (accelerator: Accelerator) => boolean,
+): Map<Binding, Binding> {
+    const together = structuredClone(capacity);
+    const places = new Map<Binding, Binding>();
+    const largestFirst = [...affected].sort(
+        (left, right) => right.shape.accelerators - left.shape.accelerators,
+    );
+    for (const binding of largestFirst) {
+        const moved = moveOne(capacity, binding, isLost);
+        if (moved) {
+            places.set(binding, moved);
+        }
+    }
+    if (places.size === affected.length) {
+        return places;
+    }
+    for (const { accelerators } of affected) {
+        returnAccelerators(
+            together,
+            accelerators.filter(accelerator => !isLost(accelerator)),
+        );
+    }
+    const joint = bindClaims(together, affected.map(withoutAccelerators), REBIND_WORK);
+    return joint.map(moved => matchBindings(affected, moved)).orDefault(places);
+}
+
+function moveOne(
+    capacity: RackCapacity[],
+    binding: Binding,
+    isLost: (accelerator: Accelerator) => boolean,
+): Binding | undefined {
+    const kept = binding.accelerators.filter(accelerator => !isLost(accelerator));
+    const missing = binding.accelerators.length - kept.length;
+    const racks = new Set(kept.map(({ rack }) => rack));
+    const nearby = capacity.filter(({ name }) => racks.has(name));
+    const free = nearby.reduce((sum, rack) => sum + freeInRack(rack), 0);
+    if (binding.shape.span !== "worker" && free >= missing) {
+        const added: Accelerator[] = [];
+        for (const rack of nearby) {
+            added.push(...takeFromRack(rack, Math.min(missing - added.length, freeInRack(rack))));
+        }
+        return { ...binding, accelerators: [...kept, ...added] };
+    }
+    returnAccelerators(capacity, kept);
+    const moved = bindClaims(capacity, [withoutAccelerators(binding)], REBIND_WORK);
+    if (moved.isLeft()) {
+        removeAccelerators(capacity, kept);
+    }
+    return moved.orDefault([])[0];
+}
+
+function matchBindings(affected: Binding[], moved: Binding[]): Map<Binding, Binding> {
+    const byGuarantee = new Map(moved.map(binding => [guaranteeKey(binding), binding]));
+    return new Map(affected.map(binding => [binding, byGuarantee.get(guaranteeKey(binding))!]));
+}
+
+function withoutAccelerators({ clientAccount, guarantee, shape }: Binding) {
+    return { clientAccount, guarantee, shape };
+}
+
+function guaranteeKey({ clientAccount, guarantee }: Binding): string {
+    return `${clientAccount}/${guarantee}`;
+}
+
+function workerKey({ rack, slot }: LostWorker): string {
+    return `${rack}/${slot}`;
+}
--- /dev/null
+++ b/packages/decisions/src/binding/shapeSearch.ts
@@ -0,0 +1,288 @@
+import type { Shape, Span } from "../document/documentTypes.ts";
+import { freeInRack, type RackCapacity } from "./rackCapacity.ts";
+
+/** Where one shape goes: a worker, a rack, or the pair that starts at a rack. */
+export interface Target {
+    rack: number;
+    /** Set for the span `worker` only. */
+    slot?: number;
+}
+
+/** Result of a search; `shape` is the position of the hardest shape. */
+export type SearchResult =
+    | { kind: "found"; targets: Target[] }
+    | { kind: "does-not-fit"; shape: number }
+    | { kind: "undecided"; shape: number };
+
+/** Free accelerators by worker and rack, and what the pairs of racks have to give. */
+interface SearchState {
+    capacity: RackCapacity[];
+    slots: number[][];
+    racks: number[];
+    pairs: number[];
+    /** Positions of the racks of each availability zone, by position of its first rack. */
+    zoneOf: number[];
+    /** Position of the previous rack of the availability zone. */
+    previous: (number | undefined)[];
+}
+
+interface Level {
+    /** Undefined while no candidate after the first is needed. */
+    candidates: Target[] | undefined;
+    /** Number of candidates tried. */
+    tried: number;
+    placed: Target | undefined;
+}
+
+/** Candidates that a search may examine before it gives up; bounds the time to about ten seconds. */
+export const SEARCH_WORK = 40_000_000;
+
+const SPAN_ORDER: Record<Span, number> = { worker: 0, rack: 1, "neighbouring-racks": 2 };
+
+/** Order in which shapes are placed: the narrowest span first, then the largest. */
+export function compareShapes(left: Shape, right: Shape): number {
+    return SPAN_ORDER[left.span] - SPAN_ORDER[right.span] || right.accelerators - left.accelerators;
+}
+
+/**
+ * Looks for a target for every shape at once. `shapes` are ordered by `compareShapes`.
+ * The search is exhaustive: only workers of one rack with equal free counts are interchanged, and a state
+ * that failed once is not searched again.
+ */
+export function searchTargets(capacity: RackCapacity[], shapes: Shape[], work = SEARCH_WORK): SearchResult {
+    const state = initialState(capacity);
+    const oversized = firstOversized(state, shapes);
+    if (oversized !== undefined) {
+        return { kind: "does-not-fit", shape: oversized };
+    }
+    const failed = new Set<string>();
+    const levels: Level[] = [];
+    let deepest = 0;
+    let examined = 0;
+    while (levels.length < shapes.length || (levels.at(-1) && !levels.at(-1)!.placed)) {
+        let level = levels.at(-1);
+        if (!level || level.placed) {
+            level = openLevel(state, shapes, levels.length, failed);
+            levels.push(level);
+            examined += (level.candidates?.length ?? 0) + capacity.length;
+        }
+        const position = levels.length - 1;
+        deepest = Math.max(deepest, position);
+        if (examined > work) {
+            return { kind: "undecided", shape: deepest };
+        }
+        examined += 1;
+        if (placeNext(state, shapes[position]!, level)) {
+            continue;
+        }
+        rememberFailure(failed, state, shapes, position);
+        levels.pop();
+        const previous = levels.at(-1);
+        if (!previous) {
+            return { kind: "does-not-fit", shape: deepest };
+        }
+        change(state, shapes[position - 1]!, previous.placed!, 1);
+        previous.placed = undefined;
+    }
+    return { kind: "found", targets: levels.map(level => level.placed!) };
+}
+
+/** Takes from each rack what the demands of the pairs need; undefined if they exceed the racks. */
+export function splitPairs(
+    capacity: RackCapacity[],
+    free: number[],
+    demands: number[],
+    first: number,
+): { left: number; right: number }[] | undefined {
+    const splits: { left: number; right: number }[] = [];
+    let carried = 0;
+    for (let rack: number | undefined = first; rack !== undefined; rack = capacity[rack]!.next) {
+        const available = free[rack]! - carried;
+        if (available < 0) {
+            return undefined;
+        }
+        const left = Math.min(demands[rack]!, available);
+        carried = demands[rack]! - left;
+        splits[rack] = { left, right: carried };
+    }
+    return carried === 0 ? splits : undefined;
+}
+
+function initialState(capacity: RackCapacity[]): SearchState {
+    const zoneOf: number[] = [];
+    const previous: (number | undefined)[] = capacity.map(() => undefined);
+    for (const [position, rack] of capacity.entries()) {
+        zoneOf[position] ??= position;
+        if (rack.next !== undefined) {
+            zoneOf[rack.next] = zoneOf[position]!;
+            previous[rack.next] = position;
+        }
+    }
+    return {
+        capacity,
+        slots: capacity.map(rack => rack.slots.map(slot => slot.length)),
+        racks: capacity.map(freeInRack),
+        pairs: capacity.map(() => 0),
+        zoneOf,
+        previous,
+    };
+}
+
+/** Finds a shape that exceeds what is free in total or has more equals or larger ones than there is room for. */
+function firstOversized(state: SearchState, shapes: Shape[]): number | undefined {
+    let total = 0;
+    for (const free of state.racks) {
+        total += free;
+    }
+    const rooms = new Map<string, number>();
+    const counts = { worker: 0, rack: 0, "neighbouring-racks": 0 };
+    for (const [position, { span, accelerators }] of shapes.entries()) {
+        total -= accelerators;
+        counts[span] += 1;
+        const key = `${span}:${accelerators}`;
+        const room = rooms.get(key) ?? roomFor(state, span, accelerators);
+        rooms.set(key, room);
+        if (total < 0 || counts[span] > room) {
+            return position;
+        }
+    }
+    return undefined;
+}
+
+/** Upper bound of the shapes of at least this size that fit beside each other. */
+function roomFor(state: SearchState, span: Span, accelerators: number): number {
+    let room = 0;
+    for (const [rack, free] of state.racks.entries()) {
+        if (span === "worker") {
+            for (const slot of state.slots[rack]!) {
+                room += Math.floor(slot / accelerators);
+            }
+        } else if (span === "rack") {
+            room += Math.floor(free / accelerators);
+        } else {
+            room += Math.floor((free + (state.racks[state.capacity[rack]!.next ?? -1] ?? 0)) / accelerators);
+        }
+    }
+    return room;
+}
+
+function openLevel(state: SearchState, shapes: Shape[], position: number, failed: Set<string>): Level {
+    const known = failed.size > 0 && failed.has(signature(state, shapes, position));
+    const candidates = known ? [] : candidatesFor(state, shapes[position]!);
+    return { candidates, tried: 0, placed: undefined };
+}
+
+/** Places the shape on its next possible candidate; false if none is left. */
+function placeNext(state: SearchState, shape: Shape, level: Level): boolean {
+    for (
+        let target = nextCandidate(state, shape, level);
+        target;
+        target = nextCandidate(state, shape, level)
+    ) {
+        level.tried += 1;
+        change(state, shape, target, -1);
+        if (shape.span !== "neighbouring-racks" || pairsFit(state, target.rack)) {
+            level.placed = target;
+            return true;
+        }
+        change(state, shape, target, 1);
+    }
+    return false;
+}
+
+/** The first candidate is selected by a scan and the list dropped, since most levels need no second one. */
+function nextCandidate(state: SearchState, shape: Shape, level: Level): Target | undefined {
+    const compare = (left: Target, right: Target) => compareTargets(state, left, right);
+    if (level.tried > 0) {
+        level.candidates ??= candidatesFor(state, shape).sort(compare);
+        return level.candidates[level.tried];
+    }
+    let best: Target | undefined;
+    for (const target of level.candidates ?? []) {
+        best = best && compare(best, target) <= 0 ? best : target;
+    }
+    level.candidates = undefined;
+    return best;
+}
+
+/** Prefers the tightest worker, then the tightest rack or pair. */
+function compareTargets(state: SearchState, left: Target, right: Target): number {
+    return (
+        slotFree(state, left) - slotFree(state, right) ||
+        state.racks[left.rack]! - state.racks[right.rack]! ||
+        left.rack - right.rack
+    );
+}
+
+function slotFree(state: SearchState, target: Target): number {
+    return target.slot === undefined ? 0 : state.slots[target.rack]![target.slot]!;
+}
+
+function candidatesFor(state: SearchState, shape: Shape): Target[] {
+    const candidates: Target[] = [];
+    for (let rack = 0; rack < state.racks.length; rack++) {
+        const free = state.racks[rack]!;
+        const { next, first } = state.capacity[rack]!;
+        if (shape.span === "worker" && free >= shape.accelerators) {
+            addWorkers(state, rack, shape.accelerators, candidates);
+        }
+        if (shape.span === "rack" && free >= shape.accelerators) {
+            candidates.push({ rack });
+        }
+        const isPair = next !== undefined || first;
+        if (shape.span === "neighbouring-racks" && isPair && pairRoom(state, rack) >= shape.accelerators) {
+            candidates.push({ rack });
+        }
+    }
+    return candidates;
+}
+
+/** Upper bound of what a pair can still give, from the demands of the pairs that share a rack with it. */
+function pairRoom({ capacity, racks, pairs, previous }: SearchState, rack: number): number {
+    const before = previous[rack] ?? -1;
+    const next = capacity[rack]!.next ?? -1;
+    const after = capacity[next]?.next ?? -1;
+    const own = racks[rack]! + (racks[next] ?? 0) - pairs[rack]!;
+    const left = (racks[before] ?? 0) - (pairs[before] ?? 0);
+    const right = (racks[after] ?? 0) - (pairs[next] ?? 0);
+    return own + Math.min(0, left, right, left + right);
+}
+
+/** Adds one worker of the rack for each distinct number of free accelerators. */
+function addWorkers(state: SearchState, rack: number, accelerators: number, candidates: Target[]): void {
+    const slots = state.slots[rack]!;
+    for (let slot = 0; slot < slots.length; slot++) {
+        const free = slots[slot]!;
+        if (free >= accelerators && slots.indexOf(free) === slot) {
+            candidates.push({ rack, slot });
+        }
+    }
+}
+
+function change(state: SearchState, shape: Shape, target: Target, sign: 1 | -1): void {
+    if (shape.span === "neighbouring-racks") {
+        state.pairs[target.rack]! -= sign * shape.accelerators;
+        return;
+    }
+    state.racks[target.rack]! += sign * shape.accelerators;
+    if (target.slot !== undefined) {
+        state.slots[target.rack]![target.slot]! += sign * shape.accelerators;
+    }
+}
+
+function pairsFit(state: SearchState, rack: number): boolean {
+    return splitPairs(state.capacity, state.racks, state.pairs, state.zoneOf[rack]!) !== undefined;
+}
+
+function rememberFailure(failed: Set<string>, state: SearchState, shapes: Shape[], position: number): void {
+    failed.add(signature(state, shapes, position));
+}
+
+/** Equal for states in which the remaining shapes fit equally well. */
+function signature(state: SearchState, shapes: Shape[], position: number): string {
+    if (shapes[position]!.span !== "worker") {
+        return `${position}|${state.racks.join()}|${state.pairs.join()}`;
+    }
+    const racks = state.slots.map(slots => [...slots].sort((left, right) => left - right).join());
+    return `${position}|${racks.join(";")}`;
+}
