Choose adjacent accelerators by span, bindings and weights

A placement now takes the window (worker, rack or pair) with the lowest score within the first stage that fits. A claim on the account's own bindings takes the smallest binding that fits, and of equal ones the one with the widest span, so that one claim never uses up the place of another guarantee. A last stage combines all free sources; without it a demand that is larger than each of them never starts on an idle fleet.

Decision: the quota limits borrowing, not the use of the account's own bindings; otherwise borrowed work of the account would block its guarantee.

Ruled out: preferring the binding of exactly the claimed shape; the order above already implies it, and no test could tell the difference.

--- /dev/null
+++ b/packages/decisions/src/placement/choosePlacement.ts
@@ -0,0 +1,161 @@
+import type { Binding, Shape, Span } from "../document/documentTypes.ts";
+import type { PlacementIndex } from "./placementIndex.ts";
+import type { Demand, DisplacedAccelerator, Placement, Source, Stage, WorkerView } from "./placementTypes.ts";
+import { bestWindow, poolsOf } from "./spanWindows.ts";
+import { type FleetPool, indexesOf, poolWorkers, type WorkerPool } from "./workerPool.ts";
+
+/** Accelerators of one worker that a placement takes from one source. */
+interface Taken {
+    pool: WorkerPool;
+    source: Source;
+    indexes: number[];
+}
+
+const WIDEST_FIRST: Span[] = ["neighbouring-racks", "rack", "worker"];
+
+const OWN_STAGE: Stage = ["own", "own-lent-out"];
+
+/**
+ * Order in which a placement looks for accelerators. The client account's own bindings come after borrowing,
+ * so that they stay whole for its guaranteed shapes.
+ */
+export const PREFERENCE: Stage[] = [["unbound"], ["unbound", "lent"], OWN_STAGE, ["unbound", "own", "lent"]];
+
+/**
+ * Chooses adjacent accelerators for a demand; undefined if there are none now or the quota is used up.
+ * The quota does not limit the use of the account's own bindings, since these are guaranteed.
+ */
+export function choosePlacement(
+    demand: Demand,
+    workers: WorkerView[],
+    index: PlacementIndex,
+    preference = PREFERENCE,
+): Placement | undefined {
+    const fleet = poolWorkers(demand.clientAccount, workers, index);
+    const quota = index.quotas.get(demand.clientAccount) ?? 0;
+    const isWithinQuota = fleet.inUse + demand.shape.accelerators <= quota;
+    for (const stage of preference) {
+        const isOwnOnly = stage.every(source => source === "own" || source === "own-lent-out");
+        if (!isOwnOnly && !isWithinQuota) {
+            continue;
+        }
+        const taken =
+            (isOwnOnly && takeBinding(demand, fleet, index)) || takeWindow(demand, stage, fleet, index);
+        if (taken) {
+            return toPlacement(taken);
+        }
+    }
+    return undefined;
+}
+
+function takeWindow(
+    demand: Demand,
+    stage: Stage,
+    fleet: FleetPool,
+    index: PlacementIndex,
+): Taken[] | undefined {
+    const window = bestWindow(demand, stage, fleet, index);
+    return window && takeFrom(demand, stage, poolsOf(window, fleet), index);
+}
+
+/** Takes from the binding that fits the demand best, so that the account's other bindings stay whole. */
+function takeBinding(demand: Demand, fleet: FleetPool, index: PlacementIndex): Taken[] | undefined {
+    let best: Taken[] | undefined;
+    let bestBinding: Binding | undefined;
+    for (const [position, binding] of index.bindings.entries()) {
+        const isBetter = !bestBinding || compareBindings(binding, bestBinding) < 0;
+        if (binding.clientAccount !== demand.clientAccount || !isBetter) {
+            continue;
+        }
+        const taken = takeFrom(demand, OWN_STAGE, poolsOfBinding(binding, fleet, index), index, position);
+        if (taken && isWithinSpan(demand.shape, taken)) {
+            best = taken;
+            bestBinding = binding;
+        }
+    }
+    return best;
+}
+
+/** Prefers the smallest binding, then the one with the widest span, which serves the fewest other shapes. */
+function compareBindings(left: Binding, right: Binding): number {
+    return (
+        left.shape.accelerators - right.shape.accelerators ||
+        WIDEST_FIRST.indexOf(left.shape.span) - WIDEST_FIRST.indexOf(right.shape.span)
+    );
+}
+
+/** True if what was taken from one binding, which may have a wider span, is adjacent as the shape asks. */
+function isWithinSpan({ span }: Shape, taken: Taken[]): boolean {
+    const workers = new Set(taken.map(({ pool }) => pool));
+    const racks = new Set(taken.map(({ pool }) => pool.rack));
+    return span === "worker" ? workers.size === 1 : span === "neighbouring-racks" || racks.size === 1;
+}
+
+function poolsOfBinding(binding: Binding, fleet: FleetPool, index: PlacementIndex): WorkerPool[] {
+    const pools = new Set<WorkerPool>();
+    for (const { rack, slot } of binding.accelerators) {
+        const pool = fleet.racks[index.rackPositions.get(rack) ?? -1]?.[slot];
+        if (pool) {
+            pools.add(pool);
+        }
+    }
+    return [...pools];
+}
+
+/** Uses up the sources of a stage in order: whole workers first, then the tightest that holds the remainder. */
+function takeFrom(
+    demand: Demand,
+    stage: Stage,
+    pools: WorkerPool[],
+    index: PlacementIndex,
+    binding?: number,
+): Taken[] | undefined {
+    const taken: Taken[] = [];
+    let missing = demand.shape.accelerators;
+    for (const source of stage) {
+        const available = pools
+            .map(pool => ({ pool, indexes: indexesOf(demand.clientAccount, pool, source, index, binding) }))
+            .filter(({ indexes }) => indexes.length > 0);
+        while (missing > 0 && available.length > 0) {
+            const [{ pool, indexes }] = available.splice(tightest(available, missing), 1) as [Taken];
+            taken.push({ pool, source, indexes: indexes.slice(0, missing) });
+            missing -= Math.min(missing, indexes.length);
+        }
+    }
+    return missing === 0 ? taken : undefined;
+}
+
+/** Position of the tightest worker that holds all that is missing, else of the one with the most. */
+function tightest(available: { indexes: number[] }[], missing: number): number {
+    let best = 0;
+    for (const [position, { indexes }] of available.entries()) {
+        const current = available[best]!.indexes.length;
+        const holdsAll = indexes.length >= missing;
+        if (holdsAll ? current < missing || indexes.length < current : indexes.length > current) {
+            best = position;
+        }
+    }
+    return best;
+}
+
+function toPlacement(taken: Taken[]): Placement {
+    const members = new Map<string, Placement["members"][number]>();
+    const displaced: DisplacedAccelerator[] = [];
+    for (const { pool, source, indexes } of taken) {
+        const { agent, address, rack, slot, accelerators } = pool.worker;
+        const member = members.get(agent) ?? { agent, address, rack, slot, indexes: [] };
+        member.indexes = [...member.indexes, ...indexes].sort((left, right) => left - right);
+        members.set(agent, member);
+        for (const index of source === "own-lent-out" ? indexes : []) {
+            const state = accelerators[index]!;
+            displaced.push({ agent, index, clientAccount: state.kind === "free" ? "" : state.clientAccount });
+        }
+    }
+    const isOwned = taken.every(({ source }) => source === "own" || source === "own-lent-out");
+    return {
+        members: [...members.values()].sort((left, right) => (left.agent < right.agent ? -1 : 1)),
+        tenure: isOwned ? "owned" : "borrowed",
+        reclaims: displaced.length > 0,
+        displaced,
+    };
+}
--- a/packages/decisions/src/placement/placementTypes.ts
+++ b/packages/decisions/src/placement/placementTypes.ts
@@ -35,4 +35,25 @@
     tenure: "owned" | "borrowed";
     /** True if borrowed tasks of others must be stopped first. */
     reclaims: boolean;
+    /** The accelerators that must be reclaimed, with the client accounts that borrow them. */
+    displaced?: DisplacedAccelerator[];
 }
+
+/** A borrowed accelerator that its owner reclaims. */
+export interface DisplacedAccelerator {
+    agent: string;
+    index: number;
+    clientAccount: string;
+}
+
+/**
+ * Where an accelerator that a demand may use stands:
+ * - `unbound`: free and bound to nobody.
+ * - `lent`: free and bound to another client account.
+ * - `own`: free and bound to the demand's client account.
+ * - `own-lent-out`: bound to the demand's client account and borrowed by another one.
+ */
+export type Source = "unbound" | "lent" | "own" | "own-lent-out";
+
+/** The sources that a placement may combine, in the order in which it uses them up. */
+export type Stage = Source[];
--- /dev/null
+++ b/packages/decisions/src/placement/spanWindows.ts
@@ -0,0 +1,152 @@
+import type { Span, Weights } from "../document/documentTypes.ts";
+import type { IndexedRack, PlacementIndex } from "./placementIndex.ts";
+import { placementScore } from "./placementScore.ts";
+import type { Demand, Stage } from "./placementTypes.ts";
+import { countOf, type FleetPool, type WorkerPool } from "./workerPool.ts";
+
+/** A worker, a rack or two neighbouring racks. */
+export interface SpanWindow {
+    racks: number[];
+    slot?: number;
+}
+
+/** Sums by rack over the workers that a placement may use. */
+interface RackSums {
+    /** Accelerators of the stage's sources. */
+    stage: number[];
+    /** Free accelerators of any source. */
+    free: number[];
+    lent: number[];
+    displaced: number[];
+    /** Largest free pair that a rack is part of, and the largest of the fleet. */
+    widest: number[];
+    widestOfFleet: number;
+}
+
+interface Candidate {
+    window: SpanWindow;
+    available: number;
+    size: number;
+    /** Accelerators of the stage that are `lent` or `own-lent-out`. */
+    lent: number;
+    displaced: number;
+}
+
+const FREE: Stage = ["unbound", "lent", "own"];
+
+/** The window with the lowest score in which the demand fits; the first one in case of equal scores. */
+export function bestWindow(
+    demand: Demand,
+    stage: Stage,
+    fleet: FleetPool,
+    index: PlacementIndex,
+): SpanWindow | undefined {
+    const sums = sumRacks(fleet, stage, index.racks);
+    const wanted = demand.shape.accelerators;
+    let best: SpanWindow | undefined;
+    let lowest = Number.POSITIVE_INFINITY;
+    for (const candidate of candidatesOf(demand.shape.span, stage, fleet, index.racks, sums)) {
+        if (candidate.available < wanted) {
+            continue;
+        }
+        const score = scoreOf(candidate, wanted, sums, index.weights);
+        if (score < lowest) {
+            lowest = score;
+            best = candidate.window;
+        }
+    }
+    return best;
+}
+
+/** The usable workers of a window. */
+export function poolsOf(window: SpanWindow, fleet: FleetPool): WorkerPool[] {
+    const pools: WorkerPool[] = [];
+    for (const rack of window.racks) {
+        for (const pool of fleet.racks[rack]!) {
+            if (pool && (window.slot === undefined || pool.worker.slot === window.slot)) {
+                pools.push(pool);
+            }
+        }
+    }
+    return pools;
+}
+
+function scoreOf(candidate: Candidate, wanted: number, sums: RackSums, weights: Weights): number {
+    const { window, available, size, lent, displaced } = candidate;
+    const unrestricted = available - lent - displaced;
+    let widest = 0;
+    for (const rack of window.racks) {
+        widest = Math.max(widest, sums.widest[rack]!);
+    }
+    const terms = {
+        leftover: (available - wanted) / size,
+        widestFree: widest / Math.max(1, sums.widestOfFleet),
+        reclaimRisk: Math.min(lent, Math.max(0, wanted - unrestricted)) / wanted,
+        displaced: Math.min(displaced, Math.max(0, wanted - unrestricted - lent)) / wanted,
+    };
+    return placementScore(terms, weights);
+}
+
+function* candidatesOf(
+    span: Span,
+    stage: Stage,
+    fleet: FleetPool,
+    racks: IndexedRack[],
+    sums: RackSums,
+): Generator<Candidate> {
+    for (const [rack, { next, accelerators }] of racks.entries()) {
+        if (span === "worker") {
+            yield* workerCandidates(rack, stage, fleet);
+            continue;
+        }
+        const single = rackCandidate([rack], accelerators, sums);
+        yield single;
+        if (span === "neighbouring-racks" && next !== undefined) {
+            yield rackCandidate([rack, next], accelerators + racks[next]!.accelerators, sums);
+        }
+    }
+}
+
+function* workerCandidates(rack: number, stage: Stage, fleet: FleetPool): Generator<Candidate> {
+    for (const pool of fleet.racks[rack]!) {
+        if (pool) {
+            const { counts, worker } = pool;
+            yield {
+                window: { racks: [rack], slot: worker.slot },
+                available: countOf(pool, stage),
+                size: worker.accelerators.length,
+                lent: stage.includes("lent") ? counts.lent : 0,
+                displaced: stage.includes("own-lent-out") ? counts["own-lent-out"] : 0,
+            };
+        }
+    }
+}
+
+function rackCandidate(racks: number[], size: number, sums: RackSums): Candidate {
+    const candidate = { window: { racks }, available: 0, size, lent: 0, displaced: 0 };
+    for (const rack of racks) {
+        candidate.available += sums.stage[rack]!;
+        candidate.lent += sums.lent[rack]!;
+        candidate.displaced += sums.displaced[rack]!;
+    }
+    return candidate;
+}
+
+function sumRacks(fleet: FleetPool, stage: Stage, racks: IndexedRack[]): RackSums {
+    const sum = (sources: Stage) =>
+        fleet.racks.map(pools => {
+            let count = 0;
+            for (const pool of pools) {
+                count += countOf(pool, sources);
+            }
+            return count;
+        });
+    const free = sum(FREE);
+    const pair = (left: number | undefined, right: number | undefined) =>
+        (free[left ?? -1] ?? 0) + (free[right ?? -1] ?? 0);
+    const widest = racks.map(({ next, previous }, rack) => Math.max(pair(rack, next), pair(previous, rack)));
+    const lent = sum(stage.includes("lent") ? ["lent"] : []);
+    const displaced = sum(stage.includes("own-lent-out") ? ["own-lent-out"] : []);
+    const widestOfFleet = widest.reduce((left, right) => Math.max(left, right), 0);
+    return { stage: sum(stage), free, lent, displaced, widest, widestOfFleet };
+}
