Measure the slope of a placement's time and heap

Cause: the capacity table needs points for a linear fit over workers and gang sizes at 200 client accounts. The fleet has 32 workers to a rack, since a gang of 512 does not fit two neighbouring racks of three workers each.

--- /dev/null
+++ b/scripts/capacity/decisionSlope.ts
@@ -0,0 +1,142 @@
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { congruential32 } from "pure-rand/generator/congruential32";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { computeBindings } from "@tanagerdeck/decisions/binding/bindingSearch";
+import type { Document, Shape } from "@tanagerdeck/decisions/document/documentTypes";
+import type { AcceleratorState } from "@tanagerdeck/decisions/fleet/reportTypes";
+import { choosePlacement } from "@tanagerdeck/decisions/placement/choosePlacement";
+import { indexPlacement, type PlacementIndex } from "@tanagerdeck/decisions/placement/placementIndex";
+import type { WorkerView } from "@tanagerdeck/decisions/placement/placementTypes";
+
+/** Points of one measure for a linear fit. */
+export interface DecisionSlope {
+    name: string;
+    unit: string;
+    x: string;
+    points: [number, number][];
+}
+
+/** The fleet and the index that one placement reads. */
+interface State {
+    workers: WorkerView[];
+    index: PlacementIndex;
+}
+
+const WORKERS = [1_000, 2_750, 5_500, 11_000];
+const GANGS = [8, 64, 256, 512];
+const ACCOUNTS = 200;
+/** A rack holds 256 accelerators, so that a gang of 512 fits two neighbouring racks. */
+const WORKERS_PER_RACK = 32;
+const ACCELERATORS_PER_WORKER = 8;
+const AVAILABILITY_ZONES = 7;
+/** Two neighbouring racks of this many are free; the others are in use. */
+const RACKS_FOR_ONE_FREE_PAIR = 10;
+const REPEATS = 9;
+const SEED = 20261204;
+
+/** Measures the time of one placement and the heap of the state that it reads. */
+export function decisionSlope(): DecisionSlope[] {
+    const heap: [number, number][] = [];
+    const timeByGang = new Map<number, [number, number][]>(GANGS.map(gang => [gang, []]));
+    for (const workers of WORKERS) {
+        const before = heapInUse();
+        const state = buildState(workers);
+        heap.push([workers, heapInUse() - before]);
+        for (const gang of GANGS) {
+            timeByGang.get(gang)!.push([workers, medianPlacementMs(state, gang)]);
+        }
+    }
+    const largest = WORKERS.at(-1)!;
+    const bySize = GANGS.map((gang): [number, number] => [
+        gang,
+        timeByGang.get(gang)!.find(([workers]) => workers === largest)![1],
+    ]);
+    return [
+        ...GANGS.map(gang => ({
+            name: `placement of a gang of ${gang}`,
+            unit: "ms",
+            x: "workers",
+            points: timeByGang.get(gang)!,
+        })),
+        {
+            name: `placement on ${largest} workers`,
+            unit: "ms",
+            x: "accelerators of the gang",
+            points: bySize,
+        },
+        { name: "heap of fleet view and placement index", unit: "bytes", x: "workers", points: heap },
+    ];
+}
+
+function buildState(count: number): State {
+    const document = buildDocument(count);
+    const bindings = computeBindings(document).unsafeCoerce();
+    const random = congruential32(SEED);
+    const workers: WorkerView[] = [];
+    for (const [rack, { name, availabilityZone, workers: slots }] of document.racks.entries()) {
+        const isFree = rack % RACKS_FOR_ONE_FREE_PAIR < 2;
+        for (let slot = 0; slot < slots; slot++) {
+            const accelerators = Array.from({ length: ACCELERATORS_PER_WORKER }, (): AcceleratorState => {
+                const clientAccount = `account-${uniformInt(random, 0, ACCOUNTS - 1)}`;
+                return isFree ? { kind: "free" } : { kind: "used", clientAccount, reclaimable: true };
+            });
+            const agent = `${name}-${slot}`;
+            workers.push({
+                agent,
+                address: "",
+                availabilityZone,
+                rack: name,
+                slot,
+                accelerators,
+                usable: true,
+            });
+        }
+    }
+    return { workers, index: indexPlacement({ document, bindings }) };
+}
+
+function buildDocument(count: number): Document {
+    const guarantees: Shape[] = [{ span: "worker", accelerators: ACCELERATORS_PER_WORKER }];
+    return {
+        environment: "capacity",
+        clientAccounts: Array.from({ length: ACCOUNTS }, (_, account) => ({
+            name: `account-${account}`,
+            tokenDigests: [],
+            guarantees,
+            quota: { accelerators: count * ACCELERATORS_PER_WORKER, requestsPerSecond: 1, waiting: 1 },
+            weight: 1,
+        })),
+        kinds: [],
+        racks: Array.from({ length: Math.ceil(count / WORKERS_PER_RACK) }, (_, rack) => ({
+            name: `rack-${rack}`,
+            availabilityZone: `zone-${Math.floor((rack * WORKERS_PER_RACK * AVAILABILITY_ZONES) / count)}`,
+            workers: Math.min(WORKERS_PER_RACK, count - rack * WORKERS_PER_RACK),
+            acceleratorsPerWorker: ACCELERATORS_PER_WORKER,
+        })),
+        weights: { completionTime: 1, fragmentation: 1 },
+        whenPlatformUnreachable: "serve",
+    };
+}
+
+function medianPlacementMs({ workers, index }: State, accelerators: number): number {
+    const times: number[] = [];
+    for (let repeat = 0; repeat < REPEATS; repeat++) {
+        const clientAccount = `account-${repeat}`;
+        const start = performance.now();
+        choosePlacement(
+            { clientAccount, shape: { span: "neighbouring-racks", accelerators } },
+            workers,
+            index,
+        );
+        times.push(performance.now() - start);
+    }
+    return times.sort((left, right) => left - right)[Math.floor(REPEATS / 2)]!;
+}
+
+function heapInUse(): number {
+    setFlagsFromString("--expose-gc");
+    const collect = runInNewContext("gc") as () => void;
+    collect();
+    return process.memoryUsage().heapUsed;
+}
