Order waiting gang jobs and backfill without delaying the first large one

Cause: small jobs must pass a waiting large gang (no head-of-line blocking), yet a stream of them must not starve it, and declared run times are off by up to ten times. The first job that does not fit gets a planned place with a fixed start. A later job uses the place only if nine of ten remembered runs of its kind end before that start and its limit ends at most the planned wait after it. For a place planned at t with the start s, the gang starts by max(2s - t, end of the tasks that ran there at t); only urgent work and claims on own bindings may use the place in between.

Ruled out: moving the planned start with the expectations. With it the gang started after the bound when learned run times were ten times too short.

Each case fails when its mechanism is disabled.

--- /dev/null
+++ b/packages/decisions/src/queue/placePlan.ts
@@ -0,0 +1,125 @@
+import type { Accelerator } from "../document/documentTypes.ts";
+import type { PlacementIndex } from "../placement/placementIndex.ts";
+import type { WorkerView } from "../placement/placementTypes.ts";
+import type { PlannedPlace, RunningGang, RunTimes, WaitingJob } from "./queueTypes.ts";
+import { expectedEndMs } from "./runTimes.ts";
+
+/** An accelerator with the time at which it is expected to be free. */
+interface Availability extends Accelerator {
+    freeAtMs: number;
+}
+
+/** What a plan depends on. */
+export interface PlanContext {
+    nowMs: number;
+    workers: WorkerView[];
+    index: PlacementIndex;
+    running: RunningGang[];
+    runTimes: RunTimes;
+}
+
+/** Time after which a hold has become a run or ended. */
+const HOLD_MS = 3_000;
+
+/** The adjacent accelerators that are expected to be free first; undefined if no window is large enough. */
+export function planPlace(job: WaitingJob, context: PlanContext): PlannedPlace | undefined {
+    const wanted = job.shape.accelerators;
+    let best: Availability[] | undefined;
+    for (const window of windowsOf(job, availabilities(context), context.index)) {
+        if (window.length < wanted) {
+            continue;
+        }
+        const earliest = window.sort((left, right) => left.freeAtMs - right.freeAtMs).slice(0, wanted);
+        if (!best || earliest.at(-1)!.freeAtMs < best.at(-1)!.freeAtMs) {
+            best = earliest;
+        }
+    }
+    return (
+        best && {
+            job: job.id,
+            accelerators: best.map(({ rack, slot, index }) => ({ rack, slot, index })),
+            plannedAtMs: context.nowMs,
+            startMs: Math.max(context.nowMs, best.at(-1)!.freeAtMs),
+        }
+    );
+}
+
+/** False once a worker of the place is unusable; the place has to be planned again. */
+export function isPlaceUsable({ accelerators }: PlannedPlace, workers: WorkerView[]): boolean {
+    const usable = new Set<string>();
+    for (const { rack, slot, usable: isUsable } of workers) {
+        if (isUsable) {
+            usable.add(`${rack}/${slot}`);
+        }
+    }
+    return accelerators.every(({ rack, slot }) => usable.has(`${rack}/${slot}`));
+}
+
+/** The workers with the free accelerators of the place taken out. */
+export function withoutPlace(workers: WorkerView[], { accelerators }: PlannedPlace): WorkerView[] {
+    const kept = new Map<string, Set<number>>();
+    for (const { rack, slot, index } of accelerators) {
+        const key = `${rack}/${slot}`;
+        kept.set(key, (kept.get(key) ?? new Set()).add(index));
+    }
+    return workers.map(worker => {
+        const indexes = kept.get(`${worker.rack}/${worker.slot}`);
+        return indexes
+            ? {
+                  ...worker,
+                  accelerators: worker.accelerators.map((state, index) =>
+                      state.kind === "free" && indexes.has(index)
+                          ? { kind: "used", clientAccount: "", reclaimable: false }
+                          : state,
+                  ),
+              }
+            : worker;
+    });
+}
+
+/** Availability by rack and slot; accelerators whose task is unknown are left out. */
+function availabilities({ nowMs, workers, index, running, runTimes }: PlanContext): Availability[][][] {
+    const ends = new Map<string, number>();
+    for (const gang of running) {
+        const end = expectedEndMs(runTimes, gang, nowMs);
+        for (const { rack, slot, indexes } of gang.members) {
+            for (const position of indexes) {
+                ends.set(`${rack}/${slot}/${position}`, end);
+            }
+        }
+    }
+    const racks: Availability[][][] = index.racks.map(() => []);
+    for (const { rack, slot, accelerators, usable } of workers) {
+        const slots = racks[index.rackPositions.get(rack) ?? -1];
+        if (!usable || !slots) {
+            continue;
+        }
+        slots[slot] = [];
+        for (const [position, state] of accelerators.entries()) {
+            const known = state.kind === "free" ? nowMs : ends.get(`${rack}/${slot}/${position}`);
+            const freeAtMs = known ?? (state.kind === "held" ? nowMs + HOLD_MS : undefined);
+            if (freeAtMs !== undefined) {
+                slots[slot].push({ rack, slot, index: position, freeAtMs });
+            }
+        }
+    }
+    return racks;
+}
+
+function* windowsOf(
+    { shape }: WaitingJob,
+    racks: Availability[][][],
+    index: PlacementIndex,
+): Generator<Availability[]> {
+    for (const [position, slots] of racks.entries()) {
+        if (shape.span === "worker") {
+            yield* slots.filter(slot => slot !== undefined);
+            continue;
+        }
+        yield slots.flat();
+        const { next } = index.racks[position]!;
+        if (shape.span === "neighbouring-racks" && next !== undefined) {
+            yield [...slots.flat(), ...racks[next]!.flat()];
+        }
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/queue/queue.spec.ts
@@ -0,0 +1,179 @@
+import { expect } from "chai";
+import { indexPlacement } from "../placement/placementIndex.ts";
+import type { AcceleratorState } from "../fleet/reportTypes.ts";
+import type { WorkerView } from "../placement/placementTypes.ts";
+import { dispatchRound, type RoundInput } from "./dispatchRound.ts";
+import { AGEING_MS, orderJobs } from "./jobOrder.ts";
+import type { RunTimes, WaitingJob } from "./queueTypes.ts";
+import { cautiousRunMs, expectedEndMs, recordRun } from "./runTimes.ts";
+
+const SECOND = 1_000;
+const NOW = 10 * AGEING_MS;
+
+function jobOf(id: string, changes: Partial<WaitingJob> = {}): WaitingJob {
+    return {
+        id,
+        clientAccount: "routes",
+        kind: id,
+        priority: "normal",
+        shape: { span: "worker", accelerators: 1 },
+        acceptedAtMs: NOW,
+        limitMs: 100 * SECOND,
+        ...changes,
+    };
+}
+
+function orderOf(jobs: WaitingJob[], weights = { completionTime: 1, fragmentation: 0 }): string[] {
+    const runTimes: RunTimes = { short: [SECOND], long: [90 * SECOND] };
+    const shares = new Map([
+        ["routes", { inUse: 8, weight: 1 }],
+        ["scans", { inUse: 8, weight: 3 }],
+    ]);
+    return orderJobs(jobs, { nowMs: NOW, runTimes, weights, shares }).map(({ id }) => id);
+}
+
+describe("queue", () => {
+    describe("order", () => {
+        it("guards against urgent work that waits behind aged batch work", () => {
+            const aged = jobOf("aged", { priority: "batch", acceptedAtMs: 0 });
+            expect(orderOf([aged, jobOf("urgent", { priority: "urgent" })])).to.deep.equal([
+                "urgent",
+                "aged",
+            ]);
+        });
+
+        it("guards against batch work that waits behind normal work for ever", () => {
+            const aged = jobOf("aged", { priority: "batch", acceptedAtMs: NOW - 3 * AGEING_MS });
+            const young = jobOf("young", { priority: "batch" });
+            expect(orderOf([young, jobOf("normal"), aged])).to.deep.equal(["aged", "normal", "young"]);
+        });
+
+        it("guards against weights without effect", () => {
+            const large = jobOf("long", { shape: { span: "rack", accelerators: 8 } });
+            const jobs = [large, jobOf("short")];
+            expect(orderOf(jobs)).to.deep.equal(["short", "long"]);
+            expect(orderOf(jobs, { completionTime: 0, fragmentation: 1 })).to.deep.equal(["long", "short"]);
+        });
+
+        it("guards against an account that takes more than its weight", () => {
+            const other = jobOf("b", { clientAccount: "scans" });
+            expect(orderOf([jobOf("a"), other])).to.deep.equal(["b", "a"]);
+        });
+
+        it("guards against a long job that newer short jobs pass for ever", () => {
+            const old = jobOf("long", { acceptedAtMs: NOW - 3 * AGEING_MS });
+            expect(orderOf([jobOf("short", { clientAccount: "scans" }), old])[0]).to.equal("long");
+        });
+    });
+
+    describe("run times", () => {
+        it("guards against trusting a limit or a declared time after runs have finished", () => {
+            let runTimes: RunTimes = {};
+            expect(cautiousRunMs(runTimes, jobOf("short"))).to.equal(100 * SECOND);
+            for (const seconds of [1, 2, 3, 4, 5, 6, 7, 8, 9, 10]) {
+                runTimes = recordRun(runTimes, "short", seconds * SECOND);
+            }
+            expect(cautiousRunMs(runTimes, jobOf("short"))).to.equal(10 * SECOND);
+        });
+
+        it("guards against expecting an end that has passed", () => {
+            const gang = { id: "g", kind: "short", members: [], startedAtMs: 0, limitMs: 100 * SECOND };
+            const runTimes = { short: [SECOND, 2 * SECOND, 50 * SECOND] };
+            expect(expectedEndMs(runTimes, gang, 0)).to.equal(2 * SECOND);
+            expect(expectedEndMs(runTimes, gang, 10 * SECOND)).to.equal(50 * SECOND);
+            expect(expectedEndMs(runTimes, gang, 60 * SECOND)).to.equal(100 * SECOND);
+        });
+    });
+
+    describe("backfill", () => {
+        const document = {
+            environment: "test",
+            clientAccounts: ["routes", "forecasts"].map(name => ({
+                name,
+                tokenDigests: [],
+                guarantees: [],
+                quota: { accelerators: 8, requestsPerSecond: 1, waiting: 1 },
+                weight: 1,
+            })),
+            kinds: [],
+            racks: [{ name: "a", availabilityZone: "arima", workers: 2, acceleratorsPerWorker: 4 }],
+            weights: { completionTime: 1, fragmentation: 1 },
+            whenPlatformUnreachable: "serve" as const,
+        };
+        const runTimes = { blocker: [50 * SECOND], small: Array.from({ length: 9 }, () => 10 * SECOND) };
+        const large = jobOf("large", {
+            clientAccount: "forecasts",
+            shape: { span: "rack", accelerators: 8 },
+        });
+
+        function workerOf(slot: number, state: AcceleratorState): WorkerView {
+            const accelerators = Array.from({ length: 4 }, () => state);
+            const place = { rack: "a", slot, availabilityZone: "arima" };
+            return { agent: `a-${slot}`, address: "", ...place, accelerators, usable: true };
+        }
+
+        /** The large gang is planned for 50 s from now, when the task on worker 0 is expected to end. */
+        function roundOf(waiting: WaitingJob[]): RoundInput {
+            const blocker = { id: "blocker", kind: "blocker", startedAtMs: NOW, limitMs: 100 * SECOND };
+            return {
+                nowMs: NOW,
+                waiting,
+                running: [{ ...blocker, members: [{ rack: "a", slot: 0, indexes: [0, 1, 2, 3] }] }],
+                workers: [
+                    workerOf(0, { kind: "used", clientAccount: "scans", reclaimable: true }),
+                    workerOf(1, { kind: "free" }),
+                ],
+                index: indexPlacement({ document, bindings: [] }),
+                runTimes,
+                accountWeights: new Map([["routes", 1]]),
+            };
+        }
+
+        function startedBeside(changes: Partial<WaitingJob>): string[] {
+            const { plan } = dispatchRound(roundOf([large]));
+            expect(plan).to.include({ job: "large", startMs: NOW + 50 * SECOND });
+            const small = jobOf("small", changes);
+            return dispatchRound({ ...roundOf([large, small]), plan }).starts.map(({ job }) => job.id);
+        }
+
+        it("guards against leaving the place idle for a job that ends before the planned start", () => {
+            expect(startedBeside({})).to.deep.equal(["small"]);
+        });
+
+        it("guards against a job that is expected to end after the planned start", () => {
+            expect(startedBeside({ kind: "unknown" })).to.deep.equal([]);
+        });
+
+        it("guards against a wrong expectation that delays the gang by more than its planned wait", () => {
+            expect(startedBeside({ limitMs: 101 * SECOND })).to.deep.equal([]);
+        });
+
+        it("guards against urgent work that waits for the place of a gang", () => {
+            expect(startedBeside({ kind: "unknown", priority: "urgent" })).to.deep.equal(["small"]);
+        });
+
+        it("guards against jobs of the gang's account that use up the quota that the gang needs", () => {
+            const small = jobOf("small", { clientAccount: "forecasts" });
+            const free = workerOf(2, { kind: "free" });
+            const { plan } = dispatchRound(roundOf([large]));
+            const input = { ...roundOf([large, { ...small, limitMs: 1_000 * SECOND }]), plan };
+            input.index = indexPlacement({
+                document: { ...document, racks: [{ ...document.racks[0]!, workers: 3 }] },
+                bindings: [],
+            });
+            input.workers = [
+                ...input.workers,
+                { ...free, usable: true, accelerators: free.accelerators.slice(0, 1) },
+            ];
+            expect(dispatchRound(input).starts).to.deep.equal([]);
+        });
+
+        it("guards against a job without quota that keeps a place from others", () => {
+            const round = roundOf([large, jobOf("small", { limitMs: 1_000 * SECOND })]);
+            round.workers[0] = workerOf(0, { kind: "used", clientAccount: "forecasts", reclaimable: true });
+            const { starts, plan } = dispatchRound(round);
+            expect(starts.map(({ job }) => job.id)).to.deep.equal(["small"]);
+            expect(plan).to.equal(undefined);
+        });
+    });
+});
