--- a/packages/decisions/src/placement/choosePlacement.ts
+++ b/packages/decisions/src/placement/choosePlacement.ts
@@ -31,7 +31,7 @@
     index: PlacementIndex,
     preference = PREFERENCE,
 ): Placement | undefined {
-    const fleet = poolWorkers(demand, workers, index);
+    const fleet = poolWorkers(demand.clientAccount, workers, index);
     const quota = index.quotas.get(demand.clientAccount) ?? 0;
     const isWithinQuota = fleet.inUse + demand.shape.accelerators <= quota;
     for (const stage of preference) {
@@ -114,7 +114,7 @@
     let missing = demand.shape.accelerators;
     for (const source of stage) {
         const available = pools
-            .map(pool => ({ pool, indexes: indexesOf(demand, pool, source, index, binding) }))
+            .map(pool => ({ pool, indexes: indexesOf(demand.clientAccount, pool, source, index, binding) }))
             .filter(({ indexes }) => indexes.length > 0);
         while (missing > 0 && available.length > 0) {
             const [{ pool, indexes }] = available.splice(tightest(available, missing), 1) as [Taken];
--- a/packages/decisions/src/placement/placementTypes.ts
+++ b/packages/decisions/src/placement/placementTypes.ts
@@ -17,8 +17,6 @@
 export interface Demand {
     clientAccount: string;
     shape: Shape;
-    /** Client accounts whose free bound accelerators are not borrowed. */
-    avoidedOwners?: Set<string>;
 }
 
 /** The accelerators that a gang uses on one worker. */
--- a/packages/decisions/src/placement/workerPool.ts
+++ b/packages/decisions/src/placement/workerPool.ts
@@ -1,5 +1,5 @@
 import type { PlacementIndex } from "./placementIndex.ts";
-import type { Demand, Source, Stage, WorkerView } from "./placementTypes.ts";
+import type { Source, Stage, WorkerView } from "./placementTypes.ts";
 
 /** A usable worker with the number of accelerators of each source. */
 export interface WorkerPool {
@@ -17,18 +17,18 @@
 }
 
 /** Sorts every accelerator of the fleet by source. */
-export function poolWorkers(demand: Demand, workers: WorkerView[], index: PlacementIndex): FleetPool {
+export function poolWorkers(account: string, workers: WorkerView[], index: PlacementIndex): FleetPool {
     const racks: (WorkerPool | undefined)[][] = index.racks.map(() => []);
     let inUse = 0;
     for (const worker of workers) {
-        inUse += usedBy(demand.clientAccount, worker);
+        inUse += usedBy(account, worker);
         const rack = index.rackPositions.get(worker.rack);
         if (!worker.usable || rack === undefined) {
             continue;
         }
         const counts = { unbound: 0, lent: 0, own: 0, "own-lent-out": 0 };
         for (let position = 0; position < worker.accelerators.length; position++) {
-            const source = sourceOf(demand, worker, position, index.racks[rack]!.bound, index);
+            const source = sourceOf(account, worker, position, index.racks[rack]!.bound, index);
             if (source) {
                 counts[source] += 1;
             }
@@ -51,7 +51,7 @@
 
 /** Indexes of a worker's accelerators of one source, ascending; `binding` restricts them to one binding. */
 export function indexesOf(
-    demand: Demand,
+    account: string,
     pool: WorkerPool,
     source: Source,
     index: PlacementIndex,
@@ -61,7 +61,7 @@
     const indexes: number[] = [];
     for (const position of pool.worker.accelerators.keys()) {
         const isInBinding = binding === undefined || bound[pool.worker.slot]?.[position] === binding;
-        if (isInBinding && sourceOf(demand, pool.worker, position, bound, index) === source) {
+        if (isInBinding && sourceOf(account, pool.worker, position, bound, index) === source) {
             indexes.push(position);
         }
     }
@@ -69,7 +69,7 @@
 }
 
 function sourceOf(
-    { clientAccount: account, avoidedOwners }: Demand,
+    account: string,
     worker: WorkerView,
     position: number,
     bound: (number | undefined)[][],
@@ -79,10 +79,7 @@
     const binding = bound[worker.slot]?.[position];
     const owner = binding === undefined ? undefined : index.bindings[binding]!.clientAccount;
     if (state.kind === "free") {
-        if (owner === undefined) {
-            return "unbound";
-        }
-        return owner === account ? "own" : avoidedOwners?.has(owner) ? undefined : "lent";
+        return owner === undefined ? "unbound" : owner === account ? "own" : "lent";
     }
     const isBorrowed = state.clientAccount !== account && (state.kind === "held" || state.reclaimable);
     return owner === account && isBorrowed ? "own-lent-out" : undefined;
--- a/packages/decisions/src/queue/dispatchRound.ts
+++ b/packages/decisions/src/queue/dispatchRound.ts
@@ -3,8 +3,7 @@
 import type { Placement, Stage, WorkerView } from "../placement/placementTypes.ts";
 import { levelOf, orderJobs, type AccountShare } from "./jobOrder.ts";
 import { isPlaceUsable, planPlace, withoutPlace } from "./placePlan.ts";
-import { borrowFromMs } from "./lending.ts";
-import type { JobStart, OwnStarts, PlannedPlace, RunningGang, RunTimes, WaitingJob } from "./queueTypes.ts";
+import type { JobStart, PlannedPlace, RunningGang, RunTimes, WaitingJob } from "./queueTypes.ts";
 import { cautiousRunMs } from "./runTimes.ts";
 
 /** Everything one round depends on. */
@@ -17,8 +16,6 @@
     runTimes: RunTimes;
     /** Weight by client account. */
     accountWeights: Map<string, number>;
-    /** When each client account last used its own bindings; see `recordOwnStarts`. */
-    ownStarts?: OwnStarts;
     /** The plan that the previous round returned. */
     plan?: PlannedPlace;
     preference?: Stage[];
@@ -117,13 +114,11 @@
 
 function tryPlace(
     round: Round,
-    job: WaitingJob,
+    { clientAccount, shape }: WaitingJob,
     view: "all" | "beside" | "own",
     preference: Stage[] | undefined,
 ): Placement | undefined {
-    const { clientAccount, shape } = job;
-    const avoidedOwners = ownersToAvoid(round, job);
-    const key = [clientAccount, shape.span, view, ...avoidedOwners].join("/");
+    const key = `${clientAccount}/${shape.span}/${view}`;
     if (shape.accelerators >= (round.tooLarge.get(key) ?? Infinity)) {
         return undefined;
     }
@@ -136,27 +131,13 @@
                   quotaBeside(round),
                   preference,
               )
-            : choosePlacement({ clientAccount, shape, avoidedOwners }, workers, round.index, preference);
+            : choosePlacement({ clientAccount, shape }, workers, round.index, preference);
     if (!placement) {
         round.tooLarge.set(key, shape.accelerators);
     }
     return placement;
 }
 
-/** The planned job borrows from everyone once its planned start is reached. */
-function ownersToAvoid({ plan, nowMs, ownStarts, runTimes }: Round, job: WaitingJob): Set<string> {
-    const avoided = new Set<string>();
-    if (plan?.job === job.id && nowMs >= plan.startMs) {
-        return avoided;
-    }
-    for (const [owner, fromMs] of borrowFromMs(job, ownStarts ?? {}, runTimes)) {
-        if (nowMs < fromMs) {
-            avoided.add(owner);
-        }
-    }
-    return avoided;
-}
-
 /** The index with the quota that the planned job needs taken out. */
 function quotaBeside({ index, plan, waiting }: Round): PlacementIndex {
     const planned = waiting.find(({ id }) => id === plan?.job);
--- a/packages/decisions/src/queue/placePlan.ts
+++ b/packages/decisions/src/queue/placePlan.ts
@@ -1,8 +1,7 @@
 import type { Accelerator } from "../document/documentTypes.ts";
 import type { PlacementIndex } from "../placement/placementIndex.ts";
 import type { WorkerView } from "../placement/placementTypes.ts";
-import { borrowFromMs } from "./lending.ts";
-import type { OwnStarts, PlannedPlace, RunningGang, RunTimes, WaitingJob } from "./queueTypes.ts";
+import type { PlannedPlace, RunningGang, RunTimes, WaitingJob } from "./queueTypes.ts";
 import { expectedEndMs } from "./runTimes.ts";
 
 /** An accelerator with the time at which it is expected to be free. */
@@ -17,7 +16,6 @@
     index: PlacementIndex;
     running: RunningGang[];
     runTimes: RunTimes;
-    ownStarts?: OwnStarts;
 }
 
 /** Time after which a hold has become a run or ended. */
@@ -27,7 +25,7 @@
 export function planPlace(job: WaitingJob, context: PlanContext): PlannedPlace | undefined {
     const wanted = job.shape.accelerators;
     let best: Availability[] | undefined;
-    for (const window of windowsOf(job, availabilities(job, context), context.index)) {
+    for (const window of windowsOf(job, availabilities(context), context.index)) {
         if (window.length < wanted) {
             continue;
         }
@@ -80,10 +78,7 @@
 }
 
 /** Availability by rack and slot; accelerators whose task is unknown are left out. */
-function availabilities(job: WaitingJob, context: PlanContext): Availability[][][] {
-    const { nowMs, workers, index, running, runTimes, ownStarts } = context;
-    const borrowFrom = borrowFromMs(job, ownStarts ?? {}, runTimes);
-    borrowFrom.delete(job.clientAccount);
+function availabilities({ nowMs, workers, index, running, runTimes }: PlanContext): Availability[][][] {
     const ends = new Map<string, number>();
     for (const gang of running) {
         const end = expectedEndMs(runTimes, gang, nowMs);
@@ -104,20 +99,13 @@
             const known = state.kind === "free" ? nowMs : ends.get(`${rack}/${slot}/${position}`);
             const freeAtMs = known ?? (state.kind === "held" ? nowMs + HOLD_MS : undefined);
             if (freeAtMs !== undefined) {
-                const owner = ownerOf(index, rack, slot, position);
-                const lentAtMs = borrowFrom.get(owner ?? "") ?? nowMs;
-                slots[slot].push({ rack, slot, index: position, freeAtMs: Math.max(freeAtMs, lentAtMs) });
+                slots[slot].push({ rack, slot, index: position, freeAtMs });
             }
         }
     }
     return racks;
 }
 
-function ownerOf(index: PlacementIndex, rack: string, slot: number, position: number): string | undefined {
-    const binding = index.racks[index.rackPositions.get(rack)!]!.bound[slot]?.[position];
-    return binding === undefined ? undefined : index.bindings[binding]!.clientAccount;
-}
-
 function* windowsOf(
     { shape }: WaitingJob,
     racks: Availability[][][],
--- a/packages/decisions/src/queue/queueTypes.ts
+++ b/packages/decisions/src/queue/queueTypes.ts
@@ -37,8 +37,5 @@
     placement: Placement;
 }
 
-/** Time of the last start on its own bindings, by client account. A plain value that the caller owns. */
-export type OwnStarts = Record<string, number>;
-
 /** Finished run times by kind, oldest first. A plain value that the caller owns. */
 export type RunTimes = Record<string, number[]>;
--- a/scripts/bench/bench.ts
+++ b/scripts/bench/bench.ts
@@ -1,8 +1,7 @@
 import { type Bench } from "./benchTypes.ts";
-import { placementBench } from "./placementBench.ts";
 
 /** Benches in the order in which they run. */
-const benches: Bench[] = [placementBench];
+const benches: Bench[] = [];
 
 for (const bench of benches) {
     for (const measure of await bench()) {
