--- a/scripts/bench/bench.ts
+++ b/scripts/bench/bench.ts
@@ -1,7 +1,8 @@
 import { type Bench } from "./benchTypes.ts";
+import { placementBench } from "./placementBench.ts";
 
 /** Benches in the order in which they run. */
-const benches: Bench[] = [];
+const benches: Bench[] = [placementBench];
 
 for (const bench of benches) {
     for (const measure of await bench()) {
--- /dev/null
+++ b/scripts/bench/placementBench.ts
@@ -0,0 +1,94 @@
+import { firstFitPlacement } from "@tanagerdeck/decisions/placement/firstFitPlacement";
+import { choosePlacement } from "@tanagerdeck/decisions/placement/choosePlacement";
+import { indexPlacement, type PlacementIndex } from "@tanagerdeck/decisions/placement/placementIndex";
+import type { Placement, WorkerView } from "@tanagerdeck/decisions/placement/placementTypes";
+import type { Document, Priority } from "@tanagerdeck/decisions/document/documentTypes";
+import { dispatchRound } from "@tanagerdeck/decisions/queue/dispatchRound";
+import type { Measure } from "./benchTypes.ts";
+import { type LoopResult, type LoopStarts, type Policy, runLoop } from "./placementLoop.ts";
+import { type BenchJob, firmWorkloads, type Workload } from "./placementWorkload.ts";
+
+const PRIORITIES: Priority[] = ["urgent", "normal", "batch"];
+
+/** Fragmentation, completion time and reclaims against first-come first-fit, for both firms. */
+export async function placementBench(): Promise<Measure[]> {
+    return firmWorkloads().flatMap(workload => {
+        const ours = runLoop(workload, queuePolicy(workload));
+        const { document } = workload;
+        const adjacent = firstCome((job, workers) => choosePlacement(job, workers, firstWindow(document)));
+        return [
+            ...measuresOf(workload.firm, ours, runLoop(workload, firstCome(firstFitPlacement))),
+            ...measuresOf(`${workload.firm}.adjacent`, ours, runLoop(workload, adjacent)),
+        ];
+    });
+}
+
+/** The policy of the decisions package. */
+export function queuePolicy({ document }: Workload): Policy {
+    const accountWeights = new Map(document.clientAccounts.map(({ name, weight }) => [name, weight]));
+    return state => {
+        const { starts, plan } = dispatchRound({ ...state, accountWeights });
+        return { starts: starts.map(({ job, placement }) => ({ job: job as BenchJob, placement })), plan };
+    };
+}
+
+/** Starts jobs strictly in order of arrival. */
+function firstCome(place: (job: BenchJob, workers: WorkerView[]) => Placement | undefined): Policy {
+    return ({ waiting, workers }) => {
+        const starts: LoopStarts["starts"] = [];
+        let left = workers;
+        for (const job of waiting) {
+            const placement = place(job, left);
+            if (!placement) {
+                break;
+            }
+            left = withoutPlacement(left, placement);
+            starts.push({ job, placement });
+        }
+        return { starts };
+    };
+}
+
+function withoutPlacement(workers: WorkerView[], { members }: Placement): WorkerView[] {
+    const taken = new Map(members.map(({ agent, indexes }) => [agent, new Set(indexes)]));
+    return workers.map(worker => ({
+        ...worker,
+        accelerators: worker.accelerators.map((state, index) =>
+            taken.get(worker.agent)?.has(index) ? { kind: "held", clientAccount: "" } : state,
+        ),
+    }));
+}
+
+/** Without weights and bindings every place scores the same, and the first adjacent one is taken. */
+function firstWindow(document: Document): PlacementIndex {
+    const weights = { completionTime: 0, fragmentation: 0 };
+    return indexPlacement({ document: { ...document, weights }, bindings: [] });
+}
+
+function measuresOf(firm: string, ours: LoopResult, baseline: LoopResult): Measure[] {
+    const measure = (name: string, unit: string, valueOf: (result: LoopResult) => number): Measure => ({
+        name: `placement.${firm}.${name}`,
+        unit,
+        value: valueOf(ours),
+        baseline: valueOf(baseline),
+    });
+    const measures = [
+        measure("largest-gang-of-free", "ratio", result => Number(result.fragmentation.toFixed(4))),
+        measure("reclaims", "per 1000 jobs", ({ reclaims, jobs }) =>
+            Number(((reclaims * 1_000) / jobs).toFixed(2)),
+        ),
+        measure("not-adjacent", "per 1000 jobs", ({ scattered, jobs }) =>
+            Number(((scattered * 1_000) / jobs).toFixed(2)),
+        ),
+    ];
+    for (const priority of PRIORITIES) {
+        for (const percentile of [50, 99]) {
+            measures.push(
+                measure(`completion.${priority}.p${percentile}`, "s", ({ completionMs }) =>
+                    Number((completionMs[priority].getValueAtPercentile(percentile) / 1_000).toFixed(1)),
+                ),
+            );
+        }
+    }
+    return measures;
+}
--- /dev/null
+++ b/scripts/bench/placementLoop.ts
@@ -0,0 +1,177 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import { computeBindings } from "@tanagerdeck/decisions/binding/bindingSearch";
+import type { Priority } from "@tanagerdeck/decisions/document/documentTypes";
+import { indexPlacement, type PlacementIndex } from "@tanagerdeck/decisions/placement/placementIndex";
+import type { Placement, WorkerView } from "@tanagerdeck/decisions/placement/placementTypes";
+import type { PlannedPlace, RunTimes } from "@tanagerdeck/decisions/queue/queueTypes";
+import { recordRun } from "@tanagerdeck/decisions/queue/runTimes";
+import type { BenchJob, Workload } from "./placementWorkload.ts";
+
+/** A gang that runs in the loop. */
+export interface LoopRun {
+    id: string;
+    kind: string;
+    limitMs: number;
+    members: Placement["members"];
+    startedAtMs: number;
+    endMs: number;
+    job: BenchJob;
+}
+
+/** State that a policy decides on. */
+export interface LoopState {
+    nowMs: number;
+    workers: WorkerView[];
+    waiting: BenchJob[];
+    running: LoopRun[];
+    runTimes: RunTimes;
+    index: PlacementIndex;
+    plan?: PlannedPlace;
+}
+
+/** What a policy starts. */
+export interface LoopStarts {
+    starts: { job: BenchJob; placement: Placement }[];
+    plan?: PlannedPlace;
+}
+
+/** Decides which waiting jobs start now. */
+export type Policy = (state: LoopState) => LoopStarts;
+
+/** What one run of the loop measured. */
+export interface LoopResult {
+    /** Largest adjacent gang that could start divided by the free accelerators, mean over time. */
+    fragmentation: number;
+    completionMs: Record<Priority, Histogram>;
+    reclaims: number;
+    /** Starts on accelerators that are not adjacent as the job asked. */
+    scattered: number;
+    jobs: number;
+}
+
+interface Totals {
+    weighted: number;
+    milliseconds: number;
+    reclaims: number;
+    scattered: number;
+}
+
+/** Worst case of a reclaim; the owner's gang runs that much later. */
+const RECLAIM_MS = 3_500;
+
+/** Work that a gang repeats after it was checkpointed and stopped. */
+const RESTART_MS = 30_000;
+
+/** Runs a workload to its end under a policy. Nothing is simulated but arrivals, ends and displacement. */
+export function runLoop({ document, jobs }: Workload, policy: Policy): LoopResult {
+    const index = indexPlacement({ document, bindings: computeBindings(document).unsafeCoerce() });
+    const state: LoopState = {
+        nowMs: 0,
+        workers: freeWorkers(index),
+        waiting: [],
+        running: [],
+        runTimes: {},
+        index,
+    };
+    const totals: Totals = { weighted: 0, milliseconds: 0, reclaims: 0, scattered: 0 };
+    const completionMs = { urgent: build(), normal: build(), batch: build() };
+    let arrived = 0;
+    while (arrived < jobs.length || state.running.length > 0) {
+        const nextEnd = state.running.reduce((end, run) => Math.min(end, run.endMs), Infinity);
+        const nextMs = Math.min(jobs[arrived]?.acceptedAtMs ?? Infinity, nextEnd);
+        measure(state, totals, nextMs - state.nowMs);
+        state.nowMs = nextMs;
+        for (const run of state.running.filter(({ endMs }) => endMs <= nextMs)) {
+            release(state, run);
+            state.runTimes = recordRun(state.runTimes, run.kind, nextMs - run.startedAtMs);
+            completionMs[run.job.priority].recordValue(Math.round(nextMs - run.job.acceptedAtMs));
+        }
+        for (; jobs[arrived] && jobs[arrived]!.acceptedAtMs <= nextMs; arrived++) {
+            state.waiting.push(jobs[arrived]!);
+        }
+        const { starts, plan } = policy(state);
+        state.plan = plan;
+        for (const { job, placement } of starts) {
+            start(state, totals, job, placement);
+        }
+    }
+    if (state.waiting.length > 0) {
+        throw new Error(`${state.waiting.length} jobs never started`);
+    }
+    const fragmentation = totals.weighted / totals.milliseconds;
+    return { ...totals, fragmentation, completionMs, jobs: jobs.length };
+}
+
+function freeWorkers(index: PlacementIndex): WorkerView[] {
+    return index.racks.flatMap(({ name, bound }) =>
+        bound.map((indexes, slot): WorkerView => {
+            const accelerators = indexes.map(() => ({ kind: "free" as const }));
+            const place = { rack: name, slot, availabilityZone: "" };
+            return { agent: `${name}-${slot}`, address: "", ...place, accelerators, usable: true };
+        }),
+    );
+}
+
+function measure({ workers, index }: LoopState, totals: Totals, milliseconds: number): void {
+    const freeByRack = index.racks.map(() => 0);
+    let free = 0;
+    for (const { rack, accelerators } of workers) {
+        const count = accelerators.filter(({ kind }) => kind === "free").length;
+        freeByRack[index.rackPositions.get(rack)!]! += count;
+        free += count;
+    }
+    if (free > 0) {
+        const pairs = index.racks.map(({ next }, rack) => freeByRack[rack]! + (freeByRack[next ?? -1] ?? 0));
+        totals.weighted += (Math.max(...pairs) / free) * milliseconds;
+        totals.milliseconds += milliseconds;
+    }
+}
+
+function start(state: LoopState, totals: Totals, job: BenchJob, placement: Placement): void {
+    const displaced = placement.displaced ?? [];
+    const isDisplaced = ({ members }: LoopRun) =>
+        members.some(member =>
+            displaced.some(({ agent, index }) => member.agent === agent && member.indexes.includes(index)),
+        );
+    for (const run of state.running.filter(isDisplaced)) {
+        release(state, run);
+        const restMs = Math.max(0, run.endMs - state.nowMs) + RESTART_MS;
+        state.waiting.push({ ...run.job, runMs: restMs });
+        totals.reclaims += 1;
+    }
+    totals.scattered += isAdjacent(state.index, job, placement) ? 0 : 1;
+    state.waiting.splice(state.waiting.indexOf(job), 1);
+    const { id, kind, limitMs, clientAccount, runMs } = job;
+    const endMs = state.nowMs + runMs + (displaced.length > 0 ? RECLAIM_MS : 0);
+    const { members } = placement;
+    state.running.push({ id, kind, limitMs, members, startedAtMs: state.nowMs, endMs, job });
+    for (const { agent, indexes } of members) {
+        const { accelerators } = state.workers.find(worker => worker.agent === agent)!;
+        for (const index of indexes) {
+            accelerators[index] = {
+                kind: "used",
+                clientAccount,
+                reclaimable: placement.tenure === "borrowed",
+            };
+        }
+    }
+}
+
+function release(state: LoopState, run: LoopRun): void {
+    state.running.splice(state.running.indexOf(run), 1);
+    for (const { agent, indexes } of run.members) {
+        const { accelerators } = state.workers.find(worker => worker.agent === agent)!;
+        for (const index of indexes) {
+            accelerators[index] = { kind: "free" };
+        }
+    }
+}
+
+function isAdjacent(index: PlacementIndex, { shape }: BenchJob, { members }: Placement): boolean {
+    const racks = [...new Set(members.map(({ rack }) => index.rackPositions.get(rack)!))];
+    if (shape.span === "worker" || racks.length === 1) {
+        return members.length === 1 || (shape.span !== "worker" && racks.length === 1);
+    }
+    const [first, second] = racks.sort((left, right) => left - right);
+    return shape.span === "neighbouring-racks" && racks.length === 2 && index.racks[first!]!.next === second;
+}
--- /dev/null
+++ b/scripts/bench/placementWorkload.ts
@@ -0,0 +1,231 @@
+import { uniformFloat32 } from "pure-rand/distribution/uniformFloat32";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { congruential32 } from "pure-rand/generator/congruential32";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { Document, Priority, Shape, Span, Weights } from "@tanagerdeck/decisions/document/documentTypes";
+import type { WaitingJob } from "@tanagerdeck/decisions/queue/queueTypes";
+
+/** A job with the run time that only the bench knows. */
+export interface BenchJob extends WaitingJob {
+    runMs: number;
+}
+
+/** One firm's racks, client accounts and jobs. */
+export interface Workload {
+    firm: string;
+    document: Document;
+    jobs: BenchJob[];
+}
+
+/** How the jobs of one kind arrive, and how large and long they are. */
+interface Stream {
+    kind: string;
+    clientAccount: string;
+    priority: Priority;
+    span: Span;
+    accelerators: [number, number];
+    seconds: [number, number];
+    /** Jobs of a day, spread over the hours `from` to `to`. */
+    jobs: number;
+    hours: [number, number];
+    /** Jobs that arrive together. */
+    burst: number;
+}
+
+const SECOND_MS = 1_000;
+const HOUR_MS = 3_600 * SECOND_MS;
+const DAY_MS = 24 * HOUR_MS;
+const DAYS = 5;
+const SEED = 20261204;
+
+/** Largest factor between the declared limit of a kind and the run time of one of its jobs. */
+const DECLARED_FACTOR = 10;
+
+const OKAHANDJA: Stream[] = [
+    {
+        kind: "quote",
+        clientAccount: "counter",
+        priority: "urgent",
+        span: "worker",
+        accelerators: [1, 4],
+        seconds: [10, 100],
+        jobs: 900,
+        hours: [7, 18],
+        burst: 3,
+    },
+    {
+        kind: "fleet-check",
+        clientAccount: "fleet",
+        priority: "normal",
+        span: "worker",
+        accelerators: [1, 8],
+        seconds: [120, 1_200],
+        jobs: 400,
+        hours: [5, 20],
+        burst: 20,
+    },
+    {
+        kind: "overnight-route",
+        clientAccount: "routes",
+        priority: "batch",
+        span: "rack",
+        accelerators: [8, 24],
+        seconds: [1_800, 14_400],
+        jobs: 22,
+        hours: [16, 23],
+        burst: 4,
+    },
+    {
+        kind: "season-plan",
+        clientAccount: "planning",
+        priority: "batch",
+        span: "neighbouring-racks",
+        accelerators: [24, 40],
+        seconds: [3_600, 18_000],
+        jobs: 4,
+        hours: [8, 20],
+        burst: 1,
+    },
+];
+
+const CARONI: Stream[] = [
+    {
+        kind: "van-route-plan",
+        clientAccount: "vans",
+        priority: "normal",
+        span: "rack",
+        accelerators: [6, 16],
+        seconds: [300, 3_000],
+        jobs: 90,
+        hours: [3, 20],
+        burst: 6,
+    },
+    {
+        kind: "expiry-scan",
+        clientAccount: "stores",
+        priority: "batch",
+        span: "worker",
+        accelerators: [1, 4],
+        seconds: [120, 1_200],
+        jobs: 500,
+        hours: [0, 24],
+        burst: 40,
+    },
+    {
+        kind: "restock-forecast",
+        clientAccount: "forecasts",
+        priority: "batch",
+        span: "neighbouring-racks",
+        accelerators: [16, 40],
+        seconds: [3_600, 14_400],
+        jobs: 12,
+        hours: [0, 24],
+        burst: 2,
+    },
+    {
+        kind: "recall",
+        clientAccount: "desk",
+        priority: "urgent",
+        span: "worker",
+        accelerators: [2, 8],
+        seconds: [30, 300],
+        jobs: 60,
+        hours: [6, 20],
+        burst: 2,
+    },
+];
+
+/** The workloads of the two firms; equal in every run. */
+export function firmWorkloads(): Workload[] {
+    return [
+        workloadOf(
+            "okahandja",
+            OKAHANDJA,
+            { completionTime: 3, fragmentation: 1 },
+            {
+                counter: [{ span: "worker", accelerators: 8 }],
+                routes: [{ span: "rack", accelerators: 24 }],
+            },
+        ),
+        workloadOf(
+            "caroni",
+            CARONI,
+            { completionTime: 1, fragmentation: 3 },
+            {
+                vans: [{ span: "rack", accelerators: 16 }],
+                desk: [{ span: "worker", accelerators: 8 }],
+                forecasts: [{ span: "neighbouring-racks", accelerators: 32 }],
+            },
+        ),
+    ];
+}
+
+function workloadOf(
+    firm: string,
+    streams: Stream[],
+    weights: Weights,
+    guarantees: Record<string, Shape[]>,
+): Workload {
+    const random = congruential32(SEED);
+    const jobs = streams.flatMap(stream => jobsOf(stream, random));
+    jobs.sort((left, right) => left.acceptedAtMs - right.acceptedAtMs);
+    return { firm, document: documentOf(firm, streams, weights, guarantees), jobs };
+}
+
+function jobsOf(stream: Stream, random: RandomGenerator): BenchJob[] {
+    const jobs: BenchJob[] = [];
+    const [from, to] = stream.hours;
+    for (let number = 0; number < stream.jobs * DAYS; number++) {
+        const day = Math.floor(number / stream.jobs);
+        const previous = jobs.at(-1);
+        const isInBurst = previous && number % stream.burst !== 0;
+        const arrivalMs = day * DAY_MS + (from + uniformFloat32(random) * (to - from)) * HOUR_MS;
+        const [shortest, longest] = stream.seconds;
+        const [smallest, largest] = stream.accelerators;
+        jobs.push({
+            id: `${stream.kind}-${number}`,
+            clientAccount: stream.clientAccount,
+            kind: stream.kind,
+            priority: stream.priority,
+            shape: { span: stream.span, accelerators: uniformInt(random, smallest, largest) },
+            acceptedAtMs: isInBurst ? previous.acceptedAtMs + SECOND_MS : arrivalMs,
+            limitMs: shortest * DECLARED_FACTOR * SECOND_MS,
+            runMs: shortest * (longest / shortest) ** uniformFloat32(random) * SECOND_MS,
+        });
+    }
+    return jobs;
+}
+
+/** Ten workers, at most three to a rack; the largest site has two racks. */
+function documentOf(
+    environment: string,
+    streams: Stream[],
+    weights: Weights,
+    guarantees: Record<string, Shape[]>,
+): Document {
+    const sites: [string, number][] = [
+        ["main", 3],
+        ["main", 3],
+        ["second", 3],
+        ["third", 1],
+    ];
+    return {
+        environment,
+        clientAccounts: streams.map(({ clientAccount }) => ({
+            name: clientAccount,
+            tokenDigests: [],
+            guarantees: guarantees[clientAccount] ?? [],
+            quota: { accelerators: 64, requestsPerSecond: 100, waiting: 10_000 },
+            weight: 1,
+        })),
+        kinds: [],
+        racks: sites.map(([availabilityZone, workers], position) => ({
+            name: `rack-${position}`,
+            availabilityZone,
+            workers,
+            acceleratorsPerWorker: 8,
+        })),
+        weights,
+        whenPlatformUnreachable: "serve-while-peers-agree",
+    };
+}
