--- a/packages/decisions/src/binding/binding.spec.ts
+++ b/packages/decisions/src/binding/binding.spec.ts
@@ -143,6 +143,21 @@
         });
     });
 
+    describe("choice among places that fit", () => {
+        it("guards against a binding that cuts into a pair of racks while a single rack is enough", () => {
+            const zones = ["arima", "arima", "san-fernando"];
+            const racks = zones.map(availabilityZone => ({
+                name: "",
+                availabilityZone,
+                workers: 3,
+                acceleratorsPerWorker: 8,
+            }));
+            const document = documentOf(racks, [{ span: "rack", accelerators: 24 }]);
+            const [binding] = computeBindings(document).unsafeCoerce();
+            expect(binding!.accelerators[0]!.rack).to.equal("rack-2");
+        });
+    });
+
     describe("loss of workers", () => {
         it("guards against moving other bindings and against binding an accelerator twice", () => {
             const lost = fc.array(fc.nat(100), { maxLength: 2 });
--- a/packages/decisions/src/binding/shapeSearch.ts
+++ b/packages/decisions/src/binding/shapeSearch.ts
@@ -205,15 +205,20 @@
     return best;
 }
 
-/** Prefers the tightest worker, then the tightest rack or pair. */
+/** Prefers the tightest worker, then the tightest rack, then the rack that cuts into the narrowest pair. */
 function compareTargets(state: SearchState, left: Target, right: Target): number {
     return (
         slotFree(state, left) - slotFree(state, right) ||
         state.racks[left.rack]! - state.racks[right.rack]! ||
+        widestNeighbour(state, left.rack) - widestNeighbour(state, right.rack) ||
         left.rack - right.rack
     );
 }
 
+function widestNeighbour({ capacity, racks, previous }: SearchState, rack: number): number {
+    return Math.max(racks[capacity[rack]!.next ?? -1] ?? 0, racks[previous[rack] ?? -1] ?? 0);
+}
+
 function slotFree(state: SearchState, target: Target): number {
     return target.slot === undefined ? 0 : state.slots[target.rack]![target.slot]!;
 }
