--- a/packages/platform/src/store/etcdStore.ts
+++ b/packages/platform/src/store/etcdStore.ts
@@ -1,19 +1,23 @@
 import { Either, Left, Right } from "purify-ts/Either";
 import { Pool } from "undici";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { Store, StoredValue, Write } from "./storeTypes.ts";
+import {
+    decodeValue,
+    encode,
+    encodeTransaction,
+    prefixRange,
+    type KeyValue,
+    type WatchLine,
+} from "./gatewayCodec.ts";
+import type { Store } from "./storeTypes.ts";
 
 /** Time limit of one call; the service answers in milliseconds. */
 const CALL_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 const CONNECTIONS = 8;
 const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
-
-interface KeyValue {
-    key: string;
-    value?: string;
-    mod_revision: string;
-}
+/** Statuses with which the gateway refuses a call before it applies anything. */
+const REFUSED_STATUSES = new Set([400, 401, 403, 404, 412, 429]);
 
 /** Client of the etcd v3 JSON gateway at `ip:port`. `countCall` is told of each call and each open watch. */
 export function createEtcdStore(address: string, countCall: (operation: string) => void): Store {
@@ -34,7 +38,8 @@
             });
             if (response.statusCode !== 200) {
                 await response.body.dump();
-                return Left(storeFailure("may-have-run", `status ${response.statusCode}`));
+                const verdict = REFUSED_STATUSES.has(response.statusCode) ? "not-run" : "may-have-run";
+                return Left(storeFailure(verdict, `status ${response.statusCode}`));
             }
             return Right((await response.body.json()) as T);
         } catch (error) {
@@ -49,13 +54,15 @@
             return reply.map(value => value.kvs?.map(decodeValue)[0]);
         },
         async list(prefix) {
-            const range = { key: encode(prefix), range_end: encode(rangeEnd(prefix)) };
-            const reply = await call<{ kvs?: KeyValue[] }>("read", "/v3/kv/range", range);
+            const reply = await call<{ kvs?: KeyValue[] }>("read", "/v3/kv/range", prefixRange(prefix));
             return reply.map(value => (value.kvs ?? []).map(decodeValue));
         },
         async write(writes) {
-            const body = { compare: writes.flatMap(encodeCondition), success: writes.map(encodeWrite) };
-            const reply = await call<{ succeeded?: boolean }>("write", "/v3/kv/txn", body);
+            const reply = await call<{ succeeded?: boolean }>(
+                "write",
+                "/v3/kv/txn",
+                encodeTransaction(writes),
+            );
             return reply.map(value => (value.succeeded ? "written" : "conflict"));
         },
         async grantLease(seconds) {
@@ -82,62 +89,43 @@
     };
 }
 
+/** Follows one watch stream until it ends; the service sends one JSON object a line. */
 async function followWatch(
     pool: Pool,
     prefix: string,
     signal: AbortSignal,
     changed: () => void,
 ): Promise<void> {
-    const range = { key: encode(prefix), range_end: encode(rangeEnd(prefix)) };
     const response = await pool.request({
         path: "/v3/watch",
         method: "POST",
         headers: { "content-type": "application/json" },
-        body: JSON.stringify({ create_request: range }),
+        body: JSON.stringify({ create_request: prefixRange(prefix) }),
+        headersTimeout: CALL_TIMEOUT_MS,
         bodyTimeout: 0,
         signal,
     });
-    for await (const _chunk of response.body) {
-        if (signal.aborted) {
-            return;
+    if (response.statusCode !== 200) {
+        await response.body.dump();
+        return;
+    }
+    let rest = "";
+    const decoder = new TextDecoder();
+    for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
+        const lines = (rest + decoder.decode(chunk, { stream: true })).split("\n");
+        rest = lines.pop() ?? "";
+        for (const line of lines) {
+            const { result, error } = JSON.parse(line) as WatchLine;
+            if (signal.aborted || error || result?.canceled) {
+                return;
+            }
+            if (result?.created || result?.events) {
+                changed();
+            }
         }
-        changed();
     }
 }
 
 function storeFailure(verdict: "not-run" | "may-have-run", detail: string): Failure {
     return failure(verdict, "platform-unavailable", `The platform's service failed: ${detail}.`);
 }
-
-function encode(text: string): string {
-    return Buffer.from(text, "utf8").toString("base64");
-}
-
-function decodeValue(value: KeyValue): StoredValue {
-    return {
-        key: Buffer.from(value.key, "base64").toString("utf8"),
-        value: Buffer.from(value.value ?? "", "base64").toString("utf8"),
-        version: Number(value.mod_revision),
-    };
-}
-
-/** The first key after all keys with this ASCII prefix. */
-function rangeEnd(prefix: string): string {
-    const last = prefix.charCodeAt(prefix.length - 1);
-    return prefix.slice(0, -1) + String.fromCharCode(last + 1);
-}
-
-function encodeCondition(write: Write): object[] {
-    if (write.expectedVersion === undefined) {
-        return [];
-    }
-    const version = String(write.expectedVersion);
-    return [{ key: encode(write.key), target: "MOD", result: "EQUAL", mod_revision: version }];
-}
-
-function encodeWrite(write: Write): object {
-    if (write.value === undefined) {
-        return { request_delete_range: { key: encode(write.key) } };
-    }
-    return { request_put: { key: encode(write.key), value: encode(write.value), lease: write.lease } };
-}
--- /dev/null
+++ b/packages/platform/src/store/gatewayCodec.ts
@@ -0,0 +1,55 @@
+import type { StoredValue, Write } from "./storeTypes.ts";
+
+/** One key of a range reply; the gateway leaves out fields with the default value. */
+export interface KeyValue {
+    key: string;
+    value?: string;
+    mod_revision?: string;
+}
+
+/** One line of a watch stream. */
+export interface WatchLine {
+    result?: { created?: boolean; canceled?: boolean; events?: object[] };
+    error?: object;
+}
+
+/** Keys and values travel as base64. */
+export function encode(text: string): string {
+    return Buffer.from(text, "utf8").toString("base64");
+}
+
+/** The range of all keys with an ASCII prefix. */
+export function prefixRange(prefix: string): { key: string; range_end: string } {
+    const last = prefix.charCodeAt(prefix.length - 1);
+    const end = prefix.slice(0, -1) + String.fromCharCode(last + 1);
+    return { key: encode(prefix), range_end: encode(end) };
+}
+
+/** Reads one key of a range reply. */
+export function decodeValue(value: KeyValue): StoredValue {
+    return {
+        key: Buffer.from(value.key, "base64").toString("utf8"),
+        value: Buffer.from(value.value ?? "", "base64").toString("utf8"),
+        version: Number(value.mod_revision ?? 0),
+    };
+}
+
+/** A transaction that applies all writes if all expected versions hold. */
+export function encodeTransaction(writes: Write[]): object {
+    return { compare: writes.flatMap(encodeCondition), success: writes.map(encodeWrite) };
+}
+
+function encodeCondition(write: Write): object[] {
+    if (write.expectedVersion === undefined) {
+        return [];
+    }
+    const version = String(write.expectedVersion);
+    return [{ key: encode(write.key), target: "MOD", result: "EQUAL", mod_revision: version }];
+}
+
+function encodeWrite(write: Write): object {
+    if (write.value === undefined) {
+        return { request_delete_range: { key: encode(write.key) } };
+    }
+    return { request_put: { key: encode(write.key), value: encode(write.value), lease: write.lease } };
+}
