--- a/packages/caller/src/listener/callerListener.ts
+++ b/packages/caller/src/listener/callerListener.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { Left, Right, type Either } from "purify-ts/Either";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
-import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { bearerToken, matchesDigest } from "@tanagerdeck/runtime/access/token";
 import { startListener, type Listener } from "@tanagerdeck/runtime/http/listener";
 import { findRoute, type Routes } from "@tanagerdeck/runtime/http/routes";
@@ -16,6 +17,8 @@
 export interface CallerListenerOptions {
     address: string;
     configuration: () => Promise<Configuration | undefined>;
+    /** The configuration for new work, or why new work is refused. */
+    admit: () => Promise<Either<Failure, Configuration>>;
     routes: Routes<CallerContext>;
 }
 
@@ -36,11 +39,12 @@
         sendFailure(response, 404, failure("not-run", "not-found", "There is no such resource."));
         return;
     }
-    const configuration = await options.configuration();
-    if (!configuration) {
-        sendFailure(response, 503, failure("not-run", "no-configuration", "No configuration is known yet."));
+    const admitted = request.method === "POST" ? await options.admit() : await held(options);
+    if (admitted.isLeft()) {
+        sendFailure(response, 503, admitted.extract());
         return;
     }
+    const configuration = admitted.unsafeCoerce();
     const clientAccount = authenticate(configuration, bearerToken(request));
     if (!clientAccount) {
         sendFailure(response, 401, failure("not-run", "access-denied", "The bearer token is not known."));
@@ -50,6 +54,13 @@
     await found.route({ context, segments: found.segments, request, response });
 }
 
+/** Results and cancellations are served on the last configuration, confirmed or not. */
+async function held(options: CallerListenerOptions): Promise<Either<Failure, Configuration>> {
+    const configuration = await options.configuration();
+    const unknown = failure("not-run", "no-configuration", "No configuration is known yet.");
+    return configuration ? Right(configuration) : Left(unknown);
+}
+
 /** The client account of a token; all digests are compared, so that the time tells nothing. */
 function authenticate(configuration: Configuration, token: string | undefined): string | undefined {
     if (token === undefined) {
--- a/packages/decisions/src/document/documentTypes.ts
+++ b/packages/decisions/src/document/documentTypes.ts
@@ -64,9 +64,11 @@
 /** What a process does with new work while it cannot confirm its configuration. */
 export type UnreachablePolicy = "serve" | "serve-while-peers-agree" | "refuse";
 
-/** The operators' declaration of one environment. */
+/**
+ * The operators' declaration. It does not name its environment, so that the bytes that were tried in one
+ * environment are promoted unchanged to another; the environment comes from the settings.
+ */
 export interface Document {
-    environment: string;
     clientAccounts: ClientAccount[];
     kinds: Kind[];
     racks: Rack[];
@@ -81,6 +83,12 @@
     index: number;
 }
 
+/** Position of a worker: a slot of a rack, counted from 0. */
+export interface WorkerPosition {
+    rack: string;
+    slot: number;
+}
+
 /** The accelerators that hold one guaranteed shape of a client account. */
 export interface Binding {
     clientAccount: string;
--- /dev/null
+++ b/packages/decisions/src/document/workRefusal.spec.ts
@@ -0,0 +1,54 @@
+import { expect } from "chai";
+import type { Configuration, UnreachablePolicy } from "./documentTypes.ts";
+import { workRefusal, type OtherEntry } from "./workRefusal.ts";
+
+const BLIND: OtherEntry = { heardAgoMs: 4_000, platformReachable: false };
+const SEEING: OtherEntry = { heardAgoMs: 4_000, platformReachable: true };
+const SILENT: OtherEntry = { heardAgoMs: 11_001, platformReachable: false };
+const NEVER: OtherEntry = { heardAgoMs: undefined, platformReachable: false };
+
+describe("refusal of new work", () => {
+    describe("without a configuration", () => {
+        it("refuses, whatever was confirmed", () => {
+            expect(workRefusal(undefined, 0, [])).to.equal("no-configuration");
+        });
+    });
+
+    describe("with a confirmation of at most 15 s ago", () => {
+        it("serves under every policy", () => {
+            for (const policy of ["serve", "serve-while-peers-agree", "refuse"] as const) {
+                expect(workRefusal(configuration(policy), 15_000, [NEVER])).to.equal(undefined);
+            }
+        });
+    });
+
+    describe("with an older confirmation or none", () => {
+        const cases: [UnreachablePolicy, string, OtherEntry[], boolean][] = [
+            ["serve", "no other entry can be reached", [SILENT], true],
+            ["refuse", "all others see no platform", [BLIND], false],
+            ["refuse", "there is no other entry", [], false],
+            ["serve-while-peers-agree", "there is no other entry", [], true],
+            ["serve-while-peers-agree", "all reachable others see no platform", [BLIND, SILENT], true],
+            ["serve-while-peers-agree", "one reachable other sees the platform", [BLIND, SEEING], false],
+            ["serve-while-peers-agree", "no other answered lately", [SILENT, NEVER], false],
+        ];
+        for (const [policy, situation, others, serves] of cases) {
+            it(`${serves ? "serves" : "refuses"} with "${policy}" when ${situation}`, () => {
+                const expected = serves ? undefined : "stale-configuration";
+                expect(workRefusal(configuration(policy), 15_001, others)).to.equal(expected);
+                expect(workRefusal(configuration(policy), undefined, others)).to.equal(expected);
+            });
+        }
+    });
+});
+
+function configuration(policy: UnreachablePolicy): Configuration {
+    const document = {
+        clientAccounts: [],
+        kinds: [],
+        racks: [],
+        weights: { completionTime: 1, fragmentation: 1 },
+        whenPlatformUnreachable: policy,
+    };
+    return { revision: 1, digest: "", changeId: "c", document, bindings: [] };
+}
--- /dev/null
+++ b/packages/decisions/src/usage/usageMerge.spec.ts
@@ -0,0 +1,86 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { bucketOf, flusherOf, USAGE_BUCKETS } from "./usageBuckets.ts";
+import { mergeUsage, tableOfReport, usageTotals, type UsageTable } from "./usageMerge.ts";
+
+const name = fc.constantFrom("a", "b", "c");
+const counter = fc.record({
+    clientAccount: name,
+    kind: name,
+    milliseconds: fc.nat(1_000),
+    count: fc.nat(50),
+});
+const report = fc.record({ agent: name, incarnation: name, counters: fc.array(counter, { maxLength: 4 }) });
+const reports = fc.array(report, { maxLength: 12 });
+type ReportCase = { agent: string; incarnation: string; counters: Parameters<typeof tableOfReport>[2] };
+
+function fold(cases: ReportCase[]): UsageTable {
+    return cases
+        .map(({ agent, incarnation, counters }) => tableOfReport(agent, incarnation, counters))
+        .reduce(mergeUsage, {});
+}
+
+describe("usage", () => {
+    describe("merging counters", () => {
+        it("gives the same result for reports in any order, late or repeated", () => {
+            fc.assert(
+                fc.property(reports, fc.array(fc.nat(), { maxLength: 12 }), (told, picks) => {
+                    const repeated = [...told, ...picks.flatMap(pick => told[pick % told.length] ?? [])];
+                    expect(fold(repeated.reverse())).to.deep.equal(fold(told));
+                }),
+            );
+        });
+
+        it("gives the same result however entries merge their parts", () => {
+            fc.assert(
+                fc.property(reports, reports, reports, (a, b, c) => {
+                    const left = mergeUsage(mergeUsage(fold(a), fold(b)), fold(c));
+                    const right = mergeUsage(fold(a), mergeUsage(fold(c), fold(b)));
+                    expect(left).to.deep.equal(right);
+                    expect(mergeUsage(left, left)).to.deep.equal(left);
+                }),
+            );
+        });
+
+        it("totals the last counter of each incarnation once", () => {
+            const growing = fc.array(fc.nat(100), { minLength: 1, maxLength: 6 });
+            fc.assert(
+                fc.property(growing, growing, (first, second) => {
+                    const told = [...cumulative("one", first), ...cumulative("two", second)];
+                    const [total] = usageTotals(fold(told.reverse()));
+                    const expected = [...first, ...second].reduce((sum, step) => sum + step, 0);
+                    expect(total?.milliseconds).to.equal(expected);
+                }),
+            );
+        });
+    });
+
+    describe("buckets", () => {
+        const hash = (text: string) => [...text].reduce((sum, c) => (sum * 31 + c.charCodeAt(0)) >>> 0, 7);
+
+        it("assigns each agent to one of 64 records", () => {
+            expect(bucketOf("agent-1", hash)).to.be.within(0, USAGE_BUCKETS - 1);
+        });
+
+        it("moves only the buckets of an entry that goes", () => {
+            for (let bucket = 0; bucket < USAGE_BUCKETS; bucket++) {
+                const before = flusherOf(bucket, ["e1", "e2", "e3"], hash);
+                if (before !== "e3") {
+                    expect(flusherOf(bucket, ["e2", "e1"], hash)).to.equal(before);
+                }
+            }
+        });
+    });
+});
+
+function cumulative(incarnation: string, steps: number[]): ReportCase[] {
+    let milliseconds = 0;
+    return steps.map(step => {
+        milliseconds += step;
+        return {
+            agent: "a",
+            incarnation,
+            counters: [{ clientAccount: "x", kind: "k", milliseconds, count: 1 }],
+        };
+    });
+}
--- a/packages/operator/src/document/applyDocument.ts
+++ b/packages/operator/src/document/applyDocument.ts
@@ -1,67 +1,106 @@
-import { createHash } from "node:crypto";
 import { Either, Left, Right } from "purify-ts/Either";
-import { z } from "zod";
-import type { Configuration, Document } from "@tanagerdeck/decisions/document/documentTypes";
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import { currentKey, historyKey } from "@tanagerdeck/platform/configuration/configurationKeys";
+import {
+    acceptConfiguration,
+    readCurrent,
+    readHistory,
+    type HistoryRecord,
+} from "@tanagerdeck/platform/configuration/acceptedConfiguration";
 import type { Store } from "@tanagerdeck/platform/store/storeTypes";
-import { documentSchema } from "./documentSchema.ts";
+import { checkDocument, documentDigest } from "./checkDocument.ts";
 
 /** A document to apply: `text` is its exact bytes, `expectedRevision` the revision that it replaces (0: none). */
 export interface Change {
     text: string;
     expectedRevision: number;
+    /** Chosen by the operator; a repeat with the same id finds out whether the first try was accepted. */
     changeId: string;
 }
 
-/** Checks a document's text. */
-export function checkDocument(text: string): Either<Failure, Document> {
-    let value: unknown;
-    try {
-        value = JSON.parse(text);
-    } catch (error) {
-        return Left(failure("not-run", "invalid", `The document is not JSON: ${String(error)}.`));
-    }
-    const parsed = documentSchema.safeParse(value);
-    if (!parsed.success) {
-        return Left(failure("not-run", "invalid", z.prettifyError(parsed.error)));
-    }
-    return Right(parsed.data);
+/** An accepted change. `configuration` is absent if a later revision has replaced it since. */
+export interface AcceptedChange {
+    revision: number;
+    digest: string;
+    configuration: Configuration | undefined;
+}
+
+/** Where a change is applied. `now` is wall-clock milliseconds. */
+export interface ApplyTarget {
+    store: Store;
+    environment: string;
+    now: () => number;
 }
 
 /** Accepts a change by one compare-and-swap. A refused change writes nothing. */
-export async function applyDocument(store: Store, change: Change): Promise<Either<Failure, Configuration>> {
-    const checked = checkDocument(change.text);
-    if (checked.isLeft()) {
-        return checked;
+export async function applyDocument(
+    target: ApplyTarget,
+    change: Change,
+): Promise<Either<Failure, AcceptedChange>> {
+    const formed = checkDocument(change.text);
+    if (formed.isLeft()) {
+        return formed;
     }
-    const document = checked.unsafeCoerce();
-    const key = currentKey(document.environment);
-    const read = await store.get(key);
+    const read = await readCurrent(target.store, target.environment);
     if (read.isLeft()) {
-        return Left({ ...read.extract(), verdict: "not-run" });
+        return Left(unreadable(read.extract()));
     }
     const stored = read.unsafeCoerce();
-    const currentRevision = stored ? (JSON.parse(stored.value) as Configuration).revision : 0;
-    if (currentRevision !== change.expectedRevision) {
-        const detail = `The current revision is ${currentRevision}, not ${change.expectedRevision}.`;
-        return Left(failure("not-run", "revision-conflict", detail));
+    const current = stored?.configuration;
+    if ((current?.revision ?? 0) !== change.expectedRevision) {
+        return resolveRepeat(target, change, current);
+    }
+    const checked = checkDocument(change.text, current);
+    if (checked.isLeft()) {
+        return checked;
     }
-    const configuration: Configuration = {
-        revision: currentRevision + 1,
-        digest: createHash("sha256").update(change.text).digest("hex"),
-        changeId: change.changeId,
-        document,
-        bindings: [],
+    const { document, digest, bindings } = checked.unsafeCoerce();
+    const revision = change.expectedRevision + 1;
+    const accepted = await acceptConfiguration(target.store, {
+        environment: target.environment,
+        version: stored?.version ?? 0,
+        configuration: { revision, digest, changeId: change.changeId, document, bindings },
+        cause: "applied",
+        acceptedAt: target.now(),
+    });
+    return accepted.map(configuration => ({ revision, digest, configuration }));
+}
+
+/** An earlier try with the same change id may have been accepted, so an unreadable platform leaves that open. */
+function unreadable(problem: Failure): Failure {
+    return {
+        ...problem,
+        verdict: "may-have-run",
+        detail: `${problem.detail} Ask again with the same change id.`,
     };
-    const value = JSON.stringify(configuration);
-    const result = await store.write([
-        { key, value, expectedVersion: stored?.version ?? 0 },
-        { key: historyKey(document.environment, configuration.revision), value, expectedVersion: 0 },
-    ]);
-    return result.chain(outcome =>
-        outcome === "written"
-            ? Right(configuration)
-            : Left(failure("not-run", "revision-conflict", "Another change was accepted first.")),
-    );
+}
+
+/** The expected revision was replaced: by this very change if an earlier reply was lost, else by another. */
+async function resolveRepeat(
+    target: ApplyTarget,
+    change: Change,
+    current: Configuration | undefined,
+): Promise<Either<Failure, AcceptedChange>> {
+    const record = await readHistory(target.store, target.environment, change.expectedRevision + 1);
+    return record
+        .mapLeft(unreadable)
+        .chain(found => (found?.changeId === change.changeId ? repeated(found, change, current) : stale()));
+
+    function stale(): Either<Failure, AcceptedChange> {
+        const detail = `expectedRevision: the current revision is ${current?.revision ?? 0}, not ${change.expectedRevision}.`;
+        return Left(failure("not-run", "revision-conflict", detail));
+    }
+}
+
+function repeated(
+    record: HistoryRecord,
+    change: Change,
+    current: Configuration | undefined,
+): Either<Failure, AcceptedChange> {
+    const { revision, digest } = record;
+    if (digest !== documentDigest(change.text)) {
+        const detail = `changeId: revision ${revision} has this change id and another document.`;
+        return Left(failure("not-run", "conflict", detail));
+    }
+    return Right({ revision, digest, configuration: current?.revision === revision ? current : undefined });
 }
--- a/packages/operator/src/document/documentRoutes.ts
+++ b/packages/operator/src/document/documentRoutes.ts
@@ -1,12 +1,13 @@
 import type { Either } from "purify-ts/Either";
+import { Left, Right } from "purify-ts/Either";
 import { z } from "zod";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import { readBody, sendJson } from "@tanagerdeck/runtime/http/listener";
-import { parseJson, sendOk, type Routes } from "@tanagerdeck/runtime/http/routes";
-import type { Change } from "./applyDocument.ts";
-
-const BODY_LIMIT_BYTES = 1024 * 1024;
+import type { HistoryRecord } from "@tanagerdeck/platform/configuration/acceptedConfiguration";
+import type { Routes } from "@tanagerdeck/runtime/http/routes";
+import { readOperatorBody, sendResult } from "../listener/operatorBody.ts";
+import type { AcceptedChange, Change } from "./applyDocument.ts";
+import { planDocument } from "./planDocument.ts";
 
 const changeSchema = z.strictObject({
     text: z.string(),
@@ -14,22 +15,45 @@
     changeId: z.string().min(1).max(100),
 });
 
-/** Routes that read and change the configuration. */
-export function createDocumentRoutes(
-    apply: (change: Change) => Promise<Either<Failure, Configuration>>,
-): Routes<undefined> {
+const planSchema = z.strictObject({ text: z.string() });
+
+/** What the routes of the document need. */
+export interface DocumentOperations {
+    apply(change: Change): Promise<Either<Failure, AcceptedChange>>;
+    current(): Promise<Configuration | undefined>;
+    history(): Promise<Either<Failure, HistoryRecord[]>>;
+}
+
+/** Routes that read, plan and change the configuration. */
+export function createDocumentRoutes(operations: DocumentOperations): Routes<undefined> {
     return {
         async "POST /v1/configuration"({ request, response }) {
-            const parsed = changeSchema.safeParse(parseJson(await readBody(request, BODY_LIMIT_BYTES)));
-            if (!parsed.success) {
-                sendJson(response, 400, failure("not-run", "invalid", z.prettifyError(parsed.error)));
-                return;
-            }
-            const result = await apply(parsed.data);
-            result.caseOf({
-                Left: problem => sendJson(response, problem.verdict === "not-run" ? 409 : 504, problem),
-                Right: ({ revision, digest }) => sendOk(response, { revision, digest }),
-            });
+            const body = await readOperatorBody(request, changeSchema);
+            const result = body.isLeft() ? body : await operations.apply(body.unsafeCoerce());
+            sendResult(
+                response,
+                result.map(({ revision, digest }) => ({ revision, digest })),
+            );
+        },
+        async "GET /v1/configuration"({ response }) {
+            const current = await operations.current();
+            const none = failure("not-run", "no-configuration", "No configuration was accepted yet.");
+            sendResult(response, current ? Right(current) : Left(none));
+        },
+        async "GET /v1/configuration/history"({ response }) {
+            const history = await operations.history();
+            sendResult(
+                response,
+                history.map(revisions => ({ revisions })),
+            );
+        },
+        async "POST /v1/plan"({ request, response }) {
+            const body = await readOperatorBody(request, planSchema);
+            const current = await operations.current();
+            sendResult(
+                response,
+                body.chain(({ text }) => planDocument(text, current)),
+            );
         },
     };
 }
--- a/packages/operator/src/document/documentSchema.ts
+++ b/packages/operator/src/document/documentSchema.ts
@@ -41,7 +41,6 @@
 
 /** Exact shape of the operators' document. */
 export const documentSchema = z.strictObject({
-    environment: name,
     clientAccounts: z.array(clientAccount),
     kinds: z.array(kind),
     racks: z.array(rack),
--- /dev/null
+++ b/packages/operator/src/document/planDocument.ts
@@ -0,0 +1,43 @@
+import type { Either } from "purify-ts/Either";
+import { diffValues, type DocumentChange } from "@tanagerdeck/decisions/document/documentDiff";
+import type { Binding, Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { checkDocument } from "./checkDocument.ts";
+
+/** What applying a document would do. */
+export interface Plan {
+    currentRevision: number;
+    currentDigest: string | undefined;
+    digest: string;
+    changes: DocumentChange[];
+    /** Guarantees whose accelerators would be others than now, as `account/position`. */
+    movedBindings: string[];
+}
+
+/** Checks a document and compares it with the configuration in force. Writes nothing. */
+export function planDocument(text: string, current: Configuration | undefined): Either<Failure, Plan> {
+    return checkDocument(text, current).map(({ document, digest, bindings }) => ({
+        currentRevision: current?.revision ?? 0,
+        currentDigest: current?.digest,
+        digest,
+        changes: diffValues(current?.document ?? {}, document),
+        movedBindings: movedBindings(current?.bindings ?? [], bindings),
+    }));
+}
+
+function movedBindings(before: Binding[], after: Binding[]): string[] {
+    const known = new Map(
+        before.map(binding => [bindingName(binding), JSON.stringify(binding.accelerators)]),
+    );
+    const moved: string[] = [];
+    for (const binding of after) {
+        if (known.get(bindingName(binding)) !== JSON.stringify(binding.accelerators)) {
+            moved.push(bindingName(binding));
+        }
+    }
+    return moved;
+}
+
+function bindingName({ clientAccount, guarantee }: Binding): string {
+    return `${clientAccount}/${guarantee}`;
+}
--- a/packages/operator/src/listener/operatorListener.ts
+++ b/packages/operator/src/listener/operatorListener.ts
@@ -1,4 +1,5 @@
-import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { ServerResponse } from "node:http";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { bearerToken, matchesDigest, tokenDigest } from "@tanagerdeck/runtime/access/token";
 import { sendJson, startListener, type Listener } from "@tanagerdeck/runtime/http/listener";
 import { findRoute, type Routes } from "@tanagerdeck/runtime/http/routes";
@@ -15,15 +16,19 @@
     const digest = tokenDigest(options.token);
     return startListener(options.address, (request, response) => {
         if (!matchesDigest(bearerToken(request) ?? "", digest)) {
-            sendJson(response, 401, failure("not-run", "access-denied", "The operator token is wrong."));
+            sendFailure(response, 401, failure("not-run", "access-denied", "The operator token is wrong."));
             return;
         }
         const found = findRoute(options.routes, request);
         if (!found) {
-            sendJson(response, 404, failure("not-run", "not-found", "There is no such resource."));
+            sendFailure(response, 404, failure("not-run", "not-found", "There is no such resource."));
             return;
         }
         const call = { context: undefined, segments: found.segments, request, response };
         found.route(call).catch(() => request.socket.destroy());
     });
 }
+
+function sendFailure(response: ServerResponse, status: number, problem: Failure): void {
+    sendJson(response, status, problem, { "x-verdict": problem.verdict });
+}
--- /dev/null
+++ b/packages/operator/src/usage/usageRoutes.ts
@@ -0,0 +1,13 @@
+import { Right } from "purify-ts/Either";
+import type { UsageSummary } from "@tanagerdeck/platform/usage/usageTask";
+import type { Routes } from "@tanagerdeck/runtime/http/routes";
+import { sendResult } from "../listener/operatorBody.ts";
+
+/** Routes that show the use by client account and kind. */
+export function createUsageRoutes(summarize: () => Promise<UsageSummary>): Routes<undefined> {
+    return {
+        async "GET /v1/usage"({ response }) {
+            sendResult(response, Right(await summarize()));
+        },
+    };
+}
--- a/packages/peer/src/announcement/announcementTask.ts
+++ b/packages/peer/src/announcement/announcementTask.ts
@@ -1,16 +1,27 @@
 import type { Either } from "purify-ts/Either";
-import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { Report, ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Clock, TimerStop } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
-import { startTask, type Handlers, type Task } from "@tanagerdeck/runtime/task/task";
+import {
+    startTask,
+    type Handlers,
+    type Reply,
+    type Task,
+    type TaskContext,
+} from "@tanagerdeck/runtime/task/task";
+
+/** An entry that no other entry has named for this time is not announced to any more. */
+const ENTRY_FORGOTTEN_AFTER_MS = 60_000;
+const INTERVAL_JITTER = 0.1;
 
 /** Messages of the announcement task. */
 export type AnnouncementMessage =
+    /** Announces at once, such as after a change of the serving state. */
     | { kind: "announce" }
-    | { kind: "replied"; entry: string; reply: Either<Failure, ReportReply> }
-    | { kind: "fetched"; configuration: Either<Failure, Configuration | undefined> };
+    | { kind: "replied"; entry: string; result: Either<Failure, ReportReply> }
+    /** Announces the last report and replies when every entry has answered or failed to. */
+    | { kind: "leave"; reply: Reply<void> };
 
 /** Dependencies of the announcement task. */
 export interface AnnouncementOptions {
@@ -18,24 +29,40 @@
     reportIntervalMs: number;
     clock: Clock;
     log: Log;
+    random: () => number;
     /** Builds the current report. */
     report: () => Promise<Report>;
     send: (entry: string, report: Report) => Promise<Either<Failure, ReportReply>>;
-    fetch: (entry: string, afterRevision: number) => Promise<Either<Failure, Configuration | undefined>>;
-    adopted: (configuration: Configuration) => void;
+    /** Called with each answer of an entry. */
+    replied: (entry: string, reply: ReportReply) => void;
 }
 
 interface State {
-    entries: Set<string>;
-    revision: number;
+    /** Monotonic time at which each entry was last named; seeds are always kept. */
+    entries: Map<string, number>;
+    /** Entries whose answer is awaited, and whether they need another report after it. */
+    awaited: Map<string, "reported" | "report-again">;
+    intervalMs: number;
+    stopTimer: TimerStop;
+    leaving: Reply<void> | undefined;
     options: AnnouncementOptions;
 }
 
-/** Starts the task that announces an agent to the entries and learns the configuration from them. */
+type Context = TaskContext<AnnouncementMessage>;
+
+/** Starts the task that announces an agent to all entries that it knows. */
 export function startAnnouncementTask(options: AnnouncementOptions): Task<AnnouncementMessage> {
+    const now = options.clock.now();
     const task = startTask<State, AnnouncementMessage>({
         name: "announcement",
-        state: { entries: new Set(options.seeds), revision: 0, options },
+        state: {
+            entries: new Map(options.seeds.map(seed => [seed, now])),
+            awaited: new Map(),
+            intervalMs: options.reportIntervalMs,
+            stopTimer: () => undefined,
+            leaving: undefined,
+            options,
+        },
         handlers,
         clock: options.clock,
         report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
@@ -46,43 +73,82 @@
 
 const handlers: Handlers<State, AnnouncementMessage> = {
     announce(state, _message, context) {
-        const { options } = state;
-        const report = options.report();
-        for (const entry of state.entries) {
-            context.start(
-                async () => options.send(entry, await report),
-                reply => ({ kind: "replied", entry, reply }),
-            );
+        forgetEntries(state, context.clock.now());
+        for (const entry of state.entries.keys()) {
+            if (state.awaited.has(entry)) {
+                state.awaited.set(entry, "report-again");
+                continue;
+            }
+            send(state, entry, context);
         }
-        context.after(options.reportIntervalMs, { kind: "announce" });
+        scheduleNext(state, context);
     },
-    replied(state, message, context) {
-        message.reply.ifLeft(problem =>
-            state.options.log.warn("An entry did not answer.", { detail: problem.detail }),
-        );
-        message.reply.ifRight(reply => {
-            if (reply.refusal) {
-                state.options.log.error("An entry refused the announcement.", { reason: reply.refusal });
-            }
-            for (const address of reply.entries) {
-                state.entries.add(address);
-            }
-            if (reply.configurationRevision > state.revision) {
-                const { fetch } = state.options;
-                context.start(
-                    () => fetch(message.entry, state.revision),
-                    configuration => ({ kind: "fetched", configuration }),
-                );
-            }
-        });
+    replied(state, { entry, result }, context) {
+        const { log } = state.options;
+        const again = state.awaited.get(entry) === "report-again";
+        state.awaited.delete(entry);
+        result.ifLeft(problem => log.warn("An entry did not answer.", { entry, detail: problem.detail }));
+        result.ifRight(reply => learn(state, entry, reply, context));
+        if (again && state.entries.has(entry)) {
+            send(state, entry, context);
+        }
+        replyIfLeft(state);
     },
-    fetched(state, message) {
-        message.configuration.ifRight(configuration => {
-            if (!configuration || configuration.revision <= state.revision) {
-                return;
+    leave(state, { reply }, context) {
+        state.leaving = reply;
+        state.stopTimer();
+        for (const entry of state.entries.keys()) {
+            if (state.awaited.has(entry)) {
+                state.awaited.set(entry, "report-again");
+                continue;
             }
-            state.revision = configuration.revision;
-            state.options.adopted(configuration);
-        });
+            send(state, entry, context);
+        }
+        replyIfLeft(state);
     },
 };
+
+function send(state: State, entry: string, context: Context): void {
+    const { options } = state;
+    state.awaited.set(entry, "reported");
+    context.start(
+        async () => options.send(entry, await options.report()),
+        result => ({ kind: "replied", entry, result }),
+    );
+}
+
+function learn(state: State, entry: string, reply: ReportReply, context: Context): void {
+    if (reply.refusal) {
+        state.options.log.error("An entry refused the announcement.", { entry, reason: reply.refusal });
+    }
+    for (const address of reply.entries) {
+        const known = state.entries.has(address);
+        state.entries.set(address, context.clock.now());
+        if (!known && !state.leaving) {
+            send(state, address, context);
+        }
+    }
+    state.intervalMs = reply.reportIntervalMs;
+    state.options.replied(entry, reply);
+}
+
+function scheduleNext(state: State, context: Context): void {
+    state.stopTimer();
+    const delay = state.intervalMs * (1 - INTERVAL_JITTER * state.options.random());
+    state.stopTimer = context.after(delay, { kind: "announce" });
+}
+
+function forgetEntries(state: State, now: number): void {
+    for (const [entry, namedAt] of state.entries) {
+        if (now - namedAt > ENTRY_FORGOTTEN_AFTER_MS && !state.options.seeds.includes(entry)) {
+            state.entries.delete(entry);
+        }
+    }
+}
+
+function replyIfLeft(state: State): void {
+    if (state.leaving && state.awaited.size === 0) {
+        state.leaving(undefined);
+        state.leaving = undefined;
+    }
+}
--- /dev/null
+++ b/packages/peer/src/configuration/entryConfigurationTask.ts
@@ -0,0 +1,227 @@
+import { Left, Right } from "purify-ts/Either";
+import { newerConfiguration } from "@tanagerdeck/decisions/document/configurationRevision";
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import {
+    REACHABLE_FOR_MS,
+    workRefusal,
+    type OtherEntry,
+    type WorkRefusal,
+} from "@tanagerdeck/decisions/document/workRefusal";
+import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { startTask, type Handlers, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+import type { ConfigurationStatus } from "../link/entryRouter.ts";
+import type {
+    EntryConfigurationMessage,
+    EntryConfigurationOptions,
+    StatusAnswer,
+} from "./entryConfigurationTypes.ts";
+
+/** Longest interval between two exchanges of revisions with the other entries. */
+const EXCHANGE_INTERVAL_MS = 5_000;
+const EXCHANGE_JITTER = 0.2;
+
+const REFUSAL_DETAILS: Record<WorkRefusal, string> = {
+    "no-configuration": "This entry knows no configuration yet.",
+    "stale-configuration": "This entry cannot confirm that its configuration is the newest.",
+};
+
+interface Other {
+    heardAt: number | undefined;
+    platformReachable: boolean;
+}
+
+interface State {
+    current: Configuration | undefined;
+    /** At this monotonic time no revision newer than the held one was accepted. */
+    confirmedAt: number | undefined;
+    adoptedAt: number;
+    /** Monotonic time of the last read that the platform answered, and whether a later one failed. */
+    platformHeardAt: number | undefined;
+    platformFailed: boolean;
+    others: Map<string, Other>;
+    options: EntryConfigurationOptions;
+}
+
+type Context = TaskContext<EntryConfigurationMessage>;
+
+/** Starts the task that holds an entry's configuration and its confirmation, and exchanges both with others. */
+export function startEntryConfigurationTask(
+    options: EntryConfigurationOptions,
+): Task<EntryConfigurationMessage> {
+    const task = startTask<State, EntryConfigurationMessage>({
+        name: "entry-configuration",
+        state: {
+            current: undefined,
+            confirmedAt: undefined,
+            adoptedAt: 0,
+            platformHeardAt: undefined,
+            platformFailed: false,
+            others: new Map(options.seeds.map(address => [address, unheard()])),
+            options,
+        },
+        handlers,
+        clock: options.clock,
+        report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
+    });
+    task.send({ kind: "exchange" });
+    return task;
+}
+
+const handlers: Handlers<State, EntryConfigurationMessage> = {
+    "platform-read"(state, { read }, context) {
+        state.platformFailed = read.result.isLeft();
+        read.result.ifRight(configuration => {
+            const revision = configuration?.revision ?? 0;
+            state.platformHeardAt = read.askedAt;
+            adopt(state, configuration, context);
+            if (revision < (state.current?.revision ?? 0) && read.askedAt > state.adoptedAt) {
+                state.options.log.error("The platform holds an older revision.", { revision });
+                return;
+            }
+            confirm(state, revision, read.askedAt);
+        });
+    },
+    offer(state, message, context) {
+        adopt(state, message.configuration, context);
+    },
+    entries(state, message) {
+        const known = new Set([...message.addresses, ...state.options.seeds]);
+        for (const address of state.others.keys()) {
+            if (!known.has(address)) {
+                state.others.delete(address);
+            }
+        }
+        for (const address of known) {
+            if (!state.others.has(address)) {
+                state.others.set(address, unheard());
+            }
+        }
+    },
+    exchange(state, _message, context) {
+        askOthers(state, context);
+        const { random } = state.options;
+        context.after(EXCHANGE_INTERVAL_MS * (1 - EXCHANGE_JITTER * random()), { kind: "exchange" });
+    },
+    refresh(state, _message, context) {
+        state.options.readPlatform();
+        askOthers(state, context);
+    },
+    status(state, message, context) {
+        message.result.ifRight(status => heard(state, message.address, message.askedAt, status, context));
+    },
+    fetched(state, message, context) {
+        message.result.ifRight(configuration => {
+            adopt(state, configuration, context);
+            confirmFrom(state, message.asked);
+        });
+    },
+    get(state, message) {
+        message.reply(state.current);
+    },
+    admit(state, message, context) {
+        const now = context.clock.now();
+        const refusal = workRefusal(state.current, ago(state.confirmedAt, now), otherEntries(state, now));
+        message.reply(
+            refusal || !state.current
+                ? Left(
+                      failure(
+                          "not-run",
+                          refusal ?? "no-configuration",
+                          REFUSAL_DETAILS[refusal ?? "no-configuration"],
+                      ),
+                  )
+                : Right(state.current),
+        );
+    },
+    "own-status"(state, message, context) {
+        const now = context.clock.now();
+        const heardAgo = ago(state.platformHeardAt, now);
+        message.reply({
+            entry: state.options.entry,
+            revision: state.current?.revision ?? 0,
+            confirmedAgoMs: ago(state.confirmedAt, now),
+            platformReachable:
+                !state.platformFailed && heardAgo !== undefined && heardAgo <= REACHABLE_FOR_MS,
+        });
+    },
+};
+
+function askOthers(state: State, context: Context): void {
+    const askedAt = context.clock.now();
+    for (const address of state.others.keys()) {
+        context.start(
+            () => state.options.askStatus(address),
+            result => ({ kind: "status", address, askedAt, result }),
+        );
+    }
+}
+
+function heard(
+    state: State,
+    address: string,
+    askedAt: number,
+    status: ConfigurationStatus,
+    context: Context,
+): void {
+    if (status.entry === state.options.entry) {
+        state.others.delete(address);
+        return;
+    }
+    const { platformReachable, revision, confirmedAgoMs } = status;
+    if (state.others.has(address)) {
+        state.others.set(address, { heardAt: askedAt, platformReachable });
+    }
+    const confirmedAt = confirmedAgoMs === undefined ? undefined : askedAt - confirmedAgoMs;
+    const asked: StatusAnswer = { address, revision, confirmedAt };
+    const held = state.current?.revision ?? 0;
+    if (revision > held) {
+        context.start(
+            () => state.options.fetch(address, held),
+            result => ({ kind: "fetched", asked, result }),
+        );
+        return;
+    }
+    confirmFrom(state, asked);
+}
+
+function adopt(state: State, offered: Configuration | undefined, context: Context): void {
+    const next = newerConfiguration(state.current, offered);
+    if (!next || next === state.current) {
+        return;
+    }
+    state.current = next;
+    state.adoptedAt = context.clock.now();
+    state.options.log.info("A configuration was adopted.", { revision: next.revision });
+    state.options.adopted(next);
+}
+
+function confirmFrom(state: State, { revision, confirmedAt }: StatusAnswer): void {
+    if (confirmedAt !== undefined) {
+        confirm(state, revision, confirmedAt);
+    }
+}
+
+/** A question sent at `at` was answered with `revision`, so at that time nothing newer was accepted. */
+function confirm(state: State, revision: number, at: number): void {
+    if (
+        revision <= (state.current?.revision ?? 0) &&
+        (state.confirmedAt === undefined || at > state.confirmedAt)
+    ) {
+        state.confirmedAt = at;
+    }
+}
+
+function otherEntries(state: State, now: number): OtherEntry[] {
+    return [...state.others.values()].map(({ heardAt, platformReachable }) => ({
+        heardAgoMs: ago(heardAt, now),
+        platformReachable,
+    }));
+}
+
+function unheard(): Other {
+    return { heardAt: undefined, platformReachable: false };
+}
+
+function ago(at: number | undefined, now: number): number | undefined {
+    return at === undefined ? undefined : now - at;
+}
--- a/packages/peer/src/link/entryRouter.ts
+++ b/packages/peer/src/link/entryRouter.ts
@@ -4,9 +4,14 @@
 
 /** What an entry knows of its configuration, for other processes. */
 export interface ConfigurationStatus {
+    /** Name of the answering entry, so that an entry recognises itself behind a load balancer. */
+    entry: string;
     revision: number;
-    /** Milliseconds since the revision was last confirmed by the platform, directly or through another entry. */
-    confirmedAgoMs: number;
+    /**
+     * Milliseconds since the revision was last confirmed by the platform, directly or through another entry;
+     * undefined if it never was.
+     */
+    confirmedAgoMs?: number;
     platformReachable: boolean;
 }
 
--- a/packages/peer/src/membership/membershipTask.ts
+++ b/packages/peer/src/membership/membershipTask.ts
@@ -1,49 +1,54 @@
-import type { Report, ReportReply, AgentState } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { Rack } from "@tanagerdeck/decisions/document/documentTypes";
+import { stateByAge, stateChanges, type Member } from "@tanagerdeck/decisions/fleet/memberState";
+import { admitReport, type ReportAdmission } from "@tanagerdeck/decisions/fleet/reportAdmission";
+import type { AgentState, Report, ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
-import type { Clock } from "@tanagerdeck/runtime/clock/clock";
-import type { Log } from "@tanagerdeck/runtime/log/log";
-import { startTask, type Handlers, type Reply, type Task } from "@tanagerdeck/runtime/task/task";
-
-/** An agent without a report for this time gets no new work. */
-export const SUSPECT_AFTER_MS = 6_000;
-/** An agent without a report for this time is forgotten by placement. */
-export const GONE_AFTER_MS = 60_000;
-const SWEEP_INTERVAL_MS = 1_000;
+import { startTask, type Handlers, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+import type { MembershipMessage, MembershipOptions } from "./membershipTypes.ts";
 
-/** Messages of the membership task. */
-export type MembershipMessage =
-    | { kind: "report"; report: Report; reply: Reply<ReportReply> }
-    | { kind: "sweep" }
-    | { kind: "configuration"; revision: number }
-    | { kind: "entries"; addresses: string[] };
-
-/** Dependencies of the membership task. */
-export interface MembershipOptions {
-    clock: Clock;
-    log: Log;
-    reportIntervalMs: number;
-    /** Called with the whole fleet view after each change of it. */
-    changed: (agents: AgentView[]) => void;
-}
+export type { MembershipMessage, MembershipOptions } from "./membershipTypes.ts";
 
-interface Member {
-    report: Report;
-    heardAt: number;
-    state: AgentState;
-}
+const SWEEP_INTERVAL_MS = 1_000;
+/** A sweep that is late by more than this means that this process was paused. */
+const PAUSE_AFTER_MS = 2_000;
+/** Reports of many agents are published together: 11,000 agents report 5,500 times a second. */
+const PUBLISH_INTERVAL_MS = 200;
+/** A recorded end of a gang is told to its anchor for this time. */
+const RECORDED_FOR_MS = 60_000;
+const FORGET_AFTER_MS = 600_000;
 
 interface State {
     members: Map<string, Member>;
+    /** Name of the agent at each rack and slot. */
+    positions: Map<string, string>;
     entries: string[];
     revision: number;
+    racks: Map<string, Rack> | undefined;
+    recordedGangs: Map<string, number>;
+    sweptAt: number;
+    publishedAt: number;
+    publishing: boolean;
     options: MembershipOptions;
 }
 
+type Context = TaskContext<MembershipMessage>;
+
 /** Starts the task that owns an entry's view of the agents. */
 export function startMembershipTask(options: MembershipOptions): Task<MembershipMessage> {
     const task = startTask<State, MembershipMessage>({
         name: "membership",
-        state: { members: new Map(), entries: [], revision: 0, options },
+        state: {
+            members: new Map(),
+            positions: new Map(),
+            entries: [],
+            revision: 0,
+            racks: undefined,
+            recordedGangs: new Map(),
+            sweptAt: options.clock.now(),
+            publishedAt: Number.NEGATIVE_INFINITY,
+            publishing: false,
+            options,
+        },
         handlers,
         clock: options.clock,
         report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
@@ -53,50 +58,166 @@
 }
 
 const handlers: Handlers<State, MembershipMessage> = {
-    report(state, message) {
-        const { report, reply } = message;
-        const known = state.members.get(report.name);
-        const now = state.options.clock.now();
-        const refused =
-            known !== undefined &&
-            known.report.incarnation !== report.incarnation &&
-            known.state === "serving" &&
-            now - known.heardAt < SUSPECT_AFTER_MS;
-        if (!refused) {
-            state.members.set(report.name, { report, heardAt: now, state: report.state });
-            publish(state);
+    report(state, { report, reply }, context) {
+        const admission = admit(state, report, context.clock.now());
+        if (admission.kind === "accepted") {
+            accept(state, report, context);
         }
-        reply({
-            accepted: !refused,
-            refusal: refused ? "name-in-use" : undefined,
-            entries: state.entries,
-            configurationRevision: state.revision,
-            reportIntervalMs: state.options.reportIntervalMs,
-            recordedGangs: [],
-        });
+        reply(reportReply(state, report, admission));
     },
     sweep(state, _message, context) {
-        const now = state.options.clock.now();
-        for (const member of state.members.values()) {
-            if (member.state === "serving" && now - member.heardAt > SUSPECT_AFTER_MS) {
-                member.state = "suspect";
+        const now = context.clock.now();
+        creditPause(state, now);
+        applyStateChanges(state, now, context);
+        forgetGone(state, now);
+        for (const [gang, recordedAt] of state.recordedGangs) {
+            if (now - recordedAt > RECORDED_FOR_MS) {
+                state.recordedGangs.delete(gang);
             }
         }
-        publish(state);
         context.after(SWEEP_INTERVAL_MS, { kind: "sweep" });
     },
+    publish(state, _message, context) {
+        state.publishing = false;
+        state.publishedAt = context.clock.now();
+        state.options.changed(views(state));
+    },
     configuration(state, message) {
         state.revision = message.revision;
+        state.racks = new Map(message.racks.map(rack => [rack.name, rack]));
     },
     entries(state, message) {
         state.entries = message.addresses;
     },
+    "connection-refused"(state, message, context) {
+        const member = state.members.get(message.agent);
+        if (member && member.report.incarnation === message.incarnation) {
+            member.refused = true;
+            changeState(state, member, stateByAge(member, context.clock.now()), context);
+        }
+    },
+    drained(state, message, context) {
+        const member = state.members.get(message.agent);
+        if (member && member.report.state === "serving") {
+            member.report = { ...member.report, state: "draining" };
+            changeState(state, member, stateByAge(member, context.clock.now()), context);
+        }
+    },
+    "gangs-recorded"(state, message, context) {
+        for (const gang of message.gangs) {
+            state.recordedGangs.set(gang, context.clock.now());
+        }
+    },
+    get(state, message) {
+        message.reply(views(state));
+    },
+    find(state, message) {
+        const member = state.members.get(message.agent);
+        message.reply(member ? { report: member.report, state: member.state } : undefined);
+    },
 };
 
-function publish(state: State): void {
-    const views: AgentView[] = [];
+function admit(state: State, report: Report, now: number): ReportAdmission {
+    const holder = report.worker && state.positions.get(positionKey(report));
+    return admitReport(report, {
+        now,
+        known: state.members.get(report.name),
+        atPosition: holder === undefined ? undefined : state.members.get(holder),
+        rack: report.worker && state.racks?.get(report.worker.rack),
+        racksKnown: state.racks !== undefined,
+    });
+}
+
+function accept(state: State, report: Report, context: Context): void {
+    const known = state.members.get(report.name);
+    if (known?.report.worker && state.positions.get(positionKey(known.report)) === report.name) {
+        state.positions.delete(positionKey(known.report));
+    }
+    if (report.worker) {
+        state.positions.set(positionKey(report), report.name);
+    }
+    const heardAt = context.clock.now();
+    state.members.set(report.name, { report, heardAt, state: report.state, refused: false });
+    state.options.reported?.(report);
+    requestPublication(state, context);
+}
+
+function reportReply(state: State, report: Report, admission: ReportAdmission): ReportReply {
+    return {
+        accepted: admission.kind === "accepted",
+        refusal: admission.kind === "refused" ? admission.refusal : undefined,
+        entries: state.entries,
+        configurationRevision: state.revision,
+        reportIntervalMs: state.options.reportIntervalMs,
+        recordedGangs: report.gangs.map(({ gang }) => gang).filter(gang => state.recordedGangs.has(gang)),
+    };
+}
+
+/** Reports that arrived while this process was paused are not heard yet, so the pause does not count as silence. */
+function creditPause(state: State, now: number): void {
+    const pausedMs = now - state.sweptAt - SWEEP_INTERVAL_MS;
+    state.sweptAt = now;
+    if (pausedMs <= PAUSE_AFTER_MS) {
+        return;
+    }
+    state.options.log.warn("This process was paused.", { pausedMs: Math.round(pausedMs) });
     for (const member of state.members.values()) {
-        views.push({ report: member.report, state: member.state });
+        member.heardAt = Math.min(now, member.heardAt + pausedMs);
+    }
+}
+
+function applyStateChanges(state: State, now: number, context: Context): void {
+    for (const [name, next] of stateChanges(state.members.values(), now)) {
+        changeState(state, state.members.get(name)!, next, context);
+    }
+}
+
+function changeState(state: State, member: Member, next: AgentState, context: Context): void {
+    const { report, state: former } = member;
+    if (next === former) {
+        return;
+    }
+    state.options.log.info("An agent changed its state.", { agent: report.name, from: former, to: next });
+    member.state = next;
+    if (next === "gone") {
+        state.options.gone?.({ report, state: next });
+    }
+    requestPublication(state, context);
+}
+
+/** A gone agent is kept for a while, so that operators see it; a replaced VM comes back under another name. */
+function forgetGone(state: State, now: number): void {
+    for (const [name, member] of state.members) {
+        if (member.state === "gone" && now - member.heardAt > FORGET_AFTER_MS) {
+            state.members.delete(name);
+            if (state.positions.get(positionKey(member.report)) === name) {
+                state.positions.delete(positionKey(member.report));
+            }
+        }
+    }
+}
+
+function requestPublication(state: State, context: Context): void {
+    if (state.publishing) {
+        return;
+    }
+    state.publishing = true;
+    const dueIn = state.publishedAt + PUBLISH_INTERVAL_MS - context.clock.now();
+    if (dueIn > 0) {
+        context.after(dueIn, { kind: "publish" });
+        return;
     }
-    state.options.changed(views);
+    context.post({ kind: "publish" });
+}
+
+function views(state: State): AgentView[] {
+    const found: AgentView[] = [];
+    for (const { report, state: agentState } of state.members.values()) {
+        found.push({ report, state: agentState });
+    }
+    return found;
+}
+
+function positionKey({ worker }: Report): string {
+    return worker ? `${worker.rack}/${worker.slot}` : "";
 }
--- /dev/null
+++ b/packages/platform/src/configuration/acceptedConfiguration.ts
@@ -0,0 +1,138 @@
+import { Either, Left, Right } from "purify-ts/Either";
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Store, Write } from "../store/storeTypes.ts";
+import { decodeConfiguration, encodeConfiguration, VALUE_LIMIT_BYTES } from "./configurationCodec.ts";
+import { currentKey, historyKey, historyPrefix } from "./configurationKeys.ts";
+
+/** Revisions kept in the history: several hours at the target rate of changes. */
+export const HISTORY_REVISIONS = 1_000;
+const WRITE_ATTEMPTS = 3;
+
+/** Why a revision exists: an operator's document, or new bindings for the same document. */
+export type RevisionCause = "applied" | "rebound";
+
+/** One accepted revision. `acceptedAt` is wall-clock milliseconds at the entry that wrote it. */
+export interface HistoryRecord {
+    revision: number;
+    digest: string;
+    changeId: string;
+    cause: RevisionCause;
+    acceptedAt: number;
+}
+
+/** The accepted configuration with the version that a compare-and-swap must name. */
+export interface StoredConfiguration {
+    configuration: Configuration;
+    version: number;
+}
+
+/** Reads the accepted configuration; undefined if none was accepted yet. */
+export async function readCurrent(
+    store: Store,
+    environment: string,
+): Promise<Either<Failure, StoredConfiguration | undefined>> {
+    const read = await store.get(currentKey(environment));
+    return read.chain(stored => {
+        if (!stored) {
+            return Right(undefined);
+        }
+        const { value, version } = stored;
+        return decodeConfiguration(value).map(configuration => ({ configuration, version }));
+    });
+}
+
+/** Reads the record of one revision. */
+export async function readHistory(
+    store: Store,
+    environment: string,
+    revision: number,
+): Promise<Either<Failure, HistoryRecord | undefined>> {
+    const read = await store.get(historyKey(environment, revision));
+    return read.map(stored => (stored ? (JSON.parse(stored.value) as HistoryRecord) : undefined));
+}
+
+/** Lists the kept history, oldest first. */
+export async function listHistory(
+    store: Store,
+    environment: string,
+): Promise<Either<Failure, HistoryRecord[]>> {
+    const listed = await store.list(historyPrefix(environment));
+    return listed.map(values => values.map(({ value }) => JSON.parse(value) as HistoryRecord));
+}
+
+/** A configuration to be accepted in place of the stored `version` (0: none). */
+export interface Acceptance {
+    environment: string;
+    version: number;
+    configuration: Configuration;
+    cause: RevisionCause;
+    acceptedAt: number;
+}
+
+/**
+ * Accepts a configuration by one compare-and-swap on the current value and the history.
+ * After a lost reply it reads back. If nothing was written yet it repeats the same transaction, since the first one
+ * may still arrive: whichever comes first makes the other fail its comparison.
+ */
+export async function acceptConfiguration(
+    store: Store,
+    acceptance: Acceptance,
+): Promise<Either<Failure, Configuration>> {
+    const { environment, configuration } = acceptance;
+    const value = encodeConfiguration(configuration);
+    if (Buffer.byteLength(value) > VALUE_LIMIT_BYTES) {
+        const detail = `(root): the configuration takes more than the ${VALUE_LIMIT_BYTES} bytes of one stored value.`;
+        return Left(failure("not-run", "invalid", detail));
+    }
+    const writes = encodeWrites(acceptance, value);
+    let uncertain = false;
+    for (let attempt = 0; attempt < WRITE_ATTEMPTS; attempt++) {
+        const result = await store.write(writes);
+        if (result.extract() === "written") {
+            return Right(configuration);
+        }
+        uncertain ||= result.isLeft() && result.extract().verdict !== "not-run";
+        const recorded = await readHistory(store, environment, configuration.revision);
+        if (recorded.isLeft()) {
+            return Left(unresolved(uncertain, result.isRight(), recorded.extract()));
+        }
+        const record = recorded.unsafeCoerce();
+        if (record) {
+            return record.changeId === configuration.changeId ? Right(configuration) : Left(lostRace(record));
+        }
+    }
+    const detail = "The platform's service did not confirm the change; ask again with the same change id.";
+    return Left(failure(uncertain ? "may-have-run" : "not-run", "platform-unavailable", detail));
+}
+
+function encodeWrites(acceptance: Acceptance, value: string): Write[] {
+    const { environment, version, configuration, cause, acceptedAt } = acceptance;
+    const { revision, digest, changeId } = configuration;
+    const record: HistoryRecord = { revision, digest, changeId, cause, acceptedAt };
+    const writes: Write[] = [
+        { key: currentKey(environment), value, expectedVersion: version },
+        { key: historyKey(environment, revision), value: JSON.stringify(record), expectedVersion: 0 },
+    ];
+    if (revision > HISTORY_REVISIONS) {
+        const key = historyKey(environment, revision - HISTORY_REVISIONS);
+        writes.push({ key, value: undefined, expectedVersion: undefined });
+    }
+    return writes;
+}
+
+function lostRace(record: HistoryRecord): Failure {
+    const detail = `Another change was accepted first as revision ${record.revision}.`;
+    return failure("not-run", "revision-conflict", detail);
+}
+
+/** A conflict without an earlier uncertain try proves that nothing was written, even if it cannot be read back. */
+function unresolved(uncertain: boolean, conflicted: boolean, problem: Failure): Failure {
+    if (uncertain) {
+        const detail = `${problem.detail} Ask again with the same change id.`;
+        return failure("may-have-run", "platform-unavailable", detail);
+    }
+    return conflicted
+        ? failure("not-run", "revision-conflict", "Another change was accepted first.")
+        : { ...problem, verdict: "not-run" };
+}
--- /dev/null
+++ b/packages/platform/src/configuration/configurationCodec.ts
@@ -0,0 +1,55 @@
+import { Either, Left, Right } from "purify-ts/Either";
+import type { Accelerator, Binding, Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+
+/** Largest value that the platform's service stores. */
+export const VALUE_LIMIT_BYTES = 1_000_000;
+
+/** The indexes used on one worker: rack, slot, indexes. */
+type StoredWorker = [string, number, number[]];
+
+interface StoredBinding extends Omit<Binding, "accelerators"> {
+    workers: StoredWorker[];
+}
+
+interface StoredForm extends Omit<Configuration, "bindings"> {
+    bindings: StoredBinding[];
+}
+
+/** The stored form. Accelerators are grouped by worker: one by one they would pass the limit at full scale. */
+export function encodeConfiguration(configuration: Configuration): string {
+    const bindings = configuration.bindings.map(encodeBinding);
+    return JSON.stringify({ ...configuration, bindings } satisfies StoredForm);
+}
+
+/** Reads the stored form. */
+export function decodeConfiguration(text: string): Either<Failure, Configuration> {
+    try {
+        const stored = JSON.parse(text) as StoredForm;
+        return Right({ ...stored, bindings: stored.bindings.map(decodeBinding) });
+    } catch (error) {
+        const detail = `The stored configuration cannot be read: ${String(error)}.`;
+        return Left(failure("not-run", "no-configuration", detail));
+    }
+}
+
+function encodeBinding({ accelerators, ...rest }: Binding): StoredBinding {
+    const workers = new Map<string, StoredWorker>();
+    for (const { rack, slot, index } of accelerators) {
+        const key = `${rack}/${slot}`;
+        const worker = workers.get(key) ?? [rack, slot, []];
+        worker[2].push(index);
+        workers.set(key, worker);
+    }
+    return { ...rest, workers: [...workers.values()] };
+}
+
+function decodeBinding({ workers, ...rest }: StoredBinding): Binding {
+    const accelerators: Accelerator[] = [];
+    for (const [rack, slot, indexes] of workers) {
+        for (const index of indexes) {
+            accelerators.push({ rack, slot, index });
+        }
+    }
+    return { ...rest, accelerators };
+}
--- a/packages/platform/src/configuration/configurationTask.ts
+++ b/packages/platform/src/configuration/configurationTask.ts
@@ -1,29 +1,32 @@
 import type { Either } from "purify-ts/Either";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
-import { newerConfiguration } from "@tanagerdeck/decisions/document/configurationRevision";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
-import {
-    startTask,
-    type Handlers,
-    type Reply,
-    type Task,
-    type TaskContext,
-} from "@tanagerdeck/runtime/task/task";
+import { startTask, type Handlers, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+import { jitteredInterval, reconnectDelay } from "../store/reconnectDelay.ts";
 import type { Store } from "../store/storeTypes.ts";
+import { readCurrent } from "./acceptedConfiguration.ts";
 import { currentKey } from "./configurationKeys.ts";
 
-/** Interval of the read that covers for a watch that went silent. */
+/** Longest interval of the reads that cover for a watch that went silent. */
 const READ_INTERVAL_MS = 5_000;
 
+/** One read of the accepted configuration. `askedAt` is the monotonic time at which the read was sent. */
+export interface PlatformRead {
+    askedAt: number;
+    result: Either<Failure, Configuration | undefined>;
+}
+
 /** Messages of the configuration task. */
 export type ConfigurationMessage =
     | { kind: "read" }
     | { kind: "tick" }
-    | { kind: "read-done"; result: Either<Failure, Configuration | undefined> }
-    | { kind: "offer"; configuration: Configuration }
-    | { kind: "get"; reply: Reply<Configuration | undefined> };
+    | { kind: "read-done"; read: PlatformRead }
+    | { kind: "open-watch" }
+    | { kind: "watch-changed" }
+    | { kind: "watch-ended" }
+    | { kind: "close" };
 
 /** Dependencies of the configuration task. */
 export interface ConfigurationOptions {
@@ -31,20 +34,28 @@
     store: Store;
     clock: Clock;
     log: Log;
-    /** Called with each newly adopted configuration. */
-    adopted: (configuration: Configuration) => void;
+    random: () => number;
+    /** Called with the result of each read, also a failed one. */
+    read: (read: PlatformRead) => void;
 }
 
 interface State {
-    current: Configuration | undefined;
     reading: boolean;
     readAgain: boolean;
+    reconnects: number;
+    stopWatch: () => void;
     options: ConfigurationOptions;
 }
 
-/** Starts the task that owns the entry's configuration. */
+/** Starts the task that follows the accepted configuration on the platform by a watch and periodic reads. */
 export function startConfigurationTask(options: ConfigurationOptions): Task<ConfigurationMessage> {
-    const state: State = { current: undefined, reading: false, readAgain: false, options };
+    const state: State = {
+        reading: false,
+        readAgain: false,
+        reconnects: 0,
+        stopWatch: () => undefined,
+        options,
+    };
     const task = startTask<State, ConfigurationMessage>({
         name: "configuration",
         state,
@@ -53,30 +64,51 @@
         report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
     });
     task.send({ kind: "tick" });
-    return task;
+    task.send({ kind: "open-watch" });
+    return {
+        ...task,
+        stop: () => {
+            task.send({ kind: "close" });
+            return task.stop();
+        },
+    };
 }
 
 const handlers: Handlers<State, ConfigurationMessage> = {
     tick(state, _message, context) {
         read(state, context);
-        context.after(READ_INTERVAL_MS, { kind: "tick" });
+        context.after(jitteredInterval(READ_INTERVAL_MS, state.options.random), { kind: "tick" });
     },
     read(state, _message, context) {
         read(state, context);
     },
     "read-done"(state, message, context) {
         state.reading = false;
-        message.result.ifRight(configuration => adopt(state, configuration));
+        state.options.read(message.read);
         if (state.readAgain) {
             state.readAgain = false;
             read(state, context);
         }
     },
-    offer(state, message) {
-        adopt(state, message.configuration);
+    "open-watch"(state, _message, context) {
+        const { store, environment } = state.options;
+        state.stopWatch = store.watch(
+            currentKey(environment),
+            () => context.post({ kind: "watch-changed" }),
+            () => context.post({ kind: "watch-ended" }),
+        );
+    },
+    "watch-changed"(state, _message, context) {
+        state.reconnects = 0;
+        read(state, context);
+    },
+    close(state) {
+        state.stopWatch();
     },
-    get(state, message) {
-        message.reply(state.current);
+    "watch-ended"(state, _message, context) {
+        const delay = reconnectDelay(state.reconnects, state.options.random);
+        state.reconnects++;
+        context.after(delay, { kind: "open-watch" });
     },
 };
 
@@ -87,21 +119,12 @@
     }
     state.reading = true;
     const { store, environment } = state.options;
+    const askedAt = context.clock.now();
     context.start(
-        () => store.get(currentKey(environment)),
+        () => readCurrent(store, environment),
         result => ({
             kind: "read-done",
-            result: result.map(value => (value ? (JSON.parse(value.value) as Configuration) : undefined)),
+            read: { askedAt, result: result.map(stored => stored?.configuration) },
         }),
     );
 }
-
-function adopt(state: State, offered: Configuration | undefined): void {
-    const next = newerConfiguration(state.current, offered);
-    if (!next || next === state.current) {
-        return;
-    }
-    state.current = next;
-    state.options.log.info("A configuration was adopted.", { revision: next.revision });
-    state.options.adopted(next);
-}
--- /dev/null
+++ b/packages/platform/src/registration/registrationTask.ts
@@ -0,0 +1,204 @@
+import { Left, Right, type Either } from "purify-ts/Either";
+import {
+    forgetAbsences,
+    updatePresence,
+    type EntryPresence,
+    type Registration,
+} from "@tanagerdeck/decisions/fleet/entryPresence";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import {
+    startTask,
+    type Handlers,
+    type Reply,
+    type Task,
+    type TaskContext,
+} from "@tanagerdeck/runtime/task/task";
+import { jitteredInterval } from "../store/reconnectDelay.ts";
+import type { Store } from "../store/storeTypes.ts";
+
+/** Time to live of the lease of a registration. */
+export const REGISTRATION_LEASE_SECONDS = 10;
+const RENEW_INTERVAL_MS = 3_000;
+const LIST_INTERVAL_MS = 3_000;
+
+/** Messages of the registration task. */
+export type RegistrationMessage =
+    | { kind: "renew" }
+    | { kind: "renewed"; askedAt: number; result: Either<Failure, string | undefined> }
+    | { kind: "list" }
+    | { kind: "listed"; result: Either<Failure, Registration[]> }
+    /** The other entries that are registered or were until a moment ago. */
+    | { kind: "get"; reply: Reply<Registration[]> }
+    /** Ends the registration and replies when the platform has answered or failed to. */
+    | { kind: "close"; reply: Reply<void> }
+    | { kind: "closed"; reply: Reply<void> };
+
+/** Dependencies of the registration task. */
+export interface RegistrationOptions {
+    environment: string;
+    own: Registration;
+    store: Store;
+    clock: Clock;
+    log: Log;
+    random: () => number;
+    /** Called with the entries that are registered or were until a moment ago, without this one. */
+    changed: (others: Registration[]) => void;
+    /** Called once for each entry that has gone; others take over its jobs. */
+    gone: (entry: Registration) => void;
+}
+
+interface State {
+    lease: string | undefined;
+    /** Monotonic time of the call that last renewed the lease. */
+    renewedAt: number;
+    present: Map<string, EntryPresence>;
+    listing: boolean;
+    options: RegistrationOptions;
+}
+
+type Context = TaskContext<RegistrationMessage>;
+
+/** Key prefix of the registrations of an environment. */
+export function registrationPrefix(environment: string): string {
+    return `${environment}/entries/`;
+}
+
+/** Starts the task that keeps an entry registered under a lease and follows the other registrations. */
+export function startRegistrationTask(options: RegistrationOptions): Task<RegistrationMessage> {
+    const task = startTask<State, RegistrationMessage>({
+        name: "registration",
+        state: { lease: undefined, renewedAt: 0, present: new Map(), listing: false, options },
+        handlers,
+        clock: options.clock,
+        report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
+    });
+    task.send({ kind: "renew" });
+    task.send({ kind: "list" });
+    return {
+        ...task,
+        async stop() {
+            await task.ask((reply: Reply<void>) => ({ kind: "close", reply }));
+            await task.stop();
+        },
+    };
+}
+
+const handlers: Handlers<State, RegistrationMessage> = {
+    renew(state, _message, context) {
+        const askedAt = context.clock.now();
+        if (askedAt - state.renewedAt > REGISTRATION_LEASE_SECONDS * 1_000) {
+            state.lease = undefined;
+        }
+        const { lease, options } = state;
+        context.start(
+            () => (lease === undefined ? register(options) : renew(options.store, lease)),
+            result => ({ kind: "renewed", askedAt, result }),
+        );
+    },
+    renewed(state, { askedAt, result }, context) {
+        result.ifLeft(problem => warn(state, problem));
+        result.ifRight(lease => {
+            if (lease === undefined) {
+                state.options.log.warn("The lease of the registration had expired.");
+            }
+            state.lease = lease;
+            state.renewedAt = askedAt;
+        });
+        const expired = result.isRight() && state.lease === undefined;
+        const delay = expired ? 0 : jitteredInterval(RENEW_INTERVAL_MS, state.options.random);
+        context.after(delay, { kind: "renew" });
+    },
+    list(state, _message, context) {
+        context.start(
+            () => listRegistrations(state.options),
+            result => ({ kind: "listed", result }),
+        );
+    },
+    listed(state, { result }, context) {
+        result.ifLeft(problem => {
+            warn(state, problem);
+            state.present = forgetAbsences(state.present);
+        });
+        result.ifRight(listed => listedEntries(state, listed, context));
+        context.after(jitteredInterval(LIST_INTERVAL_MS, state.options.random), { kind: "list" });
+    },
+    get(state, message) {
+        message.reply(presentEntries(state));
+    },
+    close(state, { reply }, context) {
+        const { lease, options } = state;
+        if (lease === undefined) {
+            reply();
+            return;
+        }
+        context.start(
+            () => options.store.revokeLease(lease),
+            () => ({ kind: "closed", reply }),
+        );
+    },
+    closed(_state, { reply }) {
+        reply();
+    },
+};
+
+function listedEntries(state: State, listed: Registration[], context: Context): void {
+    const { own, changed, gone, log } = state.options;
+    const others = listed.filter(({ name }) => name !== own.name);
+    const update = updatePresence(state.present, others, context.clock.now());
+    state.present = update.present;
+    changed(presentEntries(state));
+    for (const entry of update.gone) {
+        log.warn("An entry has gone.", { entry: entry.name, incarnation: entry.incarnation });
+        gone(entry);
+    }
+}
+
+function presentEntries(state: State): Registration[] {
+    return [...state.present.values()].map(({ registration }) => registration);
+}
+
+function warn(state: State, problem: Failure): void {
+    state.options.log.warn("The platform did not answer.", { detail: problem.detail });
+}
+
+/** The lease if it was renewed, undefined if it has expired. */
+async function renew(store: Store, lease: string): Promise<Either<Failure, string | undefined>> {
+    const renewed = await store.renewLease(lease);
+    return renewed.map(alive => (alive ? lease : undefined));
+}
+
+/**
+ * Registers under a new lease, unless another incarnation holds the name. A key of this incarnation, left by a call
+ * whose reply was lost, is replaced and moves to the new lease.
+ */
+async function register(options: RegistrationOptions): Promise<Either<Failure, string | undefined>> {
+    const { store, own, environment } = options;
+    const key = `${registrationPrefix(environment)}${own.name}`;
+    const read = await store.get(key);
+    if (read.isLeft()) {
+        return read;
+    }
+    const stored = read.unsafeCoerce();
+    if (stored && (JSON.parse(stored.value) as Registration).incarnation !== own.incarnation) {
+        return Left(failure("not-run", "name-in-use", `Another entry is registered as ${own.name}.`));
+    }
+    const granted = await store.grantLease(REGISTRATION_LEASE_SECONDS);
+    if (granted.isLeft()) {
+        return granted;
+    }
+    const lease = granted.unsafeCoerce();
+    const value = JSON.stringify(own);
+    const written = await store.write([{ key, value, expectedVersion: stored?.version ?? 0, lease }]);
+    return written.chain(result =>
+        result === "written"
+            ? Right<string | undefined, Failure>(lease)
+            : Left(failure("not-run", "name-in-use", `Another entry registers as ${own.name}.`)),
+    );
+}
+
+async function listRegistrations(options: RegistrationOptions): Promise<Either<Failure, Registration[]>> {
+    const listed = await options.store.list(registrationPrefix(options.environment));
+    return listed.map(values => values.map(({ value }) => JSON.parse(value) as Registration));
+}
--- a/packages/runtime/src/settings/settingsFile.ts
+++ b/packages/runtime/src/settings/settingsFile.ts
@@ -17,7 +17,8 @@
     return Right(parsed.data);
 }
 
-function describeIssue(issue: z.core.$ZodIssue, root: unknown): string {
+/** One line that names the path of an issue, the value seen and what is allowed. */
+export function describeIssue(issue: z.core.$ZodIssue, root: unknown): string {
     const path = issue.path.map(String).join(".") || "(root)";
     const seen = JSON.stringify(valueAt(root, issue.path));
     return `${path}: ${issue.message}; the value is ${seen ?? "missing"}`;
--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -1,9 +1,13 @@
+import type { Either } from "purify-ts/Either";
 import { nanoid } from "nanoid";
 import { createRunnerClient } from "@tanagerdeck/backend/runner/runnerClient";
 import { startRunnerTask } from "@tanagerdeck/backend/runner/runnerTask";
-import type { Report, RunnerLoad } from "@tanagerdeck/decisions/fleet/reportTypes";
-import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import type { Report, RunnerLoad, ServingState } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { Progress, Request } from "@tanagerdeck/decisions/request/requestTypes";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startAnnouncementTask } from "@tanagerdeck/peer/announcement/announcementTask";
+import { startAgentConfigurationTask } from "@tanagerdeck/peer/configuration/agentConfigurationTask";
 import { createAgentRouter } from "@tanagerdeck/peer/link/agentRouter";
 import { peerCall } from "@tanagerdeck/peer/link/peerCall";
 import { createPeerClients } from "@tanagerdeck/peer/link/peerClient";
@@ -34,15 +38,49 @@
         run: runnerClient.run,
     });
     let sequence = 0;
-    let draining = false;
+    let servingState: ServingState = "serving";
+    const configuration = startAgentConfigurationTask({
+        clock,
+        log: log.part("configuration"),
+        fetch: (entry, afterRevision) =>
+            peerCall(REPORT_TIMEOUT_MS, signal =>
+                clients.entry(entry).configuration.mutate({ afterRevision }, { signal }),
+            ),
+        adopted: () => undefined,
+    });
+    /** The configuration if the calling entry is not behind it. */
+    const require = (revision: number) =>
+        configuration.ask((reply: Reply<Either<Failure, Configuration>>) => ({
+            kind: "require",
+            revision,
+            reply,
+        }));
+
+    /** The progress of a request that is known here, else the refusal: a repeat may belong to work that ran. */
+    async function knownOr({ id, clientAccount }: Request, refusal: Progress): Promise<Progress> {
+        const known = await runner.ask((reply: Reply<Progress>) => ({
+            kind: "result",
+            id,
+            clientAccount,
+            reply,
+        }));
+        const unknown =
+            known.kind === "done" && known.outcome.kind === "failure" && known.outcome.reason === "not-found";
+        return unknown ? refusal : known;
+    }
 
     const peerListener = await startPeerListener(
         settings.peerAddress,
         settings.peerToken,
         createAgentRouter({
             requests: {
-                submit: ({ request }) =>
-                    runner.ask((reply: Reply<Progress>) => ({ kind: "submit", request, reply })),
+                async submit({ request, configurationRevision }) {
+                    const current = await require(configurationRevision);
+                    return current.caseOf<Promise<Progress>>({
+                        Left: refusal => knownOr(request, { kind: "done", outcome: refusal }),
+                        Right: () => runner.ask(reply => ({ kind: "submit", request, reply })),
+                    });
+                },
                 result: reference =>
                     runner.ask((reply: Reply<Progress>) => ({ kind: "result", ...reference, reply })),
                 settle: reference =>
@@ -50,13 +88,17 @@
                 cancel: async () => undefined,
             },
             async drain() {
-                draining = true;
+                servingState = "draining";
                 runner.send({ kind: "drain" });
+                announcement.send({ kind: "announce" });
                 return { draining: true };
             },
         }),
     );
 
+    const currentConfiguration = () =>
+        configuration.ask((reply: Reply<Configuration | undefined>) => ({ kind: "get", reply }));
+
     async function report(): Promise<Report> {
         return {
             name: settings.name,
@@ -65,8 +107,8 @@
             address: peerListener.address,
             availabilityZone: settings.availabilityZone,
             server: "runner",
-            state: draining ? "draining" : "serving",
-            configurationRevision: 0,
+            state: servingState,
+            configurationRevision: (await currentConfiguration())?.revision ?? 0,
             runner: await runner.ask((reply: Reply<RunnerLoad>) => ({ kind: "load", reply })),
             gangs: [],
             usage: [],
@@ -78,27 +120,26 @@
         reportIntervalMs: REPORT_INTERVAL_MS,
         clock,
         log: log.part("announcement"),
+        random: Math.random,
         report,
         send: (entry, message) =>
             peerCall(REPORT_TIMEOUT_MS, signal => clients.entry(entry).announce.mutate(message, { signal })),
-        fetch: (entry, afterRevision) =>
-            peerCall(REPORT_TIMEOUT_MS, signal =>
-                clients.entry(entry).configuration.mutate({ afterRevision }, { signal }),
-            ),
-        adopted: configuration =>
-            log
-                .part("configuration")
-                .info("A configuration was adopted.", { revision: configuration.revision }),
+        replied: (entry, { configurationRevision: revision }) =>
+            configuration.send({ kind: "learned", entry, revision }),
     });
     log.info("The agent is serving.", { peerAddress: peerListener.address });
 
     return {
         addresses: { peerAddress: peerListener.address },
         async stop() {
-            draining = true;
+            servingState = "draining";
             runner.send({ kind: "drain" });
-            await announcement.stop();
+            announcement.send({ kind: "announce" });
             await peerListener.close();
+            servingState = "left";
+            await announcement.ask((reply: Reply<void>) => ({ kind: "leave", reply }));
+            await announcement.stop();
+            await configuration.stop();
             await runner.stop();
             await runnerClient.close();
             await clients.close();
--- a/packages/tanagerdeck/src/entry/agentCalls.ts
+++ b/packages/tanagerdeck/src/entry/agentCalls.ts
@@ -1,4 +1,5 @@
 import type { AgentCalls } from "@tanagerdeck/caller/routing/routingTask";
+import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { peerCall } from "@tanagerdeck/peer/link/peerCall";
 
@@ -6,13 +7,18 @@
 const POLL_TIMEOUT_MS = 2_500;
 const SETTLE_TIMEOUT_MS = 1_000;
 
-/** The routing task's calls over trpc. */
-export function createAgentCalls(clients: PeerClients): AgentCalls {
+/** The routing task's calls over trpc. `refresh` is called when an agent knows a newer configuration. */
+export function createAgentCalls(clients: PeerClients, refresh: () => void): AgentCalls {
     return {
-        submit: (address, request, configurationRevision) =>
-            peerCall(POLL_TIMEOUT_MS, signal =>
+        async submit(address, request, configurationRevision) {
+            const result = await peerCall(POLL_TIMEOUT_MS, signal =>
                 clients.agent(address).submit.mutate({ request, configurationRevision }, { signal }),
-            ),
+            );
+            if (result.isRight() && isStale(result.extract())) {
+                refresh();
+            }
+            return result;
+        },
         result: (address, id, clientAccount) =>
             peerCall(POLL_TIMEOUT_MS, signal =>
                 clients.agent(address).result.mutate({ id, clientAccount }, { signal }),
@@ -23,3 +29,8 @@
             ),
     };
 }
+
+function isStale(progress: Progress): boolean {
+    const outcome = progress.kind === "done" ? progress.outcome : undefined;
+    return outcome?.kind === "failure" && outcome.reason === "stale-configuration";
+}
--- /dev/null
+++ b/packages/tanagerdeck/src/entry/entryControl.ts
@@ -0,0 +1,135 @@
+import type { Either } from "purify-ts/Either";
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import type { Registration } from "@tanagerdeck/decisions/fleet/entryPresence";
+import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { startEntryConfigurationTask } from "@tanagerdeck/peer/configuration/entryConfigurationTask";
+import type { ConfigurationStatus } from "@tanagerdeck/peer/link/entryRouter";
+import { startMembershipTask } from "@tanagerdeck/peer/membership/membershipTask";
+import { startConfigurationTask } from "@tanagerdeck/platform/configuration/configurationTask";
+import { startRebindingTask, type Rebind } from "@tanagerdeck/platform/configuration/rebindingTask";
+import { startRegistrationTask } from "@tanagerdeck/platform/registration/registrationTask";
+import type { Store } from "@tanagerdeck/platform/store/storeTypes";
+import { startUsageTask } from "@tanagerdeck/platform/usage/usageTask";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+
+const REPORT_INTERVAL_MS = 2_000;
+
+/** Dependencies of an entry's control tasks. */
+export interface EntryControlOptions {
+    environment: string;
+    own: Registration;
+    seeds: string[];
+    store: Store;
+    clock: Clock;
+    log: Log;
+    random: () => number;
+    askStatus: (address: string) => Promise<Either<Failure, ConfigurationStatus>>;
+    fetch: (address: string, afterRevision: number) => Promise<Either<Failure, Configuration | undefined>>;
+    /** Moves bindings off gone workers; without it bindings stay. */
+    rebind: Rebind | undefined;
+    /** Called with each adopted configuration. */
+    adopted: (configuration: Configuration) => void;
+    /** Called with the fleet view after changes of it. */
+    fleetChanged: (agents: AgentView[]) => void;
+    /** Called once for each agent that has gone. */
+    agentGone: (agent: AgentView) => void;
+    /** Called once for each entry that has gone; its jobs need another owner. */
+    entryGone: (entry: Registration) => void;
+}
+
+/** The running control tasks of an entry. */
+export type EntryControl = ReturnType<typeof startEntryControl>;
+
+/** Starts the tasks of an entry that hold the configuration, the fleet view, the registration and the usage. */
+export function startEntryControl(options: EntryControlOptions) {
+    const { environment, own, store, clock, log, random } = options;
+    const membership = startMembershipTask({
+        clock,
+        log: log.part("membership"),
+        reportIntervalMs: REPORT_INTERVAL_MS,
+        changed(agents) {
+            rebinding?.send({ kind: "fleet", agents });
+            options.fleetChanged(agents);
+        },
+        gone: options.agentGone,
+        reported: ({ name, incarnation, usage: counters }) =>
+            usage.send({ kind: "report", agent: name, incarnation, counters }),
+    });
+    const usage = startUsageTask({
+        environment,
+        entry: own.name,
+        store,
+        clock,
+        log: log.part("usage"),
+        random,
+    });
+    const configuration = startEntryConfigurationTask({
+        entry: own.name,
+        clock,
+        log: log.part("configuration"),
+        random,
+        seeds: options.seeds,
+        askStatus: options.askStatus,
+        fetch: options.fetch,
+        readPlatform: () => platform.send({ kind: "read" }),
+        adopted(adopted) {
+            const { revision, document } = adopted;
+            membership.send({ kind: "configuration", revision, racks: document.racks });
+            rebinding?.send({ kind: "configuration", configuration: adopted });
+            options.adopted(adopted);
+        },
+    });
+    const platform = startConfigurationTask({
+        environment,
+        store,
+        clock,
+        log: log.part("configuration"),
+        random,
+        read: read => configuration.send({ kind: "platform-read", read }),
+    });
+    const rebinding = options.rebind
+        ? startRebindingTask({
+              environment,
+              entry: own.name,
+              store,
+              clock,
+              log: log.part("rebinding"),
+              random,
+              rebind: options.rebind,
+              accepted: accepted => configuration.send({ kind: "offer", configuration: accepted }),
+          })
+        : undefined;
+    membership.send({ kind: "entries", addresses: [own.address, ...options.seeds] });
+    const registration = startRegistrationTask({
+        environment,
+        own,
+        store,
+        clock,
+        log: log.part("registration"),
+        random,
+        changed(others) {
+            const addresses = others.map(({ address }) => address);
+            const known = new Set([own.address, ...addresses, ...options.seeds]);
+            membership.send({ kind: "entries", addresses: [...known] });
+            configuration.send({ kind: "entries", addresses });
+            usage.send({ kind: "entries", names: others.map(({ name }) => name) });
+        },
+        gone: options.entryGone,
+    });
+    return {
+        membership,
+        configuration,
+        usage,
+        registration,
+        async stop() {
+            await registration.stop();
+            await platform.stop();
+            await rebinding?.stop();
+            await configuration.stop();
+            await usage.stop();
+            await membership.stop();
+        },
+    };
+}
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -1,17 +1,17 @@
+import type { Either } from "purify-ts/Either";
+import { nanoid } from "nanoid";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import type { Registration } from "@tanagerdeck/decisions/fleet/entryPresence";
 import type { ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
-import type { Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Failure, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startCallerListener } from "@tanagerdeck/caller/listener/callerListener";
 import { createRequestRoutes } from "@tanagerdeck/caller/routing/requestRoutes";
 import { startRoutingTask } from "@tanagerdeck/caller/routing/routingTask";
-import { applyDocument } from "@tanagerdeck/operator/document/applyDocument";
-import { createDocumentRoutes } from "@tanagerdeck/operator/document/documentRoutes";
 import { startOperatorListener } from "@tanagerdeck/operator/listener/operatorListener";
-import { createEntryRouter } from "@tanagerdeck/peer/link/entryRouter";
+import { createEntryRouter, type ConfigurationStatus } from "@tanagerdeck/peer/link/entryRouter";
+import { peerCall } from "@tanagerdeck/peer/link/peerCall";
 import { createPeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
-import { startMembershipTask } from "@tanagerdeck/peer/membership/membershipTask";
-import { startConfigurationTask } from "@tanagerdeck/platform/configuration/configurationTask";
 import { createEtcdStore } from "@tanagerdeck/platform/store/etcdStore";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
 import { createLog } from "@tanagerdeck/runtime/log/log";
@@ -19,70 +19,95 @@
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
 import type { EntrySettings } from "../settings/settingsSchema.ts";
 import { createAgentCalls } from "./agentCalls.ts";
+import { startEntryControl, type EntryControl } from "./entryControl.ts";
+import { createOperatorRoutes } from "./operatorRoutes.ts";
 
-const REPORT_INTERVAL_MS = 2_000;
+const EXCHANGE_TIMEOUT_MS = 1_000;
+const FETCH_TIMEOUT_MS = 2_000;
 
 /** Starts an entry and wires its tasks. */
 export async function startEntry(settings: EntrySettings): Promise<RunningProcess> {
     const log = createLog(settings.name, settings.logLevel);
     const clock = systemClock;
-    const store = createEtcdStore(settings.platformAddress, () => undefined);
+    const platformCalls: Record<string, number> = {};
+    const store = createEtcdStore(settings.platformAddress, operation => {
+        platformCalls[operation] = (platformCalls[operation] ?? 0) + 1;
+    });
     const clients = createPeerClients(settings.peerToken);
+    const started: { control?: EntryControl } = {};
 
     const routing = startRoutingTask({
         availabilityZone: settings.availabilityZone,
         clock,
         log: log.part("routing"),
         random: Math.random,
-        calls: createAgentCalls(clients),
-    });
-    const membership = startMembershipTask({
-        clock,
-        log: log.part("membership"),
-        reportIntervalMs: REPORT_INTERVAL_MS,
-        changed: agents => routing.send({ kind: "fleet", agents }),
-    });
-    const configuration = startConfigurationTask({
-        environment: settings.environment,
-        store,
-        clock,
-        log: log.part("configuration"),
-        adopted: adopted => {
-            routing.send({ kind: "configuration", configuration: adopted });
-            membership.send({ kind: "configuration", revision: adopted.revision });
-        },
+        calls: createAgentCalls(clients, () => started.control?.configuration.send({ kind: "refresh" })),
     });
-    const currentConfiguration = () =>
-        configuration.ask((reply: Reply<Configuration | undefined>) => ({ kind: "get", reply }));
-
     const peerListener = await startPeerListener(
         settings.peerAddress,
         settings.peerToken,
         createEntryRouter({
             announce: report =>
-                membership.ask((reply: Reply<ReportReply>) => ({ kind: "report", report, reply })),
-            configurationStatus: async () => {
-                const current = await currentConfiguration();
-                return { revision: current?.revision ?? 0, confirmedAgoMs: 0, platformReachable: true };
-            },
+                control.membership.ask((reply: Reply<ReportReply>) => ({ kind: "report", report, reply })),
+            configurationStatus: () =>
+                control.configuration.ask((reply: Reply<ConfigurationStatus>) => ({
+                    kind: "own-status",
+                    reply,
+                })),
             configuration: async ({ afterRevision }) => {
                 const current = await currentConfiguration();
                 return current && current.revision > afterRevision ? current : undefined;
             },
         }),
     );
+    const own: Registration = { name: settings.name, incarnation: nanoid(10), address: peerListener.address };
+    const control = startEntryControl({
+        environment: settings.environment,
+        own,
+        seeds: settings.seeds,
+        store,
+        clock,
+        log,
+        random: Math.random,
+        askStatus: address =>
+            peerCall(EXCHANGE_TIMEOUT_MS, signal =>
+                clients.entry(address).configurationStatus.mutate(undefined, { signal }),
+            ),
+        fetch: (address, afterRevision) =>
+            peerCall(FETCH_TIMEOUT_MS, signal =>
+                clients.entry(address).configuration.mutate({ afterRevision }, { signal }),
+            ),
+        rebind: undefined,
+        adopted: adopted => routing.send({ kind: "configuration", configuration: adopted }),
+        fleetChanged: agents => routing.send({ kind: "fleet", agents }),
+        agentGone: () => undefined,
+        entryGone: () => undefined,
+    });
+    started.control = control;
+    const currentConfiguration = () =>
+        control.configuration.ask((reply: Reply<Configuration | undefined>) => ({ kind: "get", reply }));
+
     const operatorListener = await startOperatorListener({
         address: settings.operatorAddress,
         token: settings.operatorToken,
-        routes: createDocumentRoutes(async change => {
-            const result = await applyDocument(store, change);
-            result.ifRight(accepted => configuration.send({ kind: "offer", configuration: accepted }));
-            return result;
+        routes: createOperatorRoutes({
+            environment: settings.environment,
+            entry: settings.name,
+            store,
+            clients,
+            control,
+            now: clock.wall,
+            platformCalls: () => ({ ...platformCalls }),
         }),
     });
     const callerListener = await startCallerListener({
         address: settings.callerAddress,
         configuration: currentConfiguration,
+        admit: () =>
+            control.configuration.ask((reply: Reply<Either<Failure, Configuration>>) => ({
+                kind: "admit",
+                reply,
+            })),
         routes: createRequestRoutes(request =>
             routing.ask((reply: Reply<Outcome>) => ({ kind: "request", request, reply })),
         ),
@@ -99,8 +124,7 @@
             await callerListener.close();
             await operatorListener.close();
             await peerListener.close();
-            await configuration.stop();
-            await membership.stop();
+            await control.stop();
             await routing.stop();
             await clients.close();
             await store.close();
--- a/packages/tanagerdeck/src/settings/settingsSchema.ts
+++ b/packages/tanagerdeck/src/settings/settingsSchema.ts
@@ -17,6 +17,8 @@
     peerAddress: address,
     metricsAddress: address,
     platformAddress: address,
+    /** Peer addresses of other entries, asked for the configuration while the platform is down. */
+    seeds: z.array(address).default([]),
     peerToken: z.string().min(16),
     operatorToken: z.string().min(16),
     lingerMs: z.number().int().nonnegative().default(3_000),
