--- /dev/null
+++ b/packages/operator/src/client/operatorClient.ts
@@ -0,0 +1,73 @@
+import { createHash } from "node:crypto";
+import { Left, Right, type Either } from "purify-ts/Either";
+import { request } from "undici";
+import { failure, type Failure, type Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
+
+const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+const VERDICTS = new Set<unknown>(["not-run", "ran", "may-have-run"] satisfies Verdict[]);
+
+/** One HTTP call to an entry. `timeoutMs` bounds the whole call. */
+export interface EntryCall {
+    address: string;
+    token: string;
+    method: "GET" | "POST" | "DELETE";
+    path: string;
+    body?: object;
+    timeoutMs: number;
+}
+
+/** A complete response; `value` is undefined if the body is not JSON. */
+export interface EntryResponse {
+    body: string;
+    value: unknown;
+}
+
+/**
+ * Calls an entry. A response with an error status becomes a failure with the verdict of its header or body;
+ * an incomplete response, or none after the call was sent, becomes `may-have-run`.
+ */
+export async function callEntry(call: EntryCall): Promise<Either<Failure, EntryResponse>> {
+    try {
+        const response = await request(`http://${call.address}${call.path}`, {
+            method: call.method,
+            headers: { authorization: `Bearer ${call.token}`, "content-type": "application/json" },
+            body: call.body ? JSON.stringify(call.body) : undefined,
+            signal: AbortSignal.timeout(call.timeoutMs),
+        });
+        const body = await response.body.text();
+        if (response.statusCode !== 200) {
+            return Left(responseFailure(response.statusCode, response.headers["x-verdict"], body));
+        }
+        if (!matchesContentDigest(body, response.headers["content-digest"])) {
+            return Left(failure("ran", "backend-error", "The answer does not match its digest."));
+        }
+        return Right({ body, value: parse(body) });
+    } catch (error) {
+        const code = (error as { code?: string }).code ?? String(error);
+        const verdict = NOT_SENT_CODES.has(code) ? "not-run" : "may-have-run";
+        return Left(failure(verdict, "unreachable", `The call to ${call.address} failed: ${code}.`));
+    }
+}
+
+function responseFailure(status: number, header: unknown, body: string): Failure {
+    const value = parse(body) as Partial<Failure> | undefined;
+    const told = header ?? value?.verdict;
+    const verdict = VERDICTS.has(told) ? (told as Verdict) : "may-have-run";
+    const detail = value?.detail ?? `The entry answered with status ${status}.`;
+    return { ...value, ...failure(verdict, value?.reason ?? "unreachable", detail) };
+}
+
+function matchesContentDigest(body: string, header: string | string[] | undefined): boolean {
+    if (typeof header !== "string") {
+        return true;
+    }
+    return header === `sha-256=:${createHash("sha256").update(body, "utf8").digest("base64")}:`;
+}
+
+function parse(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    } catch {
+        return undefined;
+    }
+}
--- a/packages/runtime/src/settings/settingsFile.ts
+++ b/packages/runtime/src/settings/settingsFile.ts
@@ -2,6 +2,8 @@
 import { Either, Left, Right } from "purify-ts/Either";
 import { z } from "zod";
 
+const SHOWN_VALUE_LENGTH = 100;
+
 /** Reads and checks a JSON settings file. The error text names each path, the value seen and what is allowed. */
 export function readSettings<T>(path: string, schema: z.ZodType<T>): Either<string, T> {
     let value: unknown;
@@ -17,13 +19,25 @@
     return Right(parsed.data);
 }
 
-/** One line that names the path of an issue, the value seen and what is allowed. */
+/** One line that names the path of an issue, the value seen and what is allowed; tokens are not shown. */
 export function describeIssue(issue: z.core.$ZodIssue, root: unknown): string {
-    const path = issue.path.map(String).join(".") || "(root)";
-    const seen = JSON.stringify(valueAt(root, issue.path));
+    const path = formatPath(issue.path);
+    if (issue.code === "unrecognized_keys" || /token/i.test(path)) {
+        return `${path}: ${issue.message}`;
+    }
+    const seen = JSON.stringify(valueAt(root, issue.path))?.slice(0, SHOWN_VALUE_LENGTH);
     return `${path}: ${issue.message}; the value is ${seen ?? "missing"}`;
 }
 
+function formatPath(path: PropertyKey[]): string {
+    let formatted = "";
+    for (const key of path) {
+        const separator = formatted === "" ? "" : ".";
+        formatted += typeof key === "number" ? `[${key}]` : `${separator}${String(key)}`;
+    }
+    return formatted || "(root)";
+}
+
 function valueAt(root: unknown, path: PropertyKey[]): unknown {
     let current = root;
     for (const key of path) {
--- /dev/null
+++ b/packages/tanagerdeck/src/commands/applyCommand.ts
@@ -0,0 +1,63 @@
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Change } from "@tanagerdeck/operator/document/applyDocument";
+import type { Command, CommandResult } from "./commandTypes.ts";
+import { entryOptions, entryTarget, readText, wholeNumber, type EntryTarget } from "./entryOptions.ts";
+import { callOperator } from "./operatorCalls.ts";
+
+/** Options of the commands that change the configuration. */
+export const changeOptions = [
+    {
+        flags: "--expected-revision <revision>",
+        description: "Revision that the document replaces; 0 if there is none",
+    },
+    { flags: "--change-id <id>", description: "Repeat an earlier change whose outcome is unknown" },
+];
+
+/** Applies a document. */
+export const applyCommand: Command = {
+    usage: "apply <document>",
+    description: "Apply a document if the expected revision is still the current one",
+    options: [...entryOptions, ...changeOptions],
+    async run([path = ""], options, io) {
+        const text = readText(path, io);
+        const target = entryTarget(options, io, "TANAGERDECK_OPERATOR_TOKEN");
+        const revision = wholeNumber(options, "expectedRevision", 0);
+        for (const part of [text, target, revision]) {
+            if (part.isLeft()) {
+                return part.extract();
+            }
+        }
+        const changeId = options.changeId === undefined ? io.newId() : String(options.changeId);
+        return sendChange(target.unsafeCoerce(), {
+            text: text.unsafeCoerce(),
+            expectedRevision: revision.unsafeCoerce(),
+            changeId,
+        });
+    },
+};
+
+/** Sends a change to an entry. An unknown outcome names the change id, with which to ask again. */
+export async function sendChange(target: EntryTarget, change: Change): Promise<CommandResult> {
+    const { changeId } = change;
+    const result = await callOperator<{ revision: number; digest: string }>(
+        target,
+        "POST",
+        "/v1/configuration",
+        change,
+    );
+    return result.caseOf<CommandResult>({
+        Right: ({ revision, digest }) => ({
+            kind: "done",
+            value: { revision, digest, changeId },
+            text: `Revision ${revision} is accepted. Its digest is ${digest}.`,
+        }),
+        Left: problem => withChangeId(problem, changeId),
+    });
+}
+
+function withChangeId(problem: Failure, changeId: string): Failure {
+    if (problem.verdict !== "may-have-run") {
+        return problem;
+    }
+    return { ...problem, detail: `${problem.detail} Ask again with --change-id ${changeId}.` };
+}
--- /dev/null
+++ b/packages/tanagerdeck/src/commands/entryOptions.ts
@@ -0,0 +1,80 @@
+import { Left, Right, type Either } from "purify-ts/Either";
+import type { CommandIo, CommandOption, CommandOptions, CommandResult } from "./commandTypes.ts";
+
+/** The variables that hold tokens; a token on the command line would show in the list of processes. */
+export type TokenVariable =
+    "TANAGERDECK_OPERATOR_TOKEN" | "TANAGERDECK_TRIAL_OPERATOR_TOKEN" | "TANAGERDECK_TOKEN";
+
+/** An entry to call and the token to show. */
+export interface EntryTarget {
+    address: string;
+    token: string;
+}
+
+/** Options of every command that calls an entry. */
+export const entryOptions: CommandOption[] = [
+    { flags: "--entry <address>", description: "Address of the entry's listener, such as 10.0.0.1:7001" },
+    { flags: "--token-file <path>", description: "File with the bearer token; else an environment variable" },
+];
+
+const ADDRESS = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
+
+/** A usage error. */
+export function usageError(detail: string): CommandResult {
+    return { kind: "usage", detail };
+}
+
+/** The entry that the options name. */
+export function entryTarget(
+    options: CommandOptions,
+    io: CommandIo,
+    variable: TokenVariable,
+    names = { address: "entry", tokenFile: "tokenFile" },
+): Either<CommandResult, EntryTarget> {
+    const address = options[names.address];
+    if (typeof address !== "string" || !ADDRESS.test(address)) {
+        return Left(
+            usageError(`--${names.address}: must be an IPv4 number and a port, such as 10.0.0.1:7001`),
+        );
+    }
+    return readToken(options[names.tokenFile], io, variable).map(token => ({ address, token }));
+}
+
+/** Reads a text file; the bytes must be UTF-8, since a digest of other bytes would not match. */
+export function readText(path: string, io: CommandIo): Either<CommandResult, string> {
+    try {
+        const bytes = io.readFile(path);
+        const text = bytes.toString("utf8");
+        return Buffer.from(text, "utf8").equals(bytes)
+            ? Right(text)
+            : Left(usageError(`${path}: the file is not UTF-8`));
+    } catch (error) {
+        return Left(usageError(`${path}: the file cannot be read: ${(error as Error).message}`));
+    }
+}
+
+/** A whole number of an option, at least `minimum`. */
+export function wholeNumber(
+    options: CommandOptions,
+    name: string,
+    minimum: number,
+): Either<CommandResult, number> {
+    const given = options[name];
+    const value = Number(given);
+    return given !== undefined && given !== "" && Number.isSafeInteger(value) && value >= minimum
+        ? Right(value)
+        : Left(usageError(`--${flagName(name)}: must be a whole number of at least ${minimum}`));
+}
+
+function readToken(file: unknown, io: CommandIo, variable: TokenVariable): Either<CommandResult, string> {
+    const token = file === undefined ? Right(io.variable(variable) ?? "") : readText(String(file), io);
+    return token
+        .map(text => text.trim())
+        .chain(text =>
+            text === "" ? Left(usageError(`--token-file or ${variable} must give a token`)) : Right(text),
+        );
+}
+
+function flagName(name: string): string {
+    return name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+}
--- /dev/null
+++ b/packages/tanagerdeck/src/commands/promoteCommand.ts
@@ -0,0 +1,58 @@
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { documentDigest } from "@tanagerdeck/operator/document/checkDocument";
+import { changeOptions, sendChange } from "./applyCommand.ts";
+import type { Command, CommandResult } from "./commandTypes.ts";
+import { entryTarget, readText, wholeNumber } from "./entryOptions.ts";
+import { callOperator } from "./operatorCalls.ts";
+
+/** Applies in one environment exactly the bytes that are in force in another. */
+export const promoteCommand: Command = {
+    usage: "promote <document>",
+    description: "Apply a document whose exact bytes are in force in the trial environment",
+    options: [
+        { flags: "--from <address>", description: "Operators' address of an entry of the trial environment" },
+        { flags: "--from-token-file <path>", description: "Else TANAGERDECK_TRIAL_OPERATOR_TOKEN" },
+        { flags: "--to <address>", description: "Operators' address of an entry of the target environment" },
+        { flags: "--to-token-file <path>", description: "Else TANAGERDECK_OPERATOR_TOKEN" },
+        ...changeOptions,
+    ],
+    async run([path = ""], options, io) {
+        const text = readText(path, io);
+        const from = entryTarget(options, io, "TANAGERDECK_TRIAL_OPERATOR_TOKEN", {
+            address: "from",
+            tokenFile: "fromTokenFile",
+        });
+        const to = entryTarget(options, io, "TANAGERDECK_OPERATOR_TOKEN", {
+            address: "to",
+            tokenFile: "toTokenFile",
+        });
+        const revision = wholeNumber(options, "expectedRevision", 0);
+        for (const part of [text, from, to, revision]) {
+            if (part.isLeft()) {
+                return part.extract();
+            }
+        }
+        const trial = await callOperator<Configuration>(from.unsafeCoerce(), "GET", "/v1/configuration");
+        if (trial.isLeft()) {
+            return { ...trial.extract(), verdict: "not-run" };
+        }
+        const problem = digestProblem(documentDigest(text.unsafeCoerce()), trial.unsafeCoerce());
+        if (problem) {
+            return problem;
+        }
+        return sendChange(to.unsafeCoerce(), {
+            text: text.unsafeCoerce(),
+            expectedRevision: revision.unsafeCoerce(),
+            changeId: options.changeId === undefined ? io.newId() : String(options.changeId),
+        });
+    },
+};
+
+function digestProblem(digest: string, trial: Configuration): CommandResult | undefined {
+    if (digest === trial.digest) {
+        return undefined;
+    }
+    const detail = `The file has digest ${digest}; revision ${trial.revision} of the trial environment has ${trial.digest}.`;
+    return failure("not-run", "conflict", detail);
+}
--- a/packages/tanagerdeck/src/main.ts
+++ b/packages/tanagerdeck/src/main.ts
@@ -1,10 +1,13 @@
 import { cac } from "cac";
 import { readSettings } from "@tanagerdeck/runtime/settings/settingsFile";
+import { registerCommands, processIo } from "./commands/commandLine.ts";
+import { commands } from "./commands/commands.ts";
 import { startAgent } from "./agent/agentProcess.ts";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
 import { startEntry } from "./entry/entryProcess.ts";
 import { agentSettingsSchema, entrySettingsSchema } from "./settings/settingsSchema.ts";
 
+const EXIT_INTERNAL = 1;
 const EXIT_USAGE = 2;
 
 const cli = cac("tanagerdeck");
@@ -23,6 +26,11 @@
     });
 });
 
+registerCommands(cli, commands, processIo);
+cli.command("", "Show the commands").action(() => {
+    cli.outputHelp();
+    process.exitCode = EXIT_USAGE;
+});
 cli.help();
 
 function exitWithUsageError(problem: string): void {
@@ -38,8 +46,12 @@
     process.once("SIGINT", stop);
 }
 
-cli.parse(process.argv, { run: false });
-Promise.resolve(cli.runMatchedCommand()).catch(error => {
-    process.stderr.write(`${String(error)}\n`);
-    process.exitCode = 1;
+async function run(): Promise<void> {
+    cli.parse(process.argv, { run: false });
+    await cli.runMatchedCommand();
+}
+
+run().catch((error: Error) => {
+    process.stderr.write(`${error.message}\n`);
+    process.exitCode = error.name === "CACError" ? EXIT_USAGE : EXIT_INTERNAL;
 });
