--- a/packages/decisions/src/fleet/reportTypes.ts
+++ b/packages/decisions/src/fleet/reportTypes.ts
@@ -75,6 +75,8 @@
     refusal?: "name-in-use" | "wrong-availability-zone" | "wrong-position";
     entries: string[];
     configurationRevision: number;
+    /** Milliseconds since that revision was last confirmed by the platform; undefined if it never was. */
+    configurationConfirmedAgoMs?: number;
     reportIntervalMs: number;
     /** Ended gangs whose end the entry has recorded; the anchor forgets them. */
     recordedGangs: string[];
--- a/packages/operator/src/drain/drainRoutes.ts
+++ b/packages/operator/src/drain/drainRoutes.ts
@@ -1,17 +1,6 @@
-import { Left, type Either } from "purify-ts/Either";
-import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
-import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Routes } from "@tanagerdeck/runtime/http/routes";
 import { sendResult } from "../listener/operatorBody.ts";
-
-/** What the drain of a backend server needs. */
-export interface DrainOperations {
-    find(agent: string): Promise<AgentView | undefined>;
-    /** Tells the agent at this address to refuse new work from now on. */
-    drain(address: string): Promise<Either<Failure, { draining: true }>>;
-    /** Called when the agent has confirmed. */
-    drained(agent: string): void;
-}
+import { drainAgent, type DrainOperations } from "./drainAgent.ts";
 
 /** Routes that drain backend servers. */
 export function createDrainRoutes(operations: DrainOperations): Routes<undefined> {
@@ -23,17 +12,3 @@
         },
     };
 }
-
-/** The drain is in force at the agent when this resolves with its confirmation. */
-async function drainAgent(
-    operations: DrainOperations,
-    agent: string,
-): Promise<Either<Failure, { agent: string; draining: true }>> {
-    const view = await operations.find(agent);
-    if (!view || view.state === "gone" || view.state === "left") {
-        return Left(failure("not-run", "not-found", `There is no agent "${agent}".`));
-    }
-    const result = await operations.drain(view.report.address);
-    result.ifRight(() => operations.drained(agent));
-    return result.map(() => ({ agent, draining: true }));
-}
--- a/packages/peer/src/announcement/announcementTask.ts
+++ b/packages/peer/src/announcement/announcementTask.ts
@@ -19,7 +19,7 @@
 export type AnnouncementMessage =
     /** Announces at once, such as after a change of the serving state. */
     | { kind: "announce" }
-    | { kind: "replied"; entry: string; result: Either<Failure, ReportReply> }
+    | { kind: "replied"; entry: string; askedAt: number; result: Either<Failure, ReportReply> }
     /** Announces the last report and replies when every entry has answered or failed to. */
     | { kind: "leave"; reply: Reply<void> };
 
@@ -33,8 +33,8 @@
     /** Builds the current report. */
     report: () => Promise<Report>;
     send: (entry: string, report: Report) => Promise<Either<Failure, ReportReply>>;
-    /** Called with each answer of an entry. */
-    replied: (entry: string, reply: ReportReply) => void;
+    /** Called with each answer of an entry; `askedAt` is the monotonic time of the report. */
+    replied: (entry: string, reply: ReportReply, askedAt: number) => void;
 }
 
 interface State {
@@ -83,12 +83,12 @@
         }
         scheduleNext(state, context);
     },
-    replied(state, { entry, result }, context) {
+    replied(state, { entry, askedAt, result }, context) {
         const { log } = state.options;
         const again = state.awaited.get(entry) === "report-again";
         state.awaited.delete(entry);
         result.ifLeft(problem => log.warn("An entry did not answer.", { entry, detail: problem.detail }));
-        result.ifRight(reply => learn(state, entry, reply, context));
+        result.ifRight(reply => learn(state, entry, reply, askedAt, context));
         if (again && state.entries.has(entry)) {
             send(state, entry, context);
         }
@@ -110,14 +110,15 @@
 
 function send(state: State, entry: string, context: Context): void {
     const { options } = state;
+    const askedAt = context.clock.now();
     state.awaited.set(entry, "reported");
     context.start(
         async () => options.send(entry, await options.report()),
-        result => ({ kind: "replied", entry, result }),
+        result => ({ kind: "replied", entry, askedAt, result }),
     );
 }
 
-function learn(state: State, entry: string, reply: ReportReply, context: Context): void {
+function learn(state: State, entry: string, reply: ReportReply, askedAt: number, context: Context): void {
     if (reply.refusal) {
         state.options.log.error("An entry refused the announcement.", { entry, reason: reply.refusal });
     }
@@ -129,7 +130,7 @@
         }
     }
     state.intervalMs = reply.reportIntervalMs;
-    state.options.replied(entry, reply);
+    state.options.replied(entry, reply, askedAt);
 }
 
 function scheduleNext(state: State, context: Context): void {
--- a/packages/peer/src/configuration/agentConfigurationTask.ts
+++ b/packages/peer/src/configuration/agentConfigurationTask.ts
@@ -1,6 +1,7 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import { newerConfiguration } from "@tanagerdeck/decisions/document/configurationRevision";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import { workRefusal } from "@tanagerdeck/decisions/document/workRefusal";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
@@ -17,8 +18,14 @@
 
 /** Messages of an agent's configuration holder. */
 export type AgentConfigurationMessage =
-    /** An entry announced its revision. */
-    | { kind: "learned"; entry: string; revision: number }
+    /** An entry answered a report that was sent at `askedAt`. */
+    | {
+          kind: "learned";
+          entry: string;
+          askedAt: number;
+          revision: number;
+          confirmedAgoMs: number | undefined;
+      }
     | { kind: "fetched"; entry: string; result: Either<Failure, Configuration | undefined> }
     /** A call of an entry carries this revision; the reply says whether the call may be served. */
     | { kind: "require"; revision: number; reply: Reply<Either<Failure, Configuration>> }
@@ -36,13 +43,24 @@
     clock: Clock;
     log: Log;
     fetch: (entry: string, afterRevision: number) => Promise<Either<Failure, Configuration | undefined>>;
+    /** Announces to the entries at once, so that their answers confirm the revision. */
+    announce: () => void;
     adopted: (configuration: Configuration) => void;
 }
 
+/** What an entry told last. */
+interface Told {
+    revision: number;
+    askedAt: number;
+}
+
 interface State {
     current: Configuration | undefined;
-    /** Newest revision that each entry announced. */
-    announced: Map<string, number>;
+    /** At this monotonic time no revision newer than the held one was accepted. */
+    confirmedAt: number | undefined;
+    /** A confirmation of a revision that is still being fetched. */
+    pending: { revision: number; at: number } | undefined;
+    entries: Map<string, Told>;
     fetching: Set<string>;
     waiting: Set<Waiting>;
     options: AgentConfigurationOptions;
@@ -58,7 +76,9 @@
         name: "agent-configuration",
         state: {
             current: undefined,
-            announced: new Map(),
+            confirmedAt: undefined,
+            pending: undefined,
+            entries: new Map(),
             fetching: new Set(),
             waiting: new Set(),
             options,
@@ -70,27 +90,36 @@
 }
 
 const handlers: Handlers<State, AgentConfigurationMessage> = {
-    learned(state, { entry, revision }, context) {
-        state.announced.set(entry, revision);
+    learned(state, { entry, askedAt, revision, confirmedAgoMs }, context) {
+        state.entries.set(entry, { revision, askedAt });
+        if (confirmedAgoMs !== undefined) {
+            confirm(state, revision, askedAt - confirmedAgoMs);
+        }
         if (revision > held(state)) {
             fetch(state, entry, context);
         }
+        answerWaiting(state, context);
     },
-    fetched(state, { entry, result }) {
+    fetched(state, { entry, result }, context) {
         state.fetching.delete(entry);
         result.ifLeft(problem => state.options.log.warn("A fetch failed.", { detail: problem.detail }));
         result.ifRight(configuration => adopt(state, configuration));
+        answerWaiting(state, context);
     },
     require(state, { revision, reply }, context) {
-        const { current } = state;
+        const waiting: Waiting = { revision, reply };
+        const answer = answerNow(state, revision, context.clock.now());
+        if (answer) {
+            reply(answer);
+            return;
+        }
+        state.waiting.add(waiting);
+        context.after(REQUIRE_LIMIT_MS, { kind: "require-end", waiting });
         if (revision > held(state)) {
-            const waiting: Waiting = { revision, reply };
-            state.waiting.add(waiting);
-            context.after(REQUIRE_LIMIT_MS, { kind: "require-end", waiting });
             fetchFromAll(state, context);
             return;
         }
-        reply(current && revision === current.revision ? Right(current) : Left(refusal(current, "entry")));
+        state.options.announce();
     },
     "require-end"(state, { waiting }) {
         if (state.waiting.delete(waiting)) {
@@ -108,7 +137,7 @@
 
 /** The entries that announced the newest revision come first; all are asked, since any of them may be cut off. */
 function fetchFromAll(state: State, context: Context): void {
-    const entries = [...state.announced.entries()].sort(([, a], [, b]) => b - a);
+    const entries = [...state.entries.entries()].sort(([, a], [, b]) => b.revision - a.revision);
     for (const [entry] of entries) {
         fetch(state, entry, context);
     }
@@ -133,10 +162,48 @@
     state.current = next;
     state.options.log.info("A configuration was adopted.", { revision: next.revision });
     state.options.adopted(next);
+    const { pending } = state;
+    if (pending && pending.revision <= next.revision) {
+        state.pending = undefined;
+        confirm(state, pending.revision, pending.at);
+    }
+}
+
+/** At `at` no revision newer than `revision` was accepted. */
+function confirm(state: State, revision: number, at: number): void {
+    if (revision > held(state)) {
+        state.pending = { revision, at };
+        return;
+    }
+    if (state.confirmedAt === undefined || at > state.confirmedAt) {
+        state.confirmedAt = at;
+    }
+}
+
+/** The answer to a call that carries a revision; undefined while the agent is behind it or unconfirmed. */
+function answerNow(state: State, revision: number, now: number): Either<Failure, Configuration> | undefined {
+    const { current, confirmedAt } = state;
+    if (revision < held(state)) {
+        return Left(refusal(current, "entry"));
+    }
+    if (!current) {
+        return revision === 0 ? Left(refusal(current, "entry")) : undefined;
+    }
+    const others = [...state.entries.values()].map(({ askedAt }) => ({
+        heardAgoMs: now - askedAt,
+        platformReachable: false,
+    }));
+    const confirmedAgoMs = confirmedAt === undefined ? undefined : now - confirmedAt;
+    const behind = revision > current.revision || workRefusal(current, confirmedAgoMs, others);
+    return behind ? undefined : Right(current);
+}
+
+function answerWaiting(state: State, context: Context): void {
     for (const waiting of state.waiting) {
-        if (waiting.revision <= next.revision) {
+        const answer = answerNow(state, waiting.revision, context.clock.now());
+        if (answer) {
             state.waiting.delete(waiting);
-            waiting.reply(waiting.revision === next.revision ? Right(next) : Left(refusal(next, "entry")));
+            waiting.reply(answer);
         }
     }
 }
@@ -145,6 +212,7 @@
     if (!current) {
         return failure("not-run", "no-configuration", "The agent knows no configuration yet.");
     }
-    const detail = `The ${behind} is behind; the agent has revision ${current.revision}.`;
+    const problem = behind === "entry" ? "The entry is behind" : "The agent cannot confirm its configuration";
+    const detail = `${problem}; the agent has revision ${current.revision}.`;
     return failure("not-run", "stale-configuration", detail);
 }
--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -46,6 +46,7 @@
             peerCall(REPORT_TIMEOUT_MS, signal =>
                 clients.entry(entry).configuration.mutate({ afterRevision }, { signal }),
             ),
+        announce: () => announcement.send({ kind: "announce" }),
         adopted: () => undefined,
     });
     /** The configuration if the calling entry is not behind it. */
@@ -124,8 +125,14 @@
         report,
         send: (entry, message) =>
             peerCall(REPORT_TIMEOUT_MS, signal => clients.entry(entry).announce.mutate(message, { signal })),
-        replied: (entry, { configurationRevision: revision }) =>
-            configuration.send({ kind: "learned", entry, revision }),
+        replied: (entry, reply, askedAt) =>
+            configuration.send({
+                kind: "learned",
+                entry,
+                askedAt,
+                revision: reply.configurationRevision,
+                confirmedAgoMs: reply.configurationConfirmedAgoMs,
+            }),
     });
     log.info("The agent is serving.", { peerAddress: peerListener.address });
 
--- a/packages/tanagerdeck/src/entry/entryControl.ts
+++ b/packages/tanagerdeck/src/entry/entryControl.ts
@@ -1,6 +1,7 @@
 import type { Either } from "purify-ts/Either";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { Registration } from "@tanagerdeck/decisions/fleet/entryPresence";
+import type { Report, ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startEntryConfigurationTask } from "@tanagerdeck/peer/configuration/entryConfigurationTask";
@@ -119,6 +120,23 @@
         gone: options.entryGone,
     });
     return {
+        /** Answers an agent's report, with the revision that this entry holds and the age of its confirmation. */
+        async announce(report: Report): Promise<ReportReply> {
+            const reply = await membership.ask<ReportReply>(answer => ({
+                kind: "report",
+                report,
+                reply: answer,
+            }));
+            const { revision, confirmedAgoMs } = await configuration.ask<ConfigurationStatus>(answer => ({
+                kind: "own-status",
+                reply: answer,
+            }));
+            return {
+                ...reply,
+                configurationRevision: revision,
+                configurationConfirmedAgoMs: confirmedAgoMs,
+            };
+        },
         membership,
         configuration,
         usage,
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -2,7 +2,6 @@
 import { nanoid } from "nanoid";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { Registration } from "@tanagerdeck/decisions/fleet/entryPresence";
-import type { ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { Failure, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startCallerListener } from "@tanagerdeck/caller/listener/callerListener";
 import { createRequestRoutes } from "@tanagerdeck/caller/routing/requestRoutes";
@@ -47,8 +46,7 @@
         settings.peerAddress,
         settings.peerToken,
         createEntryRouter({
-            announce: report =>
-                control.membership.ask((reply: Reply<ReportReply>) => ({ kind: "report", report, reply })),
+            announce: report => control.announce(report),
             configurationStatus: () =>
                 control.configuration.ask((reply: Reply<ConfigurationStatus>) => ({
                     kind: "own-status",
--- /dev/null
+++ b/packages/tanagerdeck/src/entry/testing/controlWorld.ts
@@ -0,0 +1,293 @@
+import { Left, Right, type Either } from "purify-ts/Either";
+import type { Configuration, UnreachablePolicy } from "@tanagerdeck/decisions/document/documentTypes";
+import type { Registration } from "@tanagerdeck/decisions/fleet/entryPresence";
+import type { Report, ReportReply, ServingState } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { applyDocument, type AcceptedChange } from "@tanagerdeck/operator/document/applyDocument";
+import { drainAgent } from "@tanagerdeck/operator/drain/drainAgent";
+import {
+    startAnnouncementTask,
+    type AnnouncementMessage,
+} from "@tanagerdeck/peer/announcement/announcementTask";
+import {
+    startAgentConfigurationTask,
+    type AgentConfigurationMessage,
+} from "@tanagerdeck/peer/configuration/agentConfigurationTask";
+import type { ConfigurationStatus } from "@tanagerdeck/peer/link/entryRouter";
+import type { Store } from "@tanagerdeck/platform/store/storeTypes";
+import type { ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { silentLog } from "@tanagerdeck/runtime/log/log";
+import type { Task } from "@tanagerdeck/runtime/task/task";
+import {
+    createMemoryPlatform,
+    type MemoryPlatform,
+    type PlatformConnection,
+} from "@tanagerdeck/standins/platform/memoryPlatform";
+import { createFreezableClock, type FreezableClock } from "@tanagerdeck/standins/polling/freezableClock";
+import { startEntryControl, type EntryControl } from "../entryControl.ts";
+
+const CALL_TIMEOUT_MS = 1_000;
+const ENVIRONMENT = "trial";
+
+type Result<T> = Promise<Either<Failure, T>>;
+
+/** One simulated entry; `adopted` lists the revisions in the order of their adoption. */
+export interface EntryNode {
+    name: string;
+    clock: FreezableClock;
+    connection: PlatformConnection;
+    adopted: number[];
+    control: EntryControl;
+}
+
+/** One simulated agent. */
+export interface AgentNode {
+    name: string;
+    clock: FreezableClock;
+    adopted: number[];
+    configuration: Task<AgentConfigurationMessage>;
+    announcement: Task<AnnouncementMessage>;
+    serving: { state: ServingState; sequence: number };
+}
+
+/** Entries and agents with a network and a platform, all on one manual clock. */
+export interface ControlWorld {
+    clock: ManualClock;
+    platform: MemoryPlatform;
+    /** Entries by address. */
+    entries: Map<string, EntryNode>;
+    agents: Map<string, AgentNode>;
+    /** Addresses that no call between processes reaches or leaves. */
+    cut: Set<string>;
+    /** Milliseconds added to the way back of configurations. */
+    fetchDelayMs: number;
+    random: () => number;
+    entriesGone: { at: string; gone: string }[];
+}
+
+/** Builds an empty world. `random` must be seeded. */
+export function createControlWorld(clock: ManualClock, random: () => number): ControlWorld {
+    return {
+        clock,
+        platform: createMemoryPlatform(clock),
+        entries: new Map(),
+        agents: new Map(),
+        cut: new Set(),
+        fetchDelayMs: 0,
+        random,
+        entriesGone: [],
+    };
+}
+
+/** Starts an entry whose address is its name. */
+export function startEntryNode(world: ControlWorld, name: string, seeds: string[]): EntryNode {
+    const clock = createFreezableClock(world.clock);
+    const connection = world.platform.connect();
+    const adopted: number[] = [];
+    const own: Registration = { name, incarnation: `${name}-${world.clock.now()}`, address: name };
+    const control = startEntryControl({
+        environment: ENVIRONMENT,
+        own,
+        seeds,
+        store: gateStore(connection.store, clock),
+        clock,
+        log: silentLog,
+        random: world.random,
+        askStatus: address => clock.deliver(call(world, name, address, node => status(node))),
+        fetch: (address, afterRevision) => clock.deliver(fetch(world, name, address, afterRevision)),
+        rebind: undefined,
+        adopted: configuration => adopted.push(configuration.revision),
+        fleetChanged: () => undefined,
+        agentGone: () => undefined,
+        entryGone: entry => world.entriesGone.push({ at: name, gone: entry.name }),
+    });
+    const node = { name, clock, connection, adopted, control };
+    world.entries.set(name, node);
+    return node;
+}
+
+/** Starts an agent. */
+export function startAgentNode(world: ControlWorld, name: string, seeds: string[]): AgentNode {
+    const clock = createFreezableClock(world.clock);
+    const adopted: number[] = [];
+    const serving: AgentNode["serving"] = { state: "serving", sequence: 0 };
+    const configuration = startAgentConfigurationTask({
+        clock,
+        log: silentLog,
+        fetch: (entry, afterRevision) => clock.deliver(fetch(world, name, entry, afterRevision)),
+        announce: () => announcement.send({ kind: "announce" }),
+        adopted: ({ revision }) => adopted.push(revision),
+    });
+    const report = async (): Promise<Report> => ({
+        name,
+        incarnation: "one",
+        sequence: serving.sequence++,
+        address: name,
+        availabilityZone: "windhoek",
+        server: "runner",
+        state: serving.state,
+        configurationRevision: adopted.at(-1) ?? 0,
+        gangs: [],
+        usage: [],
+    });
+    const announcement = startAnnouncementTask({
+        seeds,
+        reportIntervalMs: 2_000,
+        clock,
+        log: silentLog,
+        random: world.random,
+        report,
+        send: (entry, message) =>
+            clock.deliver(call<ReportReply>(world, name, entry, node => node.control.announce(message))),
+        replied: (entry, reply, askedAt) =>
+            configuration.send({
+                kind: "learned",
+                entry,
+                askedAt,
+                revision: reply.configurationRevision,
+                confirmedAgoMs: reply.configurationConfirmedAgoMs,
+            }),
+    });
+    const node = { name, clock, adopted, configuration, announcement, serving };
+    world.agents.set(name, node);
+    return node;
+}
+
+/** Ends an entry as SIGKILL does; nothing is told to anybody. */
+export async function killEntry(world: ControlWorld, name: string): Promise<void> {
+    const node = world.entries.get(name);
+    world.entries.delete(name);
+    node?.connection.fault("down");
+    node?.clock.freeze();
+}
+
+/** Applies a document through an entry. */
+export async function applyAt(
+    world: ControlWorld,
+    name: string,
+    change: { expectedRevision: number; changeId: string; policy?: UnreachablePolicy },
+): Promise<Either<Failure, AcceptedChange>> {
+    const node = world.entries.get(name)!;
+    const text = JSON.stringify({
+        clientAccounts: [],
+        kinds: [],
+        racks: [],
+        weights: { completionTime: 1, fragmentation: 1 },
+        whenPlatformUnreachable: change.policy ?? "refuse",
+    });
+    const target = { store: node.connection.store, environment: ENVIRONMENT, now: world.clock.wall };
+    const result = await applyDocument(target, { ...change, text });
+    result.ifRight(({ configuration }) => {
+        if (configuration) {
+            node.control.configuration.send({ kind: "offer", configuration });
+        }
+    });
+    return result;
+}
+
+/** What an entry says to new work now. A frozen entry says nothing. */
+export function admit(node: EntryNode): Promise<Either<Failure, Configuration>> {
+    return node.control.configuration.ask(reply => ({ kind: "admit", reply }));
+}
+
+/** What an agent says to a call that carries a revision. */
+export function requireAt(node: AgentNode, revision: number): Promise<Either<Failure, Configuration>> {
+    return node.configuration.ask(reply => ({ kind: "require", revision, reply }));
+}
+
+/** Drains an agent through an entry, as the operators' route does. */
+export function drainAt(
+    world: ControlWorld,
+    entry: string,
+    agent: string,
+    replyLost: boolean,
+): Promise<Either<Failure, unknown>> {
+    const { membership } = world.entries.get(entry)!.control;
+    return drainAgent(
+        {
+            find: name => membership.ask(reply => ({ kind: "find", agent: name, reply })),
+            async drain(address) {
+                const node = world.agents.get(address)!;
+                node.serving.state = "draining";
+                node.announcement.send({ kind: "announce" });
+                return replyLost ? Left(unreachable("may-have-run")) : Right({ draining: true });
+            },
+            drained: name => membership.send({ kind: "drained", agent: name }),
+        },
+        agent,
+    );
+}
+
+/** An entry's view of an agent. */
+export function viewOf(node: EntryNode, agent: string): Promise<AgentView | undefined> {
+    return node.control.membership.ask(reply => ({ kind: "find", agent, reply }));
+}
+
+/** Holds replies and changes back while the process is frozen. */
+function gateStore(store: Store, clock: FreezableClock): Store {
+    return {
+        get: key => clock.deliver(store.get(key)),
+        list: prefix => clock.deliver(store.list(prefix)),
+        write: writes => clock.deliver(store.write(writes)),
+        grantLease: seconds => clock.deliver(store.grantLease(seconds)),
+        renewLease: lease => clock.deliver(store.renewLease(lease)),
+        revokeLease: lease => clock.deliver(store.revokeLease(lease)),
+        watch: (prefix, changed, ended) =>
+            store.watch(
+                prefix,
+                () => clock.run(changed),
+                () => clock.run(ended),
+            ),
+        close: () => store.close(),
+    };
+}
+
+function status(node: EntryNode): Promise<ConfigurationStatus> {
+    return node.control.configuration.ask(reply => ({ kind: "own-status", reply }));
+}
+
+async function fetch(
+    world: ControlWorld,
+    from: string,
+    to: string,
+    afterRevision: number,
+): Result<Configuration | undefined> {
+    const delayMs = world.fetchDelayMs;
+    const result = await call<Configuration | undefined>(world, from, to, async node => {
+        const held = await node.control.configuration.ask<Configuration | undefined>(reply => ({
+            kind: "get",
+            reply,
+        }));
+        return held && held.revision > afterRevision ? held : undefined;
+    });
+    if (delayMs > 0) {
+        await new Promise<void>(resolve => void world.clock.startTimer(delayMs, resolve));
+    }
+    return result;
+}
+
+/** Calls an entry; a cut connection or a frozen process is noticed by the time limit. */
+async function call<T>(
+    world: ControlWorld,
+    from: string,
+    to: string,
+    serve: (node: EntryNode) => Promise<T>,
+): Result<T> {
+    const node = world.entries.get(to);
+    if (!node) {
+        return Left(unreachable("not-run"));
+    }
+    const expired = new Promise<Either<Failure, T>>(resolve => {
+        world.clock.startTimer(CALL_TIMEOUT_MS, () => resolve(Left(unreachable("may-have-run"))));
+    });
+    if (world.cut.has(from) || world.cut.has(to)) {
+        return expired;
+    }
+    const arrived = node.clock.deliver(Promise.resolve());
+    return Promise.race([expired, arrived.then(() => serve(node)).then(value => Right<T, Failure>(value))]);
+}
+
+function unreachable(verdict: "not-run" | "may-have-run"): Failure {
+    return failure(verdict, "unreachable", "The call failed.");
+}
