--- a/packages/tanagerdeck/src/entry/testing/controlWorld.ts
+++ b/packages/tanagerdeck/src/entry/testing/controlWorld.ts
@@ -1,9 +1,11 @@
 import { Left, Right, type Either } from "purify-ts/Either";
+import { startRunnerTask, type RunnerMessage } from "@tanagerdeck/backend/runner/runnerTask";
 import type { Configuration, UnreachablePolicy } from "@tanagerdeck/decisions/document/documentTypes";
 import type { Registration } from "@tanagerdeck/decisions/fleet/entryPresence";
 import type { Report, ReportReply, ServingState } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
-import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { failure, type Failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { applyDocument, type AcceptedChange } from "@tanagerdeck/operator/document/applyDocument";
 import { drainAgent } from "@tanagerdeck/operator/drain/drainAgent";
 import {
@@ -48,6 +50,7 @@
     adopted: number[];
     configuration: Task<AgentConfigurationMessage>;
     announcement: Task<AnnouncementMessage>;
+    runner: Task<RunnerMessage>;
     serving: { state: ServingState; sequence: number };
 }
 
@@ -119,6 +122,12 @@
         announce: () => announcement.send({ kind: "announce" }),
         adopted: ({ revision }) => adopted.push(revision),
     });
+    const runner = startRunnerTask({
+        slots: 8,
+        clock,
+        log: silentLog,
+        run: async () => ({ kind: "answer", verdict: "ran", answer: { body: "", length: 0, digest: "" } }),
+    });
     const report = async (): Promise<Report> => ({
         name,
         incarnation: "one",
@@ -149,7 +158,7 @@
                 confirmedAgoMs: reply.configurationConfirmedAgoMs,
             }),
     });
-    const node = { name, clock, adopted, configuration, announcement, serving };
+    const node = { name, clock, adopted, configuration, announcement, runner, serving };
     world.agents.set(name, node);
     return node;
 }
@@ -209,6 +218,7 @@
             find: name => membership.ask(reply => ({ kind: "find", agent: name, reply })),
             async drain(address) {
                 const node = world.agents.get(address)!;
+                node.runner.send({ kind: "drain" });
                 node.serving.state = "draining";
                 node.announcement.send({ kind: "announce" });
                 return replyLost ? Left(unreachable("may-have-run")) : Right({ draining: true });
@@ -219,6 +229,24 @@
     );
 }
 
+/** Sends a request to an agent's runner task, as an entry with a stale view does. */
+export async function submitAt(node: AgentNode, id: string): Promise<Outcome | undefined> {
+    const progress = await node.runner.ask<Progress>(reply => ({
+        kind: "submit",
+        request: {
+            id,
+            clientAccount: "counter",
+            kind: "quote",
+            priority: "urgent",
+            repeatable: true,
+            remainingMs: 5_000,
+            body: "",
+        },
+        reply,
+    }));
+    return progress.kind === "done" ? progress.outcome : undefined;
+}
+
 /** An entry's view of an agent. */
 export function viewOf(node: EntryNode, agent: string): Promise<AgentView | undefined> {
     return node.control.membership.ask(reply => ({ kind: "find", agent, reply }));
