--- a/packages/platform/src/registration/registrationTask.ts
+++ b/packages/platform/src/registration/registrationTask.ts
@@ -26,7 +26,7 @@
 /** Messages of the registration task. */
 export type RegistrationMessage =
     | { kind: "renew" }
-    | { kind: "renewed"; askedAt: number; result: Either<Failure, string | undefined> }
+    | { kind: "renewed"; result: Either<Failure, string | undefined> }
     | { kind: "list" }
     | { kind: "listed"; result: Either<Failure, Registration[]> }
     /** The other entries that are registered or were until a moment ago. */
@@ -51,8 +51,6 @@
 
 interface State {
     lease: string | undefined;
-    /** Monotonic time of the call that last renewed the lease. */
-    renewedAt: number;
     present: Map<string, EntryPresence>;
     listing: boolean;
     options: RegistrationOptions;
@@ -69,7 +67,7 @@
 export function startRegistrationTask(options: RegistrationOptions): Task<RegistrationMessage> {
     const task = startTask<State, RegistrationMessage>({
         name: "registration",
-        state: { lease: undefined, renewedAt: 0, present: new Map(), listing: false, options },
+        state: { lease: undefined, present: new Map(), listing: false, options },
         handlers,
         clock: options.clock,
         report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
@@ -87,28 +85,21 @@
 
 const handlers: Handlers<State, RegistrationMessage> = {
     renew(state, _message, context) {
-        const askedAt = context.clock.now();
-        if (askedAt - state.renewedAt > REGISTRATION_LEASE_SECONDS * 1_000) {
-            state.lease = undefined;
-        }
         const { lease, options } = state;
         context.start(
             () => (lease === undefined ? register(options) : renew(options.store, lease)),
-            result => ({ kind: "renewed", askedAt, result }),
+            result => ({ kind: "renewed", result }),
         );
     },
-    renewed(state, { askedAt, result }, context) {
+    renewed(state, { result }, context) {
         result.ifLeft(problem => warn(state, problem));
         result.ifRight(lease => {
             if (lease === undefined) {
                 state.options.log.warn("The lease of the registration had expired.");
             }
             state.lease = lease;
-            state.renewedAt = askedAt;
         });
-        const expired = result.isRight() && state.lease === undefined;
-        const delay = expired ? 0 : jitteredInterval(RENEW_INTERVAL_MS, state.options.random);
-        context.after(delay, { kind: "renew" });
+        context.after(jitteredInterval(RENEW_INTERVAL_MS, state.options.random), { kind: "renew" });
     },
     list(state, _message, context) {
         context.start(
--- /dev/null
+++ b/packages/platform/src/usage/usageTask.spec.ts
@@ -0,0 +1,102 @@
+import { expect } from "chai";
+import type { UsageCounter } from "@tanagerdeck/decisions/fleet/reportTypes";
+import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { silentLog } from "@tanagerdeck/runtime/log/log";
+import { createMemoryPlatform, type MemoryPlatform } from "@tanagerdeck/standins/platform/memoryPlatform";
+import { startUsageTask, type UsageSummary } from "./usageTask.ts";
+
+const NAMES = ["entry-1", "entry-2"];
+
+describe("the usage record", () => {
+    let clock: ManualClock;
+    let platform: MemoryPlatform;
+
+    beforeEach(() => {
+        clock = createManualClock();
+        platform = createMemoryPlatform(clock);
+    });
+
+    function startEntry(entry: string) {
+        const connection = platform.connect();
+        const store = connection.store;
+        const task = startUsageTask({
+            environment: "trial",
+            entry,
+            store,
+            clock,
+            log: silentLog,
+            random: () => 0.5,
+        });
+        task.send({ kind: "entries", names: NAMES.filter(name => name !== entry) });
+        const report = (agent: string, milliseconds: number, incarnation = "one") =>
+            task.send({ kind: "report", agent, incarnation, counters: [counter(milliseconds)] });
+        const summary = () => task.ask<UsageSummary>(reply => ({ kind: "summarize", reply }));
+        return { task, connection, report, summary };
+    }
+
+    async function stored(): Promise<number> {
+        const listed = await platform.connect().store.list("trial/usage/");
+        return listed.unsafeCoerce().length;
+    }
+
+    describe("with two entries that hear the same agents", () => {
+        it("counts each agent once", async () => {
+            const entries = NAMES.map(startEntry);
+            for (const entry of entries) {
+                for (let agent = 0; agent < 20; agent++) {
+                    entry.report(`agent-${agent}`, 100);
+                }
+            }
+            await clock.advance(130_000);
+            const { totals, complete } = await entries[0]!.summary();
+            expect(complete).to.equal(true);
+            expect(totals).to.deep.equal([
+                { clientAccount: "counter", kind: "quote", milliseconds: 2_000, count: 20 },
+            ]);
+        });
+
+        it("loses nothing when a reply is lost, or when only the other entry heard an incarnation", async () => {
+            const [one, two] = NAMES.map(startEntry);
+            one!.connection.fault("lose-write-reply");
+            one!.report("agent-1", 100);
+            two!.report("agent-1", 150);
+            one!.report("agent-1", 120, "two");
+            await clock.advance(70_000);
+            one!.connection.fault("none");
+            await clock.advance(130_000);
+            const { totals } = await two!.summary();
+            expect(totals[0]?.milliseconds).to.equal(270);
+        });
+    });
+
+    describe("while the platform is down", () => {
+        it("answers from what was reported and says that it is partial, then flushes", async () => {
+            const one = startEntry("entry-1");
+            one.task.send({ kind: "entries", names: [] });
+            one.connection.fault("down");
+            one.report("agent-1", 100);
+            await clock.advance(70_000);
+            expect(await one.summary()).to.deep.include({ complete: false });
+            expect(await stored()).to.equal(0);
+            one.connection.fault("none");
+            await clock.advance(70_000);
+            expect(await stored()).to.equal(1);
+        });
+    });
+
+    describe("after every entry was replaced", () => {
+        it("still shows what was flushed", async () => {
+            const one = startEntry("entry-1");
+            one.task.send({ kind: "entries", names: [] });
+            one.report("agent-1", 100);
+            await clock.advance(70_000);
+            await one.task.stop();
+            const { totals } = await startEntry("entry-2").summary();
+            expect(totals[0]?.milliseconds).to.equal(100);
+        });
+    });
+});
+
+function counter(milliseconds: number): UsageCounter {
+    return { clientAccount: "counter", kind: "quote", milliseconds, count: 1 };
+}
--- a/packages/platform/src/usage/usageTask.ts
+++ b/packages/platform/src/usage/usageTask.ts
@@ -23,6 +23,11 @@
 import type { Store } from "../store/storeTypes.ts";
 
 const FLUSH_INTERVAL_MS = 60_000;
+/**
+ * An entry flushes another's bucket after this many intervals: an agent may have died after it reported to this
+ * entry only. The record is written only if it lacks something.
+ */
+const FLUSHES_LEFT_TO_OTHERS = 1;
 const WRITE_ATTEMPTS = 3;
 
 /** Use of the environment. `complete` is false if the platform could not be read. */
@@ -53,8 +58,8 @@
 interface State {
     /** Counters of each bucket, from reports and from the platform. */
     known: Map<number, UsageTable>;
-    /** Buckets with counters that this entry has not seen on the platform. */
-    unflushed: Set<number>;
+    /** Buckets with counters that this entry has not seen on the platform, and the flushes left to another entry. */
+    unflushed: Map<number, number>;
     entries: string[];
     options: UsageOptions;
 }
@@ -63,7 +68,7 @@
 export function startUsageTask(options: UsageOptions): Task<UsageMessage> {
     const task = startTask<State, UsageMessage>({
         name: "usage",
-        state: { known: new Map(), unflushed: new Set(), entries: [options.entry], options },
+        state: { known: new Map(), unflushed: new Map(), entries: [options.entry], options },
         handlers,
         clock: options.clock,
         report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
@@ -77,23 +82,26 @@
         if (counters.length > 0) {
             const bucket = bucketOf(agent, textHash);
             merge(state, bucket, tableOfReport(agent, incarnation, counters));
-            state.unflushed.add(bucket);
+            state.unflushed.set(bucket, state.unflushed.get(bucket) ?? 0);
         }
     },
     entries(state, message) {
         state.entries = [state.options.entry, ...message.names];
     },
     flush(state, _message, context) {
-        for (const bucket of state.unflushed) {
-            if (flusherOf(bucket, state.entries, textHash) === state.options.entry) {
+        for (const [bucket, left] of state.unflushed) {
+            const own = flusherOf(bucket, state.entries, textHash) === state.options.entry;
+            if (own || left >= FLUSHES_LEFT_TO_OTHERS) {
                 flush(state, bucket, context);
+                continue;
             }
+            state.unflushed.set(bucket, left + 1);
         }
         context.after(jitteredInterval(FLUSH_INTERVAL_MS, state.options.random), { kind: "flush" });
     },
     flushed(state, { bucket, result }) {
         result.ifLeft(problem => {
-            state.unflushed.add(bucket);
+            state.unflushed.set(bucket, 0);
             state.options.log.warn("A usage record was not written.", { bucket, detail: problem.detail });
         });
         result.ifRight(stored => merge(state, bucket, stored));
