--- /dev/null
+++ b/packages/operator/src/drain/drainRoutes.ts
@@ -0,0 +1,14 @@
+import type { Routes } from "@tanagerdeck/runtime/http/routes";
+import { sendResult } from "../listener/operatorBody.ts";
+import { drainAgent, type DrainOperations } from "./drainAgent.ts";
+
+/** Routes that drain backend servers. */
+export function createDrainRoutes(operations: DrainOperations): Routes<undefined> {
+    return {
+        async "POST /v1/drain"({ segments, request, response }) {
+            request.resume();
+            const [agent = ""] = segments;
+            sendResult(response, await drainAgent(operations, agent));
+        },
+    };
+}
--- /dev/null
+++ b/packages/peer/src/configuration/agentConfigurationTask.ts
@@ -0,0 +1,218 @@
+import { Left, Right, type Either } from "purify-ts/Either";
+import { newerConfiguration } from "@tanagerdeck/decisions/document/configurationRevision";
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import { workRefusal } from "@tanagerdeck/decisions/document/workRefusal";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import {
+    startTask,
+    type Handlers,
+    type Reply,
+    type Task,
+    type TaskContext,
+} from "@tanagerdeck/runtime/task/task";
+
+/** A call that carries a newer revision waits this long for the agent to fetch it. */
+const REQUIRE_LIMIT_MS = 1_000;
+
+/** Messages of an agent's configuration holder. */
+export type AgentConfigurationMessage =
+    /** An entry answered a report that was sent at `askedAt`. */
+    | {
+          kind: "learned";
+          entry: string;
+          askedAt: number;
+          revision: number;
+          confirmedAgoMs: number | undefined;
+      }
+    | { kind: "fetched"; entry: string; result: Either<Failure, Configuration | undefined> }
+    /** A call of an entry carries this revision; the reply says whether the call may be served. */
+    | { kind: "require"; revision: number; reply: Reply<Either<Failure, Configuration>> }
+    | { kind: "require-end"; waiting: Waiting }
+    | { kind: "get"; reply: Reply<Configuration | undefined> };
+
+/** A call that waits for a newer configuration. */
+export interface Waiting {
+    revision: number;
+    reply: Reply<Either<Failure, Configuration>>;
+}
+
+/** Dependencies of an agent's configuration holder. */
+export interface AgentConfigurationOptions {
+    clock: Clock;
+    log: Log;
+    fetch: (entry: string, afterRevision: number) => Promise<Either<Failure, Configuration | undefined>>;
+    /** Announces to the entries at once, so that their answers confirm the revision. */
+    announce: () => void;
+    adopted: (configuration: Configuration) => void;
+}
+
+/** What an entry told last. */
+interface Told {
+    revision: number;
+    askedAt: number;
+}
+
+interface State {
+    current: Configuration | undefined;
+    /** At this monotonic time no revision newer than the held one was accepted. */
+    confirmedAt: number | undefined;
+    /** A confirmation of a revision that is still being fetched. */
+    pending: { revision: number; at: number } | undefined;
+    entries: Map<string, Told>;
+    fetching: Set<string>;
+    waiting: Set<Waiting>;
+    options: AgentConfigurationOptions;
+}
+
+type Context = TaskContext<AgentConfigurationMessage>;
+
+/** Starts the task that holds an agent's configuration and fetches newer ones from the entries. */
+export function startAgentConfigurationTask(
+    options: AgentConfigurationOptions,
+): Task<AgentConfigurationMessage> {
+    return startTask<State, AgentConfigurationMessage>({
+        name: "agent-configuration",
+        state: {
+            current: undefined,
+            confirmedAt: undefined,
+            pending: undefined,
+            entries: new Map(),
+            fetching: new Set(),
+            waiting: new Set(),
+            options,
+        },
+        handlers,
+        clock: options.clock,
+        report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
+    });
+}
+
+const handlers: Handlers<State, AgentConfigurationMessage> = {
+    learned(state, { entry, askedAt, revision, confirmedAgoMs }, context) {
+        state.entries.set(entry, { revision, askedAt });
+        if (confirmedAgoMs !== undefined) {
+            confirm(state, revision, askedAt - confirmedAgoMs);
+        }
+        if (revision > held(state)) {
+            fetch(state, entry, context);
+        }
+        answerWaiting(state, context);
+    },
+    fetched(state, { entry, result }, context) {
+        state.fetching.delete(entry);
+        result.ifLeft(problem => state.options.log.warn("A fetch failed.", { detail: problem.detail }));
+        result.ifRight(configuration => adopt(state, configuration));
+        answerWaiting(state, context);
+    },
+    require(state, { revision, reply }, context) {
+        const waiting: Waiting = { revision, reply };
+        const answer = answerNow(state, revision, context.clock.now());
+        if (answer) {
+            reply(answer);
+            return;
+        }
+        state.waiting.add(waiting);
+        context.after(REQUIRE_LIMIT_MS, { kind: "require-end", waiting });
+        if (revision > held(state)) {
+            fetchFromAll(state, context);
+            return;
+        }
+        state.options.announce();
+    },
+    "require-end"(state, { waiting }) {
+        if (state.waiting.delete(waiting)) {
+            waiting.reply(Left(refusal(state.current, "agent")));
+        }
+    },
+    get(state, message) {
+        message.reply(state.current);
+    },
+};
+
+function held(state: State): number {
+    return state.current?.revision ?? 0;
+}
+
+/** The entries that announced the newest revision come first; all are asked, since any of them may be cut off. */
+function fetchFromAll(state: State, context: Context): void {
+    const entries = [...state.entries.entries()].sort(([, a], [, b]) => b.revision - a.revision);
+    for (const [entry] of entries) {
+        fetch(state, entry, context);
+    }
+}
+
+function fetch(state: State, entry: string, context: Context): void {
+    if (state.fetching.has(entry)) {
+        return;
+    }
+    state.fetching.add(entry);
+    context.start(
+        () => state.options.fetch(entry, held(state)),
+        result => ({ kind: "fetched", entry, result }),
+    );
+}
+
+function adopt(state: State, offered: Configuration | undefined): void {
+    const next = newerConfiguration(state.current, offered);
+    if (!next || next === state.current) {
+        return;
+    }
+    state.current = next;
+    state.options.log.info("A configuration was adopted.", { revision: next.revision });
+    state.options.adopted(next);
+    const { pending } = state;
+    if (pending && pending.revision <= next.revision) {
+        state.pending = undefined;
+        confirm(state, pending.revision, pending.at);
+    }
+}
+
+/** At `at` no revision newer than `revision` was accepted. */
+function confirm(state: State, revision: number, at: number): void {
+    if (revision > held(state)) {
+        state.pending = { revision, at };
+        return;
+    }
+    if (state.confirmedAt === undefined || at > state.confirmedAt) {
+        state.confirmedAt = at;
+    }
+}
+
+/** The answer to a call that carries a revision; undefined while the agent is behind it or unconfirmed. */
+function answerNow(state: State, revision: number, now: number): Either<Failure, Configuration> | undefined {
+    const { current, confirmedAt } = state;
+    if (revision < held(state)) {
+        return Left(refusal(current, "entry"));
+    }
+    if (!current) {
+        return revision === 0 ? Left(refusal(current, "entry")) : undefined;
+    }
+    const others = [...state.entries.values()].map(({ askedAt }) => ({
+        heardAgoMs: now - askedAt,
+        platformReachable: false,
+    }));
+    const confirmedAgoMs = confirmedAt === undefined ? undefined : now - confirmedAt;
+    const behind = revision > current.revision || workRefusal(current, confirmedAgoMs, others);
+    return behind ? undefined : Right(current);
+}
+
+function answerWaiting(state: State, context: Context): void {
+    for (const waiting of state.waiting) {
+        const answer = answerNow(state, waiting.revision, context.clock.now());
+        if (answer) {
+            state.waiting.delete(waiting);
+            waiting.reply(answer);
+        }
+    }
+}
+
+function refusal(current: Configuration | undefined, behind: "entry" | "agent"): Failure {
+    if (!current) {
+        return failure("not-run", "no-configuration", "The agent knows no configuration yet.");
+    }
+    const problem = behind === "entry" ? "The entry is behind" : "The agent cannot confirm its configuration";
+    const detail = `${problem}; the agent has revision ${current.revision}.`;
+    return failure("not-run", "stale-configuration", detail);
+}
