Drop the environment field from documents built in tests and benches

Cause: the environment now comes from the settings, so that the same bytes serve trial and production; tests written in parallel still set the field.

--- a/packages/decisions/src/binding/binding.spec.ts
+++ b/packages/decisions/src/binding/binding.spec.ts
@@ -35,7 +35,6 @@
 function documentOf(racks: Rack[], shapes: Shape[]): Document {
     const quota = { accelerators: 100, requestsPerSecond: 1, waiting: 1 };
     return {
-        environment: "test",
         clientAccounts: shapes.map((shape, index) => ({
             name: `account-${index}`,
             tokenDigests: [],
--- a/packages/decisions/src/placement/placement.spec.ts
+++ b/packages/decisions/src/placement/placement.spec.ts
@@ -20,7 +20,6 @@
 
 function documentOf(guarantees: Record<string, Shape[]>, quota: number): Document {
     return {
-        environment: "test",
         clientAccounts: Object.entries(guarantees).map(([name, shapes]) => ({
             name,
             tokenDigests: [],
--- a/packages/decisions/src/queue/headOfLine.fault.spec.ts
+++ b/packages/decisions/src/queue/headOfLine.fault.spec.ts
@@ -33,7 +33,6 @@
 const GANG_ARRIVES_S = 20;
 
 const DOCUMENT: Document = {
-    environment: "test",
     clientAccounts: ["forecasts", "routes", "owner"].map(name => ({
         name,
         tokenDigests: [],
--- a/scripts/capacity/decisionSlope.ts
+++ b/scripts/capacity/decisionSlope.ts
@@ -99,7 +99,6 @@
 function buildDocument(count: number): Document {
     const guarantees: Shape[] = [{ span: "worker", accelerators: ACCELERATORS_PER_WORKER }];
     return {
-        environment: "capacity",
         clientAccounts: Array.from({ length: ACCOUNTS }, (_, account) => ({
             name: `account-${account}`,
             tokenDigests: [],
