Add the accelerator ledger and the gang types

The ledger decides holds, uses, fences and reclaim without a clock or a transport. Tenure is computed from the current bindings when it is needed, so a task becomes reclaimable as soon as its accelerators are bound to another account. A hold stands beside a use while the use is reclaimed, so that nobody else takes the accelerators when the task ends.

Storing the tenure with each use was ruled out: it would be wrong after a new revision moves a binding.

--- a/packages/decisions/src/fleet/reportTypes.ts
+++ b/packages/decisions/src/fleet/reportTypes.ts
@@ -28,6 +28,24 @@
     gang: string;
     attempt: number;
     state: GangState;
+    end?: GangEnd;
+}
+
+/** Why a gang ended without finishing. */
+export type GangStopReason =
+    "member-lost" | "part-failed" | "reclaimed" | "cancelled" | "time-limit" | "draining";
+
+/** How a gang ended. */
+export interface GangEnd {
+    reason?: GangStopReason;
+    /** False if no part was told to compute. */
+    started: boolean;
+    /** Time for which the gang was known to compute as a whole. */
+    ranMs: number;
+    /** Checkpoints of all parts; absent unless every part wrote one. */
+    checkpoint?: string;
+    /** The member whose loss or failure ended the gang. */
+    lostAgent?: string;
 }
 
 /** State of a gang at its anchor. */
@@ -76,6 +94,6 @@
     entries: string[];
     configurationRevision: number;
     reportIntervalMs: number;
-    /** Ended gangs whose end the entry has recorded; the anchor forgets them. */
+    /** Attempts (`<gang>#<attempt>`) whose end the entry has recorded; the anchor forgets them. */
     recordedGangs: string[];
 }
--- /dev/null
+++ b/packages/decisions/src/gang/jobAdmission.ts
@@ -0,0 +1,66 @@
+import type { ClientAccount, Document, Kind, Rack, Shape } from "../document/documentTypes.ts";
+import { failure, type Failure } from "../verdict/verdictTypes.ts";
+
+/** A job as its caller declares it. */
+export interface JobDeclaration {
+    clientAccount: string;
+    kind: string;
+    shape: Shape;
+    seconds: number;
+    bodyBytes: number;
+}
+
+/** The registered gang kind of a declaration. */
+export function findGangKind(document: Document, declaration: JobDeclaration): Kind | undefined {
+    for (const kind of document.kinds) {
+        const usable = kind.form === "gang" && kind.clientAccounts.includes(declaration.clientAccount);
+        if (usable && kind.name === declaration.kind) {
+            return kind;
+        }
+    }
+    return undefined;
+}
+
+/** Why a job can never run under this document, whatever else is running; undefined if it can. */
+export function jobRefusal(document: Document, declaration: JobDeclaration): Failure | undefined {
+    const kind = findGangKind(document, declaration);
+    if (!kind) {
+        return failure("not-run", "invalid", "The gang kind is not registered for this client account.");
+    }
+    const { shape, seconds, bodyBytes } = declaration;
+    const { limits } = kind;
+    if (seconds > limits.seconds || bodyBytes > limits.bytes || shape.accelerators > limits.accelerators) {
+        return failure("not-run", "limit-exceeded", "The job is over the limits of its kind.");
+    }
+    const account = findAccount(document, declaration.clientAccount);
+    if (!account || shape.accelerators > account.quota.accelerators) {
+        return failure("not-run", "infeasible", "The job is over the client account's accelerator quota.");
+    }
+    if (shape.accelerators > largestShape(document.racks, shape)) {
+        return failure("not-run", "infeasible", "No declared hardware has this shape.");
+    }
+    return undefined;
+}
+
+/** The client account of this name. */
+export function findAccount(document: Document, name: string): ClientAccount | undefined {
+    return document.clientAccounts.find(account => account.name === name);
+}
+
+/** Accelerators of the largest shape with this span on the declared hardware. */
+function largestShape(racks: Rack[], shape: Shape): number {
+    let largest = 0;
+    for (const [position, rack] of racks.entries()) {
+        const size = rack.workers * rack.acceleratorsPerWorker;
+        const next = racks[position + 1];
+        const neighbour = next?.availabilityZone === rack.availabilityZone ? next : undefined;
+        const bySpan: Record<Shape["span"], number> = {
+            worker: rack.acceleratorsPerWorker,
+            rack: size,
+            "neighbouring-racks":
+                size + (neighbour ? neighbour.workers * neighbour.acceleratorsPerWorker : 0),
+        };
+        largest = Math.max(largest, bySpan[shape.span]);
+    }
+    return largest;
+}
--- /dev/null
+++ b/packages/decisions/src/ledger/ledger.ts
@@ -0,0 +1,208 @@
+import type { Binding } from "../document/documentTypes.ts";
+import type { AcceleratorState } from "../fleet/reportTypes.ts";
+import type { GangReference, Reservation } from "../gang/gangTypes.ts";
+import type { BoundAccounts, Fence, Ledger, LedgerContext, LedgerSlot, Use } from "./ledgerTypes.ts";
+
+/** Result of a reservation. `displaced` are the attempts whose tasks must end first. */
+export type ReserveDecision =
+    | { kind: "granted"; ledger: Ledger }
+    | { kind: "reclaiming"; ledger: Ledger; displaced: GangReference[] }
+    | { kind: "refused"; ledger: Ledger; reason: "stale" | "occupied" | "invalid" };
+
+/** A delayed message older than this cannot arrive, since every call has a time limit. */
+const FENCE_RETENTION_MS = 3_600_000;
+
+/** A ledger of free accelerators. */
+export function createLedger(accelerators: number): Ledger {
+    return { slots: Array.from({ length: accelerators }, () => ({})), fences: new Map() };
+}
+
+/** The account that each accelerator of one worker is bound to. */
+export function boundAccounts(
+    bindings: Binding[],
+    rack: string,
+    slot: number,
+    accelerators: number,
+): BoundAccounts {
+    const bound: BoundAccounts = Array.from({ length: accelerators }, () => undefined);
+    for (const binding of bindings) {
+        for (const accelerator of binding.accelerators) {
+            if (accelerator.rack === rack && accelerator.slot === slot) {
+                bound[accelerator.index] = binding.clientAccount;
+            }
+        }
+    }
+    return bound;
+}
+
+/** Grants, renews or refuses a reservation of all its accelerators together. */
+export function reserve(ledger: Ledger, request: Reservation, context: LedgerContext): ReserveDecision {
+    const fence = ledger.fences.get(request.gang);
+    if (fence && (request.attempt < fence.highest || request.attempt <= fence.closed)) {
+        return { kind: "refused", ledger, reason: "stale" };
+    }
+    const indexes = new Set(request.indexes);
+    if (indexes.size !== request.indexes.length || indexes.size === 0) {
+        return { kind: "refused", ledger, reason: "invalid" };
+    }
+    const displaced = new Map<string, GangReference>();
+    for (const index of indexes) {
+        const slot = ledger.slots[index];
+        if (!slot) {
+            return { kind: "refused", ledger, reason: "invalid" };
+        }
+        if (!holdGivesWay(slot, index, request, context) || !useGivesWay(slot, index, request, context)) {
+            return { kind: "refused", ledger, reason: "occupied" };
+        }
+        if (slot.use) {
+            displaced.set(slot.use.gang, { gang: slot.use.gang, attempt: slot.use.attempt });
+        }
+    }
+    const { gang, attempt, clientAccount, guaranteed, holdMs } = request;
+    const hold = { gang, attempt, clientAccount, guaranteed, expiresAt: context.now + holdMs };
+    const slots = ledger.slots.map((slot, index) => {
+        if (indexes.has(index)) {
+            return { ...slot, hold };
+        }
+        return slot.hold?.gang === gang ? { use: slot.use } : slot;
+    });
+    const held = { slots, fences: withFence(ledger, request, context.now, false) };
+    if (displaced.size > 0) {
+        return { kind: "reclaiming", ledger: held, displaced: [...displaced.values()] };
+    }
+    return { kind: "granted", ledger: held };
+}
+
+/** Turns an attempt's holds into uses; undefined if a hold has expired or a displaced task still runs. */
+export function occupy(ledger: Ledger, reference: GangReference, now: number): Ledger | undefined {
+    if (isClosed(ledger, reference)) {
+        return undefined;
+    }
+    let occupied = 0;
+    const slots: LedgerSlot[] = [];
+    for (const slot of ledger.slots) {
+        const { hold } = slot;
+        if (!hold || !isSame(hold, reference)) {
+            slots.push(slot);
+            continue;
+        }
+        if (hold.expiresAt <= now || slot.use) {
+            return undefined;
+        }
+        const { gang, attempt, clientAccount, guaranteed } = hold;
+        slots.push({ use: { gang, attempt, clientAccount, guaranteed } });
+        occupied++;
+    }
+    return occupied === 0 ? undefined : { ...ledger, slots };
+}
+
+/** Drops the holds of an attempt and refuses it from then on; its uses remain until `vacate`. */
+export function close(ledger: Ledger, reference: GangReference, now: number): Ledger {
+    const slots = ledger.slots.map(slot => {
+        const { hold } = slot;
+        const ended = hold?.gang === reference.gang && hold.attempt <= reference.attempt;
+        return ended ? { use: slot.use } : slot;
+    });
+    return { slots, fences: withFence(ledger, reference, now, true) };
+}
+
+/** Frees the accelerators of an attempt whose tasks have ended. */
+export function vacate(ledger: Ledger, reference: GangReference): Ledger {
+    const slots = ledger.slots.map(slot =>
+        slot.use && isSame(slot.use, reference) ? { hold: slot.hold } : slot,
+    );
+    return { ...ledger, slots };
+}
+
+/** True if the attempt is refused. */
+export function isClosed(ledger: Ledger, reference: GangReference): boolean {
+    const fence = ledger.fences.get(reference.gang);
+    return fence !== undefined && (reference.attempt <= fence.closed || reference.attempt < fence.highest);
+}
+
+/** Accelerator indexes that an attempt uses. */
+export function usedIndexes(ledger: Ledger, reference: GangReference): number[] {
+    const indexes: number[] = [];
+    for (const [index, { use }] of ledger.slots.entries()) {
+        if (use && isSame(use, reference)) {
+            indexes.push(index);
+        }
+    }
+    return indexes;
+}
+
+/** True if nobody may reclaim the use: it is on its account's binding, or guaranteed on an unbound accelerator. */
+export function isOwned(use: Use, index: number, bound: BoundAccounts): boolean {
+    const owner = bound[index];
+    return owner === undefined ? use.guaranteed : owner === use.clientAccount;
+}
+
+/** The accelerators as entries see them. */
+export function acceleratorStates(ledger: Ledger, context: LedgerContext): AcceleratorState[] {
+    return ledger.slots.map(({ hold, use }, index): AcceleratorState => {
+        if (hold && hold.expiresAt > context.now) {
+            return { kind: "held", clientAccount: hold.clientAccount };
+        }
+        if (use) {
+            const reclaimable = !isOwned(use, index, context.bound);
+            return { kind: "used", clientAccount: use.clientAccount, reclaimable };
+        }
+        return { kind: "free" };
+    });
+}
+
+function isSame(a: GangReference, b: GangReference): boolean {
+    return a.gang === b.gang && a.attempt === b.attempt;
+}
+
+/** True if the request may displace what is borrowed on this accelerator. */
+function isEntitled(request: Reservation, index: number, bound: BoundAccounts): boolean {
+    const owner = bound[index];
+    return owner === undefined ? request.guaranteed : owner === request.clientAccount;
+}
+
+function holdGivesWay(
+    slot: LedgerSlot,
+    index: number,
+    request: Reservation,
+    context: LedgerContext,
+): boolean {
+    const { hold } = slot;
+    if (!hold || hold.expiresAt <= context.now || hold.gang === request.gang) {
+        return true;
+    }
+    return isEntitled(request, index, context.bound) && !isOwned(hold, index, context.bound);
+}
+
+/** A lower attempt of the same gang always gives way: its coordinator has been replaced. */
+function useGivesWay(slot: LedgerSlot, index: number, request: Reservation, context: LedgerContext): boolean {
+    const { use } = slot;
+    if (!use) {
+        return true;
+    }
+    if (use.gang === request.gang) {
+        return use.attempt < request.attempt;
+    }
+    return isEntitled(request, index, context.bound) && !isOwned(use, index, context.bound);
+}
+
+function withFence(
+    ledger: Ledger,
+    reference: GangReference,
+    now: number,
+    closed: boolean,
+): Map<string, Fence> {
+    const fences = new Map<string, Fence>();
+    for (const [gang, fence] of ledger.fences) {
+        if (now - fence.touchedAt < FENCE_RETENTION_MS) {
+            fences.set(gang, fence);
+        }
+    }
+    const known = fences.get(reference.gang);
+    fences.set(reference.gang, {
+        highest: Math.max(known?.highest ?? 0, reference.attempt),
+        closed: closed ? Math.max(known?.closed ?? 0, reference.attempt) : (known?.closed ?? 0),
+        touchedAt: now,
+    });
+    return fences;
+}
