Add the worker task: parts of gangs under run leases and task leases

The task owns the ledger, the worker client and the task leases. A lease on the worker never reaches beyond the part's run lease, so a part of a dead or frozen agent ends in time without anybody's help. Accelerators become free when the worker confirms the removal, or when the last lease that any call could have given has run out.

Run leases count from a stamp of the member's own clock, taken when it last confirmed. A lease counted from the arrival of the renewal was ruled out: a delayed renewal would extend it by the delay, beyond the 4 s limit.

--- /dev/null
+++ b/packages/backend/src/worker/partLease.ts
@@ -0,0 +1,104 @@
+import type { PartReply } from "@tanagerdeck/decisions/gang/gangTypes";
+import { TASK_CALL_TIMEOUT_MS, type WorkerReply, type WorkerTaskView } from "./workerClient.ts";
+import { losePart, noteOutcome } from "./partEnd.ts";
+import type { Part, WorkerContext, WorkerState } from "./workerTypes.ts";
+
+/** Lease of a task on the worker. */
+export const TASK_LEASE_MS = 1_500;
+/** Interval of the renewals of task leases. */
+export const TASK_RENEW_INTERVAL_MS = 500;
+/** A worker without a sign of life for this time has lost its tasks. */
+const WORKER_SILENT_MS = 1_000;
+
+/** Checks a part's lease on the monotonic clock, as the process may have been frozen; false if the part is over. */
+export function checkLease(state: WorkerState, part: Part, context: WorkerContext): boolean {
+    if (part.ending || part.phase === "stopping") {
+        return false;
+    }
+    const now = context.clock.now();
+    if (leaseLeft(part, now) <= 0) {
+        losePart(state, part, "expired", context);
+        return false;
+    }
+    const watched = part.phase === "computing" || part.phase === "prepared";
+    if (watched && now - part.evidenceAt > WORKER_SILENT_MS) {
+        losePart(state, part, "worker-lost", context);
+        return false;
+    }
+    return true;
+}
+
+/** Renews the task's lease on the worker, never beyond the part's own. */
+export function renewTask(state: WorkerState, part: Part, context: WorkerContext): void {
+    const now = context.clock.now();
+    const renewable = part.phase === "stopping" ? part.paused : checkLease(state, part, context);
+    if (part.ending || !renewable || part.phase === "loading" || part.phase === "finished") {
+        return;
+    }
+    const leaseMs = Math.min(TASK_LEASE_MS, leaseLeft(part, now));
+    if (leaseMs <= 0) {
+        return;
+    }
+    part.leaseCalls++;
+    context.start(
+        () => state.options.calls.renew(part.id, leaseMs),
+        reply => ({ kind: "renewed", id: part.id, sentAt: now, leaseMs, reply }),
+    );
+}
+
+/** Takes the answer of a call that gave the task a lease. */
+export function leaseAnswered(
+    part: Part,
+    message: { sentAt: number; leaseMs: number; reply: WorkerReply<WorkerTaskView> },
+    now: number,
+): void {
+    part.leaseCalls--;
+    part.endsBy = Math.max(part.endsBy, now + message.leaseMs);
+    if (message.reply.kind === "ok") {
+        part.evidenceAt = Math.max(part.evidenceAt, message.sentAt);
+    }
+}
+
+/** Takes the task's state from a renewal. */
+export function taskSeen(
+    state: WorkerState,
+    part: Part,
+    message: { sentAt: number; reply: WorkerReply<WorkerTaskView> },
+    context: WorkerContext,
+): void {
+    const { reply, sentAt } = message;
+    if (part.ending || part.phase === "stopping" || part.phase === "finished" || reply.kind === "silent") {
+        return;
+    }
+    if (reply.kind !== "ok") {
+        losePart(state, part, "worker-lost", context);
+        return;
+    }
+    const { state: seen } = reply.value;
+    if (seen === "finished") {
+        part.phase = "finished";
+        noteOutcome(state, "succeeded");
+    }
+    if (seen === "failed") {
+        noteOutcome(state, "failed");
+        losePart(state, part, "failed", context);
+    }
+    if (seen === "loaded" && part.phase === "computing" && sentAt >= part.computingSince) {
+        losePart(state, part, "worker-lost", context);
+    }
+}
+
+/** What the anchor is told about a part. */
+export function confirmation(part: Part, now: number): PartReply {
+    if (part.phase === "stopping") {
+        return { kind: "lost", reason: "stale" };
+    }
+    const staleMs = part.phase === "finished" ? 0 : now - part.evidenceAt;
+    return { kind: "confirmed", state: part.phase, stamp: now, staleMs };
+}
+
+/** Time for which the worker may be given a lease; a call can reach it as late as its time limit. */
+function leaseLeft(part: Part, now: number): number {
+    const end = part.phase === "stopping" ? part.stopBy : part.leaseEnd;
+    return end - now - TASK_CALL_TIMEOUT_MS;
+}
--- /dev/null
+++ b/packages/backend/src/worker/partOrders.ts
@@ -0,0 +1,185 @@
+import {
+    attemptKey,
+    RUN_LEASE_MS,
+    type GangReference,
+    type LeaseOrder,
+    type PartReply,
+    type Preparation,
+    type StopOrder,
+    type StopReply,
+} from "@tanagerdeck/decisions/gang/gangTypes";
+import { close, occupy, usedIndexes } from "@tanagerdeck/decisions/ledger/ledger";
+import { confirmTask, openTask } from "@tanagerdeck/decisions/ledger/usageMeter";
+import type { Reply } from "@tanagerdeck/runtime/task/task";
+import { stopPart } from "./partEnd.ts";
+import { checkLease, confirmation, TASK_LEASE_MS } from "./partLease.ts";
+import type { Part, WorkerContext, WorkerState } from "./workerTypes.ts";
+
+/** Loads a part on held accelerators without computing, or renews the permission to keep it loaded. */
+export function preparePart(
+    state: WorkerState,
+    preparation: Preparation,
+    reply: Reply<PartReply>,
+    context: WorkerContext,
+): void {
+    const now = context.clock.now();
+    const known = state.parts.get(attemptKey(preparation));
+    if (!known) {
+        const part = loadPart(state, preparation, context);
+        reply(part ? confirmation(part, now) : lostReply(state, preparation));
+        return;
+    }
+    if (!checkLease(state, known, context)) {
+        reply(lostReply(state, preparation));
+        return;
+    }
+    if (known.phase === "loading" || known.phase === "prepared") {
+        known.leaseEnd = now + RUN_LEASE_MS;
+    }
+    reply(known.reclaimAt === undefined ? confirmation(known, now) : { kind: "lost", reason: "reclaimed" });
+}
+
+/** Lets a prepared part compute; the reply waits for the worker. */
+export function startPart(
+    state: WorkerState,
+    order: LeaseOrder,
+    reply: Reply<PartReply>,
+    context: WorkerContext,
+): void {
+    const part = runnablePart(state, order, reply, context);
+    if (!part) {
+        return;
+    }
+    if (part.phase === "computing" || part.phase === "finished") {
+        reply(confirmation(part, context.clock.now()));
+        return;
+    }
+    if (part.phase === "loading") {
+        reply({ kind: "lost", reason: "stale" });
+        return;
+    }
+    part.startReplies.push(reply);
+    if (part.phase === "starting") {
+        return;
+    }
+    part.leaseEnd = order.stamp + order.leaseMs;
+    part.phase = "starting";
+    if (!checkLease(state, part, context)) {
+        return;
+    }
+    const sentAt = context.clock.now();
+    context.start(
+        () => state.options.calls.throttle(part.id, 1),
+        started => ({ kind: "started", id: part.id, sentAt, reply: started }),
+    );
+}
+
+/** Extends a computing part's lease; its use counts from the first renewal. */
+export function renewPart(
+    state: WorkerState,
+    order: LeaseOrder,
+    reply: Reply<PartReply>,
+    context: WorkerContext,
+): void {
+    const part = runnablePart(state, order, reply, context);
+    if (!part) {
+        return;
+    }
+    const now = context.clock.now();
+    part.leaseEnd = Math.max(part.leaseEnd, order.stamp + order.leaseMs);
+    if (!part.confirmed && part.startedAt !== undefined) {
+        part.confirmed = true;
+        const uncounted = (now - part.startedAt) * part.indexes.length;
+        state.meter = confirmTask(state.meter, part.id, uncounted);
+    }
+    reply(confirmation(part, now));
+}
+
+/** Ends a part and refuses its attempt from then on. */
+export function stopAttempt(
+    state: WorkerState,
+    order: StopOrder,
+    reply: Reply<StopReply>,
+    context: WorkerContext,
+): void {
+    state.ledger = close(state.ledger, order, context.clock.now());
+    const part = state.parts.get(attemptKey(order));
+    if (!part) {
+        reply({ kind: "stopped", checkpoint: state.ended.get(attemptKey(order))?.checkpoint });
+        return;
+    }
+    stopPart(state, part, order.checkpoint, context);
+    reply({ kind: "stopping" });
+}
+
+/** The part if it may go on running; otherwise the anchor gets the reason. */
+function runnablePart(
+    state: WorkerState,
+    order: LeaseOrder,
+    reply: Reply<PartReply>,
+    context: WorkerContext,
+): Part | undefined {
+    const part = state.parts.get(attemptKey(order));
+    if (!part || !checkLease(state, part, context)) {
+        reply(lostReply(state, order));
+        return undefined;
+    }
+    if (part.reclaimAt !== undefined) {
+        reply({ kind: "lost", reason: "reclaimed" });
+        return undefined;
+    }
+    return part;
+}
+
+function lostReply(state: WorkerState, reference: GangReference): PartReply {
+    return { kind: "lost", reason: state.ended.get(attemptKey(reference))?.loss ?? "stale" };
+}
+
+function loadPart(state: WorkerState, preparation: Preparation, context: WorkerContext): Part | undefined {
+    const now = context.clock.now();
+    const { gang, attempt, anchor, task } = preparation;
+    const reference = { gang, attempt };
+    const ledger = occupy(state.ledger, reference, now);
+    if (!ledger) {
+        return undefined;
+    }
+    state.ledger = ledger;
+    const id = attemptKey(reference);
+    const indexes = usedIndexes(ledger, reference);
+    const part: Part = {
+        id,
+        reference,
+        anchor,
+        task,
+        indexes,
+        phase: "loading",
+        leaseEnd: now + RUN_LEASE_MS,
+        evidenceAt: now,
+        endsBy: now,
+        leaseCalls: 1,
+        paused: false,
+        startedAt: undefined,
+        computingSince: 0,
+        confirmed: false,
+        reclaimAt: undefined,
+        stopBy: 0,
+        ending: false,
+        startReplies: [],
+    };
+    state.parts.set(id, part);
+    const { clientAccount, kind } = task;
+    state.meter = openTask(state.meter, id, { clientAccount, kind, openedAt: now });
+    const order = {
+        id,
+        indexes,
+        leaseMs: TASK_LEASE_MS,
+        throttle: 0,
+        checkpoint: task.checkpoint,
+        body: task.body,
+    };
+    context.start(
+        () => state.options.calls.create(order),
+        reply => ({ kind: "created", id, sentAt: now, leaseMs: TASK_LEASE_MS, reply }),
+    );
+    return part;
+}
