Add the anchor task and the gang calls between agents

The anchor works in rounds: a round completes when every member has confirmed, and only a complete round gives the leases of the next one.

Settlements name the anchor's incarnation. Without it, a restarted anchor would answer not-run for a gang that its former incarnation had started.

--- a/packages/backend/src/worker/partOrders.ts
+++ b/packages/backend/src/worker/partOrders.ts
@@ -29,7 +29,8 @@
         reply(part ? confirmation(part, now) : lostReply(state, preparation));
         return;
     }
-    if (!checkLease(state, known, context)) {
+    // Two coordinators that do not know of each other may use the same attempt with different anchors.
+    if (!checkLease(state, known, context) || known.anchor !== preparation.anchor) {
         reply(lostReply(state, preparation));
         return;
     }
--- a/packages/decisions/src/gang/jobTypes.ts
+++ b/packages/decisions/src/gang/jobTypes.ts
@@ -33,8 +33,10 @@
     state: JobState;
     anchor?: JobAnchor;
     checkpoint?: string;
-    /** Time that earlier attempts computed. */
+    /** Time computed up to the checkpoint. */
     ranMs: number;
+    /** True if a part may have computed in any attempt. */
+    started: boolean;
     acceptedAt: number;
     end?: JobEnd;
     /** Identifies the last write, so that a lost reply is resolved by reading back. */
--- /dev/null
+++ b/packages/peer/src/gang/anchorRounds.ts
@@ -0,0 +1,139 @@
+import { leaseGrants } from "@tanagerdeck/decisions/gang/leaseGrant";
+import {
+    RENEW_INTERVAL_MS,
+    RUN_LEASE_MS,
+    type GangMember,
+    type PartReply,
+} from "@tanagerdeck/decisions/gang/gangTypes";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Either } from "purify-ts/Either";
+import { stopGang } from "./anchorStop.ts";
+import type { AnchorContext, AnchorState, Gang, RoundStep } from "./anchorTypes.ts";
+
+/** A round that is not complete after this time ends the gang. */
+export const ROUND_LIMIT_MS = 1_000;
+/** Longest time for loading all parts, including their checkpoints. */
+const PREPARE_LIMIT_MS = 30_000;
+const PREPARE_INTERVAL_MS = 100;
+const RETRY_MS = 50;
+
+/** Calls all members; the round must complete in time, or the gang stops. */
+export function beginRound(state: AnchorState, gang: Gang, step: RoundStep, context: AnchorContext): void {
+    const number = gang.round.number + 1;
+    gang.round = { number, step, startedAt: context.clock.now(), confirmations: new Map() };
+    if (step === "start") {
+        gang.startedAt = context.clock.now();
+        gang.state = "running";
+    }
+    for (const member of gang.commitment.members.keys()) {
+        callPart(state, gang, member, context);
+    }
+    context.after(ROUND_LIMIT_MS, { kind: "round-limit", key: gang.key, round: number });
+}
+
+/** Sends the round's order to one member. */
+export function callPart(state: AnchorState, gang: Gang, position: number, context: AnchorContext): void {
+    const member = gang.commitment.members[position];
+    if (!member) {
+        return;
+    }
+    const { number, step } = gang.round;
+    context.start(
+        () => sendOrder(state, gang, position, member, step),
+        result => ({ kind: "part", key: gang.key, round: number, member: position, result }),
+    );
+}
+
+function sendOrder(
+    state: AnchorState,
+    gang: Gang,
+    position: number,
+    member: GangMember,
+    step: RoundStep,
+): Promise<Either<Failure, PartReply>> {
+    const { calls, address } = state.options;
+    const { gang: name, attempt, task } = gang.commitment;
+    const reference = { gang: name, attempt };
+    const lease = gang.leases.get(position) ?? { stamp: 0, leaseMs: 0 };
+    const orders: Record<RoundStep, () => Promise<Either<Failure, PartReply>>> = {
+        prepare: () => calls.prepare(member.address, { ...reference, anchor: address(), task }),
+        start: () => calls.start(member.address, { ...reference, ...lease }),
+        renew: () => calls.renew(member.address, { ...reference, ...lease }),
+    };
+    return orders[step]();
+}
+
+/** Takes a member's reply; the last one completes the round. */
+export function partReplied(
+    state: AnchorState,
+    gang: Gang,
+    position: number,
+    result: Either<Failure, PartReply>,
+    context: AnchorContext,
+): void {
+    const { round, key } = gang;
+    result.caseOf({
+        // The round limit bounds the retries.
+        Left: () =>
+            void context.after(RETRY_MS, { kind: "call-part", key, round: round.number, member: position }),
+        Right: reply => {
+            if (reply.kind === "lost") {
+                gang.lostMember = position;
+                const reasons = { failed: "part-failed", reclaimed: "reclaimed" } as const;
+                const reason =
+                    reply.reason === "failed" || reply.reason === "reclaimed" ? reply.reason : undefined;
+                stopGang(state, gang, reason ? reasons[reason] : "member-lost", context);
+                return;
+            }
+            const receivedAt = context.clock.now();
+            round.confirmations.set(position, { ...reply, receivedAt });
+            if (round.confirmations.size === gang.commitment.members.length) {
+                roundComplete(state, gang, context);
+            }
+        },
+    });
+}
+
+function roundComplete(state: AnchorState, gang: Gang, context: AnchorContext): void {
+    const { round, key } = gang;
+    const now = context.clock.now();
+    if (now - round.startedAt > ROUND_LIMIT_MS) {
+        // The process was frozen; the members' leases may have ended.
+        stopGang(state, gang, "member-lost", context);
+        return;
+    }
+    const states = [...round.confirmations.values()].map(confirmation => confirmation.state);
+    grantLeases(gang);
+    if (round.step === "prepare") {
+        if (states.every(part => part === "prepared")) {
+            beginRound(state, gang, "start", context);
+            return;
+        }
+        if (now - gang.committedAt > PREPARE_LIMIT_MS) {
+            stopGang(state, gang, "member-lost", context);
+            return;
+        }
+        context.after(PREPARE_INTERVAL_MS, { kind: "next-round", key, round: round.number });
+        return;
+    }
+    if (round.step === "start") {
+        context.after(gang.commitment.task.limitMs, { kind: "time-limit", key });
+    }
+    gang.wholeAt = round.startedAt;
+    if (states.every(part => part === "finished")) {
+        stopGang(state, gang, undefined, context);
+        return;
+    }
+    const waitMs = Math.max(0, round.startedAt + RENEW_INTERVAL_MS - now);
+    context.after(waitMs, { kind: "next-round", key, round: round.number });
+}
+
+function grantLeases(gang: Gang): void {
+    const { round } = gang;
+    const grants = leaseGrants(round.startedAt, round.confirmations);
+    for (const [member, { stamp }] of round.confirmations) {
+        // A prepared part does not compute, so the start lease needs no allowance for earlier computing.
+        const leaseMs = round.step === "prepare" ? RUN_LEASE_MS : (grants.get(member) ?? 0);
+        gang.leases.set(member, { stamp, leaseMs });
+    }
+}
--- /dev/null
+++ b/packages/peer/src/gang/anchorTask.ts
@@ -0,0 +1,205 @@
+import { attemptKey, type Commitment, type GangReference } from "@tanagerdeck/decisions/gang/gangTypes";
+import { startTask, type Handlers, type Task } from "@tanagerdeck/runtime/task/task";
+import { beginRound, callPart, partReplied } from "./anchorRounds.ts";
+import { callStop, endGang, gangReport, partStopped, stopGang } from "./anchorStop.ts";
+import type { AnchorContext, AnchorMessage, AnchorOptions, AnchorState, Gang } from "./anchorTypes.ts";
+
+const SWEEP_INTERVAL_MS = 60_000;
+/** Ends outlast an outage in which no entry can record them. */
+const END_RETENTION_MS = 3_600_000;
+/** Fences outlast the ends, so that a settlement never mistakes a forgotten gang for an unknown one. */
+const FENCE_RETENTION_MS = 86_400_000;
+
+/** Starts the task that decides that gangs are committed and keeps their parts together. */
+export function startAnchorTask(options: AnchorOptions): Task<AnchorMessage> {
+    const task = startTask<AnchorState, AnchorMessage>({
+        name: "anchor",
+        state: { gangs: new Map(), fences: new Map(), options },
+        handlers,
+        clock: options.clock,
+        report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
+    });
+    task.send({ kind: "sweep" });
+    return task;
+}
+
+const handlers: Handlers<AnchorState, AnchorMessage> = {
+    commit(state, message, context) {
+        const { commitment, reply } = message;
+        const key = attemptKey(commitment);
+        if (commitment.incarnation !== state.options.incarnation) {
+            reply({ kind: "refused", reason: "incarnation-gone" });
+            return;
+        }
+        if (state.gangs.has(key)) {
+            reply({ kind: "committed" });
+            return;
+        }
+        if (!raiseFence(state, commitment, context)) {
+            reply({ kind: "refused", reason: "stale" });
+            return;
+        }
+        const gang = createGang(key, commitment, context);
+        state.gangs.set(key, gang);
+        reply({ kind: "committed" });
+        beginRound(state, gang, "prepare", context);
+    },
+    settle(state, message, context) {
+        const { settlement, reply } = message;
+        const gang = state.gangs.get(attemptKey(settlement));
+        if (gang) {
+            if (settlement.action === "cancel") {
+                stopGang(state, gang, "cancelled", context);
+            }
+            reply({ kind: "known", report: gangReport(gang) });
+            return;
+        }
+        if (settlement.incarnation !== state.options.incarnation) {
+            reply({ kind: "unknown" });
+            return;
+        }
+        const fence = state.fences.get(settlement.gang);
+        if (raiseFence(state, settlement, context, false)) {
+            reply({ kind: "not-run" });
+            return;
+        }
+        const refusedBefore = fence?.attempt === settlement.attempt && !fence.committed;
+        reply({ kind: refusedBefore ? "not-run" : "unknown" });
+    },
+    reclaim(state, message, context) {
+        const gang = state.gangs.get(attemptKey(message.reference));
+        if (gang) {
+            stopGang(state, gang, "reclaimed", context);
+        }
+        message.reply({ accepted: true });
+    },
+    part(state, message, context) {
+        const gang = inRound(state, message);
+        if (gang) {
+            partReplied(state, gang, message.member, message.result, context);
+        }
+    },
+    "call-part"(state, message, context) {
+        const gang = inRound(state, message);
+        if (gang) {
+            callPart(state, gang, message.member, context);
+        }
+    },
+    "next-round"(state, message, context) {
+        const gang = inRound(state, message);
+        if (gang) {
+            beginRound(state, gang, gang.startedAt === undefined ? "prepare" : "renew", context);
+        }
+    },
+    "round-limit"(state, message, context) {
+        const gang = inRound(state, message);
+        const complete = gang && gang.round.confirmations.size === gang.commitment.members.length;
+        if (gang && !complete) {
+            gang.lostMember = firstMissing(gang);
+            stopGang(state, gang, "member-lost", context);
+        }
+    },
+    "time-limit"(state, message, context) {
+        const gang = state.gangs.get(message.key);
+        if (gang) {
+            stopGang(state, gang, "time-limit", context);
+        }
+    },
+    "stop-part"(state, message, context) {
+        const gang = state.gangs.get(message.key);
+        if (gang) {
+            callStop(state, gang, message.member, context);
+        }
+    },
+    "part-stopped"(state, message, context) {
+        const gang = state.gangs.get(message.key);
+        if (gang && gang.endedAt === undefined) {
+            partStopped(gang, message.member, message.result, context);
+        }
+    },
+    "stop-limit"(state, message, context) {
+        const gang = state.gangs.get(message.key);
+        if (gang) {
+            endGang(gang, context);
+        }
+    },
+    recorded(state, message) {
+        for (const key of message.keys) {
+            if (state.gangs.get(key)?.endedAt !== undefined) {
+                state.gangs.delete(key);
+            }
+        }
+    },
+    reports(state, message) {
+        message.reply([...state.gangs.values()].map(gangReport));
+    },
+    sweep(state, _message, context) {
+        const now = context.clock.now();
+        for (const [key, { endedAt, commitment }] of state.gangs) {
+            const fence = state.fences.get(commitment.gang);
+            if (fence) {
+                fence.touchedAt = now;
+            }
+            if (endedAt !== undefined && now - endedAt > END_RETENTION_MS) {
+                state.gangs.delete(key);
+            }
+        }
+        for (const [name, { touchedAt }] of state.fences) {
+            if (now - touchedAt > FENCE_RETENTION_MS) {
+                state.fences.delete(name);
+            }
+        }
+        context.after(SWEEP_INTERVAL_MS, { kind: "sweep" });
+    },
+};
+
+/** The gang if the message belongs to its current round and it is not stopping. */
+function inRound(state: AnchorState, message: { key: string; round: number }): Gang | undefined {
+    const gang = state.gangs.get(message.key);
+    const active = gang?.state === "committed" || gang?.state === "running";
+    return active && gang.round.number === message.round ? gang : undefined;
+}
+
+/** Refuses this and lower attempts from now on; false if the attempt was refused before. */
+function raiseFence(
+    state: AnchorState,
+    reference: GangReference,
+    context: AnchorContext,
+    committed = true,
+): boolean {
+    const known = state.fences.get(reference.gang);
+    if (known && known.attempt >= reference.attempt) {
+        return false;
+    }
+    const touchedAt = context.clock.now();
+    state.fences.set(reference.gang, { attempt: reference.attempt, committed, touchedAt });
+    return true;
+}
+
+function firstMissing(gang: Gang): number | undefined {
+    for (const member of gang.commitment.members.keys()) {
+        if (!gang.round.confirmations.has(member)) {
+            return member;
+        }
+    }
+    return undefined;
+}
+
+function createGang(key: string, commitment: Commitment, context: AnchorContext): Gang {
+    const now = context.clock.now();
+    return {
+        key,
+        commitment,
+        state: "committed",
+        round: { number: 0, step: "prepare", startedAt: now, confirmations: new Map() },
+        leases: new Map(),
+        committedAt: now,
+        startedAt: undefined,
+        wholeAt: now,
+        stopReason: undefined,
+        checkpoint: false,
+        lostMember: undefined,
+        stopped: new Map(),
+        endedAt: undefined,
+    };
+}
--- /dev/null
+++ b/packages/peer/src/gang/gangCalls.ts
@@ -0,0 +1,74 @@
+import type { Either } from "purify-ts/Either";
+import type {
+    CommitReply,
+    Commitment,
+    GangReference,
+    LeaseOrder,
+    PartReply,
+    Preparation,
+    Reservation,
+    ReserveReply,
+    Settlement,
+    SettleReply,
+    StopOrder,
+    StopReply,
+} from "@tanagerdeck/decisions/gang/gangTypes";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { peerCall } from "../link/peerCall.ts";
+import type { PeerClients } from "../link/peerClient.ts";
+
+/** The anchor's calls to members at `ip:port`. */
+export interface MemberCalls {
+    prepare(address: string, preparation: Preparation): Promise<Either<Failure, PartReply>>;
+    start(address: string, order: LeaseOrder): Promise<Either<Failure, PartReply>>;
+    renew(address: string, order: LeaseOrder): Promise<Either<Failure, PartReply>>;
+    stop(address: string, order: StopOrder): Promise<Either<Failure, StopReply>>;
+}
+
+/** A coordinator's calls to agents at `ip:port`. */
+export interface CoordinatorCalls {
+    reserve(address: string, reservation: Reservation): Promise<Either<Failure, ReserveReply>>;
+    release(address: string, reference: GangReference): Promise<Either<Failure, { released: true }>>;
+    commit(address: string, commitment: Commitment): Promise<Either<Failure, CommitReply>>;
+    settleGang(address: string, settlement: Settlement): Promise<Either<Failure, SettleReply>>;
+}
+
+/** Lets two tries fit into the anchor's round of 1,000 ms. */
+export const MEMBER_TIMEOUT_MS = 450;
+const COORDINATOR_TIMEOUT_MS = 1_000;
+
+/** The anchor's calls over trpc. */
+export function createMemberCalls(clients: PeerClients): MemberCalls {
+    return {
+        prepare: (address, input) =>
+            peerCall(MEMBER_TIMEOUT_MS, signal => clients.agent(address).prepare.mutate(input, { signal })),
+        start: (address, input) =>
+            peerCall(MEMBER_TIMEOUT_MS, signal => clients.agent(address).start.mutate(input, { signal })),
+        renew: (address, input) =>
+            peerCall(MEMBER_TIMEOUT_MS, signal => clients.agent(address).renew.mutate(input, { signal })),
+        stop: (address, input) =>
+            peerCall(MEMBER_TIMEOUT_MS, signal => clients.agent(address).stop.mutate(input, { signal })),
+    };
+}
+
+/** A coordinator's calls over trpc. */
+export function createCoordinatorCalls(clients: PeerClients): CoordinatorCalls {
+    return {
+        reserve: (address, input) =>
+            peerCall(COORDINATOR_TIMEOUT_MS, signal =>
+                clients.agent(address).reserve.mutate(input, { signal }),
+            ),
+        release: (address, input) =>
+            peerCall(COORDINATOR_TIMEOUT_MS, signal =>
+                clients.agent(address).release.mutate(input, { signal }),
+            ),
+        commit: (address, input) =>
+            peerCall(COORDINATOR_TIMEOUT_MS, signal =>
+                clients.agent(address).commit.mutate(input, { signal }),
+            ),
+        settleGang: (address, input) =>
+            peerCall(COORDINATOR_TIMEOUT_MS, signal =>
+                clients.agent(address).settleGang.mutate(input, { signal }),
+            ),
+    };
+}
--- /dev/null
+++ b/packages/peer/src/gang/gangHandlers.ts
@@ -0,0 +1,79 @@
+import type {
+    CommitReply,
+    Commitment,
+    GangReference,
+    LeaseOrder,
+    PartReply,
+    Preparation,
+    Reservation,
+    ReserveReply,
+    Settlement,
+    SettleReply,
+    StopOrder,
+    StopReply,
+} from "@tanagerdeck/decisions/gang/gangTypes";
+import { authorizedProcedure, passThrough } from "../link/trpcBase.ts";
+
+/** What a worker's agent does as a member of gangs; independent of the transport. */
+export interface MemberHandlers {
+    reserve(reservation: Reservation): Promise<ReserveReply>;
+    release(reference: GangReference): Promise<{ released: true }>;
+    prepare(preparation: Preparation): Promise<PartReply>;
+    start(order: LeaseOrder): Promise<PartReply>;
+    renew(order: LeaseOrder): Promise<PartReply>;
+    stop(order: StopOrder): Promise<StopReply>;
+}
+
+/** What a worker's agent does as the anchor of gangs; independent of the transport. */
+export interface AnchorHandlers {
+    commit(commitment: Commitment): Promise<CommitReply>;
+    settleGang(settlement: Settlement): Promise<SettleReply>;
+    reclaimGang(reference: GangReference): Promise<{ accepted: true }>;
+}
+
+/** All gang operations of an agent. */
+export type GangHandlers = MemberHandlers & AnchorHandlers;
+
+/** Handlers of an agent that has no accelerators. */
+export const noGangHandlers: GangHandlers = {
+    reserve: async () => ({ kind: "refused", reason: "invalid" }),
+    release: async () => ({ released: true }),
+    prepare: async () => ({ kind: "lost", reason: "stale" }),
+    start: async () => ({ kind: "lost", reason: "stale" }),
+    renew: async () => ({ kind: "lost", reason: "stale" }),
+    stop: async () => ({ kind: "stopped" }),
+    commit: async () => ({ kind: "refused", reason: "stale" }),
+    settleGang: async () => ({ kind: "unknown" }),
+    reclaimGang: async () => ({ accepted: true }),
+};
+
+/** Maps the gang operations to trpc procedures. */
+export function gangProcedures(handlers: GangHandlers) {
+    return {
+        reserve: authorizedProcedure
+            .input(passThrough<Reservation>)
+            .mutation(({ input }) => handlers.reserve(input)),
+        release: authorizedProcedure
+            .input(passThrough<GangReference>)
+            .mutation(({ input }) => handlers.release(input)),
+        prepare: authorizedProcedure
+            .input(passThrough<Preparation>)
+            .mutation(({ input }) => handlers.prepare(input)),
+        start: authorizedProcedure
+            .input(passThrough<LeaseOrder>)
+            .mutation(({ input }) => handlers.start(input)),
+        renew: authorizedProcedure
+            .input(passThrough<LeaseOrder>)
+            .mutation(({ input }) => handlers.renew(input)),
+        stop: authorizedProcedure.input(passThrough<StopOrder>).mutation(({ input }) => handlers.stop(input)),
+        commit: authorizedProcedure
+            .input(passThrough<Commitment>)
+            .mutation(({ input }) => handlers.commit(input)),
+        settleGang: authorizedProcedure
+            .input(passThrough<Settlement>)
+            .mutation(({ input }) => handlers.settleGang(input)),
+        reclaimGang: authorizedProcedure
+            .input(passThrough<GangReference>)
+            .mutation(({ input }) => handlers.reclaimGang(input)),
+    };
+}
--- a/packages/peer/src/link/agentRouter.ts
+++ b/packages/peer/src/link/agentRouter.ts
@@ -1,5 +1,6 @@
 import type { Request, Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import type { Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { gangProcedures, type GangHandlers } from "../gang/gangHandlers.ts";
 import { authorizedProcedure, passThrough, router } from "./trpcBase.ts";
 
 /** Reply to a call that names a request. */
@@ -25,12 +26,14 @@
 /** Operations of every agent. */
 export interface AgentHandlers {
     requests: RequestHandlers;
+    gangs: GangHandlers;
     drain(): Promise<{ draining: true }>;
 }
 
 /** Maps the agent's operations to trpc procedures. */
 export function createAgentRouter(handlers: AgentHandlers) {
     return router({
+        ...gangProcedures(handlers.gangs),
         submit: authorizedProcedure
             .input(passThrough<Submission>)
             .mutation(({ input }) => handlers.requests.submit(input)),
--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -4,6 +4,7 @@
 import type { Report, RunnerLoad } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import { startAnnouncementTask } from "@tanagerdeck/peer/announcement/announcementTask";
+import { noGangHandlers } from "@tanagerdeck/peer/gang/gangHandlers";
 import { createAgentRouter } from "@tanagerdeck/peer/link/agentRouter";
 import { peerCall } from "@tanagerdeck/peer/link/peerCall";
 import { createPeerClients } from "@tanagerdeck/peer/link/peerClient";
@@ -40,6 +41,7 @@
         settings.peerAddress,
         settings.peerToken,
         createAgentRouter({
+            gangs: noGangHandlers,
             requests: {
                 submit: ({ request }) =>
                     runner.ask((reply: Reply<Progress>) => ({ kind: "submit", request, reply })),
