--- /dev/null
+++ b/packages/caller/src/job/jobAdmission.ts
@@ -0,0 +1,81 @@
+import { findAccount, jobRefusal } from "@tanagerdeck/decisions/gang/jobAdmission";
+import type { JobRecord } from "@tanagerdeck/decisions/gang/jobTypes";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { sameJob, saveJob } from "./jobRecording.ts";
+import { createJob, jobKey, jobStatus } from "./jobState.ts";
+import type { CallerJob, JobContext, JobReply, JobsState } from "./jobTaskTypes.ts";
+import type { Reply } from "@tanagerdeck/runtime/task/task";
+
+/** Accepts a job, answers a repeat of it, or refuses it at once. */
+export function admitJob(
+    state: JobsState,
+    job: CallerJob,
+    reply: Reply<JobReply>,
+    context: JobContext,
+): void {
+    const record = newRecord(state, job);
+    const known = state.jobs.get(jobKey(job));
+    if (known && !sameJob(known.record, record)) {
+        reply(failure("not-run", "conflict", "Another job has this id."));
+        return;
+    }
+    if (known) {
+        reply({ kind: "status", status: jobStatus(known.record, known.recorded) });
+        return;
+    }
+    const refusal = refuse(state, job);
+    if (refusal) {
+        reply(refusal);
+        return;
+    }
+    const created = createJob(state, record, 0);
+    if (created) {
+        created.suppliedId = job.suppliedId;
+        created.waiters.push(reply);
+        state.jobs.set(created.key, created);
+        saveJob(state, created, context);
+    }
+}
+
+function refuse(state: JobsState, job: CallerJob): Failure | undefined {
+    if (!state.configuration) {
+        return failure("not-run", "no-configuration", "No configuration is known yet.");
+    }
+    if (state.handOver) {
+        return failure("not-run", "draining", "The entry is stopping.");
+    }
+    const { document } = state.configuration;
+    const bodyBytes = Buffer.byteLength(job.body);
+    const refusal = jobRefusal(document, { ...job, bodyBytes });
+    if (refusal) {
+        return refusal;
+    }
+    let waiting = 0;
+    for (const { record, phase } of state.jobs.values()) {
+        const open = phase === "accepting" || phase === "queued";
+        waiting += open && record.clientAccount === job.clientAccount ? 1 : 0;
+    }
+    if (waiting >= (findAccount(document, job.clientAccount)?.quota.waiting ?? 0)) {
+        return failure("not-run", "limit-exceeded", "Too many jobs of the client account are waiting.");
+    }
+    return undefined;
+}
+
+function newRecord(state: JobsState, job: CallerJob): JobRecord {
+    const { id, clientAccount, kind, shape, seconds, body } = job;
+    return {
+        id,
+        clientAccount,
+        kind,
+        shape,
+        seconds,
+        body,
+        owner: state.options.entry,
+        attempt: 0,
+        state: "queued",
+        ranMs: 0,
+        started: false,
+        acceptedAt: state.options.clock.wall(),
+        writeId: "",
+    };
+}
--- /dev/null
+++ b/packages/caller/src/job/jobClaim.ts
@@ -0,0 +1,34 @@
+import type { Either } from "purify-ts/Either";
+import { isEnded } from "@tanagerdeck/decisions/gang/jobTypes";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { StoredJob } from "@tanagerdeck/platform/record/jobRecords";
+import { saveJob } from "./jobRecording.ts";
+import { createJob, jobKey } from "./jobState.ts";
+import type { JobContext, JobsState } from "./jobTaskTypes.ts";
+
+const RETRY_MS = 2_000;
+
+/** Claims the open jobs of an owner that is gone, and those that were handed over, by compare-and-swap. */
+export function claimListed(
+    state: JobsState,
+    owner: string,
+    result: Either<Failure, StoredJob[]>,
+    context: JobContext,
+): void {
+    if (result.isLeft() || !state.configuration) {
+        context.after(RETRY_MS, { kind: "claim", owner });
+        return;
+    }
+    for (const { record, version } of result.unsafeCoerce()) {
+        const ownerless = record.owner === undefined || record.owner === owner;
+        if (!ownerless || isEnded(record.state) || state.jobs.has(jobKey(record))) {
+            continue;
+        }
+        const job = createJob(state, { ...record, owner: state.options.entry }, version);
+        if (job) {
+            state.options.log.info("A job is claimed.", { job: job.key, owner });
+            state.jobs.set(job.key, job);
+            saveJob(state, job, context);
+        }
+    }
+}
--- /dev/null
+++ b/packages/caller/src/job/jobRecording.ts
@@ -0,0 +1,148 @@
+import { isEnded, type JobRecord } from "@tanagerdeck/decisions/gang/jobTypes";
+import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { RecordWrite, StoredJob } from "@tanagerdeck/platform/record/jobRecords";
+import { commitAttempt, releaseAll } from "./jobAttempt.ts";
+import { beginSettle, cancelAttempt } from "./jobSettle.ts";
+import { enterPhase, jobStatus, requeue } from "./jobState.ts";
+import type { Job, JobContext, JobReply, JobsState } from "./jobTaskTypes.ts";
+
+const RETRY_MS = 2_000;
+/** After a failed call, jobs that may run twice do not wait for the platform for this time. */
+const DOWN_MS = 5_000;
+
+/** Stores the job's current record; at most one write of a job is in flight. */
+export function saveJob(state: JobsState, job: Job, context: JobContext): void {
+    job.recorded = false;
+    if (job.writing) {
+        return;
+    }
+    job.writing = true;
+    const record: JobRecord = { ...job.record, writeId: state.options.newId() };
+    job.record = record;
+    job.unresolved.add(record.writeId);
+    const { version } = job;
+    context.start(
+        () => state.options.records.write(record, version),
+        result => ({ kind: "written", key: job.key, record, result }),
+    );
+}
+
+/** Takes the result of a write. */
+export function recordWritten(
+    state: JobsState,
+    job: Job,
+    written: JobRecord,
+    result: RecordWrite,
+    context: JobContext,
+): void {
+    job.writing = false;
+    if (result.kind === "unavailable") {
+        writeUnavailable(state, job, context);
+        return;
+    }
+    state.platformDownUntil = 0;
+    if (result.kind === "conflict") {
+        writeConflict(state, job, result.stored, context);
+        return;
+    }
+    job.version = result.version;
+    job.unresolved.clear();
+    job.recordedAttempt = written.attempt;
+    if (job.record !== written) {
+        saveJob(state, job, context);
+    } else {
+        job.recorded = true;
+    }
+    recordStored(state, job, written, context);
+}
+
+function recordStored(state: JobsState, job: Job, written: JobRecord, context: JobContext): void {
+    answerWaiters(job, { kind: "status", status: jobStatus(job.record, job.recorded) });
+    if (job.phase === "accepting") {
+        openJob(state, job, context);
+        return;
+    }
+    if (job.phase === "recording" && written.attempt === job.record.attempt) {
+        commitAttempt(state, job, context);
+    }
+}
+
+/** Starts a stored job: a new one waits in the queue, a claimed one first settles its earlier attempt. */
+function openJob(state: JobsState, job: Job, context: JobContext): void {
+    const { anchor, state: stored } = job.record;
+    if (anchor && (stored === "placing" || stored === "running")) {
+        beginSettle(state, job, context);
+        return;
+    }
+    enterPhase(job, "queued");
+}
+
+function writeUnavailable(state: JobsState, job: Job, context: JobContext): void {
+    state.platformDownUntil = context.clock.now() + DOWN_MS;
+    context.after(RETRY_MS, { kind: "write-again", key: job.key });
+    answerWaiters(job, { kind: "status", status: jobStatus(job.record, false) });
+    if (job.phase === "accepting" && job.version === 0) {
+        const storedFirst = !job.repeatable && job.suppliedId;
+        if (!storedFirst) {
+            enterPhase(job, "queued");
+        }
+        return;
+    }
+    if (job.phase !== "recording") {
+        return;
+    }
+    if (job.repeatable) {
+        commitAttempt(state, job, context);
+        return;
+    }
+    releaseAll(state, job, context);
+    requeue(state, job, context, RETRY_MS);
+}
+
+function writeConflict(state: JobsState, job: Job, stored: StoredJob | undefined, context: JobContext): void {
+    if (stored && job.unresolved.has(stored.record.writeId)) {
+        job.version = stored.version;
+        saveJob(state, job, context);
+        return;
+    }
+    if (stored && job.version === 0) {
+        const same = sameJob(stored.record, job.record);
+        answerWaiters(
+            job,
+            same
+                ? { kind: "status", status: jobStatus(stored.record, true) }
+                : failure("not-run", "conflict", "Another job has this id."),
+        );
+    }
+    relinquish(state, job, stored, context);
+}
+
+/** Gives up a job that another entry or a cancellation has taken over. */
+function relinquish(state: JobsState, job: Job, stored: StoredJob | undefined, context: JobContext): void {
+    state.options.log.warn("Another entry has taken over a job.", { job: job.key });
+    if (job.phase === "reserving" || job.phase === "recording") {
+        releaseAll(state, job, context);
+    }
+    const taken = stored?.record;
+    const sameAttempt = taken?.attempt === job.record.attempt && !isEnded(taken.state);
+    const committed = job.phase === "committing" || job.phase === "running" || job.phase === "settling";
+    if (committed && !sameAttempt) {
+        cancelAttempt(state, job, context);
+    }
+    answerWaiters(job, failure("not-run", "conflict", "Another entry owns this job."));
+    state.jobs.delete(job.key);
+}
+
+/** True if two records are of the same declaration, so that a repeat under its id is harmless. */
+export function sameJob(a: JobRecord, b: JobRecord): boolean {
+    const declaration = ({ kind, shape, seconds, body }: JobRecord) =>
+        JSON.stringify([kind, shape.span, shape.accelerators, seconds, body]);
+    return declaration(a) === declaration(b);
+}
+
+function answerWaiters(job: Job, reply: JobReply): void {
+    for (const waiter of job.waiters) {
+        waiter(reply);
+    }
+    job.waiters = [];
+}
--- /dev/null
+++ b/packages/caller/src/job/jobSettle.ts
@@ -0,0 +1,168 @@
+import type { Either } from "purify-ts/Either";
+import type { GangEnd, GangReport } from "@tanagerdeck/decisions/fleet/reportTypes";
+import { attemptKey, PARTIAL_LIMIT_MS, type SettleReply } from "@tanagerdeck/decisions/gang/gangTypes";
+import type { JobEnd } from "@tanagerdeck/decisions/gang/jobTypes";
+import type { Failure, FailureReason, Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { saveJob } from "./jobRecording.ts";
+import { endCancelled, endJob, enterPhase, requeue } from "./jobState.ts";
+import type { Job, JobContext, JobsState } from "./jobTaskTypes.ts";
+
+const SETTLE_INTERVAL_MS = 1_000;
+/** An anchor that cannot be reached for this time after its leases have expired counts as lost. */
+const ANCHOR_LOST_MS = PARTIAL_LIMIT_MS + 60_000;
+const MAX_FAILURES = 3;
+
+/** Asks the anchor what became of the attempt, until it answers or counts as lost. */
+export function beginSettle(state: JobsState, job: Job, context: JobContext): void {
+    job.settleSince = context.clock.now();
+    enterPhase(job, "settling");
+    settle(state, job, context);
+}
+
+/** Sends one settlement. */
+export function settle(state: JobsState, job: Job, context: JobContext): void {
+    const { anchor, attempt } = job.record;
+    if (!anchor) {
+        requeue(state, job, context);
+        return;
+    }
+    const { turn, key } = job;
+    const action = job.cancelled ? "cancel" : "ask";
+    const settlement = { gang: key, attempt, incarnation: anchor.incarnation, action } as const;
+    context.start(
+        () => state.options.calls.settleGang(anchor.address, settlement),
+        result => ({ kind: "settled", key, turn, result }),
+    );
+}
+
+/** Takes the anchor's answer. */
+export function jobSettled(
+    state: JobsState,
+    job: Job,
+    result: Either<Failure, SettleReply>,
+    context: JobContext,
+): void {
+    const reply = result.toMaybe().extract();
+    if (!reply) {
+        if (context.clock.now() - job.settleSince < ANCHOR_LOST_MS) {
+            context.after(SETTLE_INTERVAL_MS, { kind: "settle", key: job.key, turn: job.turn });
+            return;
+        }
+        attemptLost(state, job, context);
+        return;
+    }
+    if (reply.kind === "unknown") {
+        attemptLost(state, job, context);
+        return;
+    }
+    if (reply.kind === "not-run") {
+        requeue(state, job, context);
+        return;
+    }
+    if (reply.report.end) {
+        attemptEnded(state, job, reply.report, context);
+        return;
+    }
+    if (job.cancelled) {
+        context.after(SETTLE_INTERVAL_MS, { kind: "settle", key: job.key, turn: job.turn });
+        return;
+    }
+    enterPhase(job, "running");
+    job.record = { ...job.record, state: "running" };
+    saveJob(state, job, context);
+}
+
+/** Tells the anchor to stop an attempt whose result is no longer wanted; nobody waits for the reply. */
+export function cancelAttempt(state: JobsState, job: Job, context: JobContext): void {
+    const { anchor, attempt } = job.record;
+    if (anchor) {
+        const { incarnation } = anchor;
+        const settlement = { gang: job.key, attempt, incarnation, action: "cancel" } as const;
+        context.start(
+            () => state.options.calls.settleGang(anchor.address, settlement),
+            () => ({ kind: "released" }),
+        );
+    }
+}
+
+/** Takes the end of the current attempt: ends the job, or queues it again from its checkpoint. */
+export function attemptEnded(state: JobsState, job: Job, report: GangReport, context: JobContext): void {
+    const { end } = report;
+    if (!end) {
+        return;
+    }
+    job.ends.push(attemptKey(report));
+    job.record = { ...job.record, started: job.record.started || end.started };
+    if (report.state === "finished") {
+        endJob(state, job, "finished", { verdict: "ran", detail: "All parts have finished." }, context);
+        return;
+    }
+    if (job.cancelled || end.reason === "cancelled") {
+        endCancelled(state, job, context);
+        return;
+    }
+    if (end.reason === "time-limit") {
+        fail(state, job, "ran", "deadline-exceeded", "The job ran longer than its kind allows.", context);
+        return;
+    }
+    if (end.reason === "part-failed" && partFailed(state, job, end, context)) {
+        return;
+    }
+    goOn(state, job, end, context);
+}
+
+/** Counts a failure and avoids its worker; true if the job has ended. */
+function partFailed(state: JobsState, job: Job, end: GangEnd, context: JobContext): boolean {
+    job.failures++;
+    if (end.lostAgent) {
+        job.excluded.add(end.lostAgent);
+    }
+    if (job.repeatable && job.failures < MAX_FAILURES) {
+        return false;
+    }
+    fail(state, job, "ran", "backend-error", "A part of the job failed.", context);
+    return true;
+}
+
+function goOn(state: JobsState, job: Job, end: GangEnd, context: JobContext): void {
+    const { checkpoint } = end;
+    if (checkpoint !== undefined) {
+        job.record = { ...job.record, checkpoint, ranMs: job.record.ranMs + end.ranMs };
+    }
+    if (end.started && checkpoint === undefined && !job.repeatable) {
+        const detail = "The job lost a part before a checkpoint and must not run twice.";
+        fail(state, job, "may-have-run", "unreachable", detail, context);
+        return;
+    }
+    requeue(state, job, context);
+    if (job.phase === "queued") {
+        saveJob(state, job, context);
+    }
+}
+
+/** The anchor's memory is gone: the attempt may have run, and its leases end by themselves. */
+function attemptLost(state: JobsState, job: Job, context: JobContext): void {
+    job.record = { ...job.record, started: true };
+    if (job.cancelled) {
+        endCancelled(state, job, context);
+        return;
+    }
+    if (!job.repeatable) {
+        const detail = "The agent that coordinated the job is gone.";
+        fail(state, job, "may-have-run", "incarnation-gone", detail, context);
+        return;
+    }
+    requeue(state, job, context, PARTIAL_LIMIT_MS);
+}
+
+function fail(
+    state: JobsState,
+    job: Job,
+    verdict: Verdict,
+    reason: FailureReason,
+    detail: string,
+    context: JobContext,
+): void {
+    const end: JobEnd = { verdict, reason, detail };
+    endJob(state, job, "failed", end, context);
+}
--- /dev/null
+++ b/packages/caller/src/job/jobState.ts
@@ -0,0 +1,105 @@
+import { findGangKind } from "@tanagerdeck/decisions/gang/jobAdmission";
+import {
+    isEnded,
+    type JobEnd,
+    type JobRecord,
+    type JobState,
+    type JobStatus,
+} from "@tanagerdeck/decisions/gang/jobTypes";
+import type { Job, JobContext, JobPhase, JobReference, JobsState } from "./jobTaskTypes.ts";
+import { saveJob } from "./jobRecording.ts";
+
+const FIRST_BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 2_000;
+
+/** Key of a job, also the name of its gang. */
+export function jobKey(reference: JobReference): string {
+    return `${reference.clientAccount}/${reference.id}`;
+}
+
+/** Builds a job from its record; undefined if its kind is no longer registered. */
+export function createJob(state: JobsState, record: JobRecord, version: number): Job | undefined {
+    const { clientAccount, kind: name, shape, seconds } = record;
+    const declaration = { clientAccount, kind: name, shape, seconds, bodyBytes: 0 };
+    const kind = state.configuration && findGangKind(state.configuration.document, declaration);
+    if (!kind) {
+        return undefined;
+    }
+    const { clock } = state.options;
+    return {
+        key: jobKey(record),
+        record,
+        priority: kind.priority,
+        repeatable: kind.repeatable,
+        limitMs: kind.limits.seconds * 1_000,
+        suppliedId: true,
+        phase: "accepting",
+        turn: 0,
+        acceptedAt: clock.now() - Math.max(0, clock.wall() - record.acceptedAt),
+        placement: undefined,
+        replies: new Map(),
+        attemptAt: 0,
+        grantedAt: 0,
+        nextTryAt: 0,
+        backoffMs: FIRST_BACKOFF_MS,
+        settleSince: 0,
+        cancelled: false,
+        failures: 0,
+        excluded: new Set(),
+        version,
+        recorded: false,
+        writing: false,
+        unresolved: new Set(),
+        recordedAttempt: 0,
+        ends: [],
+        waiters: [],
+        endedAt: 0,
+    };
+}
+
+/** Moves a job to another phase; replies of the former one are ignored from now on. */
+export function enterPhase(job: Job, phase: JobPhase): void {
+    job.phase = phase;
+    job.turn++;
+}
+
+/** Puts a job back into the queue, after a random delay that grows with each failed attempt. */
+export function requeue(state: JobsState, job: Job, context: JobContext, delayMs = 0): void {
+    const { random } = state.options;
+    enterPhase(job, "queued");
+    job.placement = undefined;
+    job.record = { ...job.record, state: "queued" };
+    job.nextTryAt = context.clock.now() + delayMs + job.backoffMs * (0.5 + random() / 2);
+    job.backoffMs = Math.min(MAX_BACKOFF_MS, job.backoffMs * 2);
+    if (job.cancelled) {
+        endCancelled(state, job, context);
+    }
+}
+
+/** Ends a job on behalf of its caller. */
+export function endCancelled(state: JobsState, job: Job, context: JobContext): void {
+    const verdict = job.record.started ? "ran" : "not-run";
+    endJob(
+        state,
+        job,
+        "cancelled",
+        { verdict, reason: "cancelled", detail: "The job was cancelled." },
+        context,
+    );
+}
+
+/** Ends a job and stores its end. */
+export function endJob(state: JobsState, job: Job, ended: JobState, end: JobEnd, context: JobContext): void {
+    enterPhase(job, "ended");
+    job.placement = undefined;
+    job.endedAt = context.clock.now();
+    job.record = { ...job.record, state: ended, end };
+    state.options.log.info("A job has ended.", { job: job.key, state: ended, verdict: end.verdict });
+    saveJob(state, job, context);
+}
+
+/** What a caller sees of a job. */
+export function jobStatus(record: JobRecord, recorded: boolean): JobStatus {
+    const { id, state, attempt, end } = record;
+    return { id, state, attempt, recorded, end: isEnded(state) ? end : undefined };
+}
--- /dev/null
+++ b/packages/caller/src/job/jobTask.ts
@@ -0,0 +1,216 @@
+import { attemptKey } from "@tanagerdeck/decisions/gang/gangTypes";
+import { isEnded } from "@tanagerdeck/decisions/gang/jobTypes";
+import { startTask, type Handlers, type Task } from "@tanagerdeck/runtime/task/task";
+import { attemptCommitted, memberReserved, reserveAll } from "./jobAttempt.ts";
+import { admitJob } from "./jobAdmission.ts";
+import { claimListed } from "./jobClaim.ts";
+import { placeWaiting } from "./jobQueue.ts";
+import { recordWritten, saveJob } from "./jobRecording.ts";
+import { remoteCancel, remoteStatus } from "./jobRemote.ts";
+import { attemptEnded, beginSettle, jobSettled, settle } from "./jobSettle.ts";
+import { endCancelled, jobKey, jobStatus } from "./jobState.ts";
+import type { Job, JobContext, JobMessage, JobOptions, JobsState } from "./jobTaskTypes.ts";
+
+const TICK_MS = 100;
+/** Ended jobs are answered from memory for this time, then from their records. */
+const ENDED_RETENTION_MS = 600_000;
+
+/** Starts the task that queues and coordinates the gang jobs of one entry. */
+export function startJobTask(options: JobOptions): Task<JobMessage> {
+    const state: JobsState = {
+        jobs: new Map(),
+        agents: [],
+        configuration: undefined,
+        platformDownUntil: 0,
+        handOver: undefined,
+        options,
+    };
+    const task = startTask<JobsState, JobMessage>({
+        name: "jobs",
+        state,
+        handlers,
+        clock: options.clock,
+        report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
+    });
+    task.send({ kind: "tick" });
+    return task;
+}
+
+const handlers: Handlers<JobsState, JobMessage> = {
+    submit(state, message, context) {
+        admitJob(state, message.job, message.reply, context);
+    },
+    status(state, message, context) {
+        const { job: reference, reply } = message;
+        const job = state.jobs.get(jobKey(reference));
+        if (job) {
+            reply({ kind: "status", status: jobStatus(job.record, job.recorded) });
+            return;
+        }
+        context.start(
+            () => remoteStatus(state.options, reference).then(reply),
+            () => ({ kind: "released" }),
+        );
+    },
+    cancel(state, message, context) {
+        const { job: reference, reply } = message;
+        const job = state.jobs.get(jobKey(reference));
+        if (!job) {
+            context.start(
+                () => remoteCancel(state.options, reference).then(reply),
+                () => ({ kind: "released" }),
+            );
+            return;
+        }
+        cancelJob(state, job, context);
+        reply({ kind: "status", status: jobStatus(job.record, job.recorded) });
+    },
+    fleet(state, message, context) {
+        state.agents = message.agents;
+        checkAnchors(state, context);
+    },
+    configuration(state, message) {
+        state.configuration = message.configuration;
+    },
+    gangs(state, message, context) {
+        const recorded: string[] = [];
+        for (const report of message.gangs) {
+            const job = state.jobs.get(report.gang);
+            if (!job || !report.end) {
+                continue;
+            }
+            const key = attemptKey(report);
+            const current = job.record.attempt === report.attempt && !job.ends.includes(key);
+            const open = job.phase === "running" || job.phase === "settling" || job.phase === "committing";
+            if (current && open) {
+                attemptEnded(state, job, report, context);
+            } else if (job.recorded) {
+                recorded.push(key);
+            }
+        }
+        message.reply(recorded);
+    },
+    tick(state, _message, context) {
+        placeWaiting(state, context);
+        forgetEnded(state, context);
+        context.after(TICK_MS, { kind: "tick" });
+    },
+    released() {},
+    reserved(state, message, context) {
+        const job = inTurn(state, message);
+        if (job) {
+            memberReserved(state, job, message.agent, message.result, context);
+        }
+    },
+    "reserve-again"(state, message, context) {
+        const job = inTurn(state, message);
+        if (job) {
+            reserveAll(state, job, context);
+        }
+    },
+    committed(state, message, context) {
+        const job = inTurn(state, message);
+        if (job) {
+            attemptCommitted(state, job, message.result, context);
+        }
+    },
+    settle(state, message, context) {
+        const job = inTurn(state, message);
+        if (job) {
+            settle(state, job, context);
+        }
+    },
+    settled(state, message, context) {
+        const job = inTurn(state, message);
+        if (job) {
+            jobSettled(state, job, message.result, context);
+        }
+    },
+    written(state, message, context) {
+        const job = state.jobs.get(message.key);
+        if (job?.unresolved.has(message.record.writeId)) {
+            recordWritten(state, job, message.record, message.result, context);
+            finishHandOver(state);
+        }
+    },
+    "write-again"(state, message, context) {
+        const job = state.jobs.get(message.key);
+        if (job && !job.recorded) {
+            saveJob(state, job, context);
+        }
+    },
+    claim(state, message, context) {
+        context.start(
+            () => state.options.records.list(),
+            result => ({ kind: "listed", owner: message.owner, result }),
+        );
+    },
+    listed(state, message, context) {
+        claimListed(state, message.owner, message.result, context);
+    },
+    "hand-over"(state, message, context) {
+        state.handOver = message.reply;
+        for (const job of state.jobs.values()) {
+            if (job.phase === "queued") {
+                job.record = { ...job.record, owner: undefined };
+                job.turn++;
+                job.nextTryAt = Number.POSITIVE_INFINITY;
+                saveJob(state, job, context);
+            }
+        }
+        finishHandOver(state);
+    },
+};
+
+function inTurn(state: JobsState, message: { key: string; turn: number }): Job | undefined {
+    const job = state.jobs.get(message.key);
+    return job?.turn === message.turn ? job : undefined;
+}
+
+function cancelJob(state: JobsState, job: Job, context: JobContext): void {
+    if (job.cancelled || isEnded(job.record.state)) {
+        return;
+    }
+    job.cancelled = true;
+    if (job.phase === "queued" || job.phase === "accepting") {
+        endCancelled(state, job, context);
+    }
+    if (job.phase === "running") {
+        beginSettle(state, job, context);
+    }
+}
+
+/** Settles the gangs whose anchor is suspect, gone or restarted. */
+function checkAnchors(state: JobsState, context: JobContext): void {
+    const agents = new Map(state.agents.map(agent => [agent.report.name, agent]));
+    for (const job of state.jobs.values()) {
+        const { anchor } = job.record;
+        if (job.phase !== "running" || !anchor) {
+            continue;
+        }
+        const view = agents.get(anchor.agent);
+        const alive = view?.state === "serving" || view?.state === "draining";
+        if (!alive || view.report.incarnation !== anchor.incarnation) {
+            beginSettle(state, job, context);
+        }
+    }
+}
+
+/** Answers a hand-over once every waiting job's record is stored. */
+function finishHandOver(state: JobsState): void {
+    for (const job of state.jobs.values()) {
+        if (job.phase === "queued" && !job.recorded) {
+            return;
+        }
+    }
+    state.handOver?.();
+}
+
+function forgetEnded(state: JobsState, context: JobContext): void {
+    for (const [key, job] of state.jobs) {
+        const old = context.clock.now() - job.endedAt > ENDED_RETENTION_MS;
+        if (job.phase === "ended" && job.recorded && old) {
+            state.jobs.delete(key);
+        }
+    }
+}
--- /dev/null
+++ b/packages/caller/src/job/jobTaskTypes.ts
@@ -0,0 +1,150 @@
+import type { Either } from "purify-ts/Either";
+import type { Configuration, Priority, Shape } from "@tanagerdeck/decisions/document/documentTypes";
+import type { GangReport } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type {
+    CommitReply,
+    Commitment,
+    GangReference,
+    Reservation,
+    ReserveReply,
+    Settlement,
+    SettleReply,
+} from "@tanagerdeck/decisions/gang/gangTypes";
+import type { JobRecord, JobStatus, WaitingJob } from "@tanagerdeck/decisions/gang/jobTypes";
+import type { Demand, Placement, WorkerView } from "@tanagerdeck/decisions/placement/placementTypes";
+import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { JobRecords, RecordWrite, StoredJob } from "@tanagerdeck/platform/record/jobRecords";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Reply, TaskContext } from "@tanagerdeck/runtime/task/task";
+
+/** A caller's job after authentication. `suppliedId` is false if this entry made the id. */
+export interface CallerJob {
+    id: string;
+    suppliedId: boolean;
+    clientAccount: string;
+    kind: string;
+    shape: Shape;
+    /** Run time that the caller expects. */
+    seconds: number;
+    body: string;
+}
+
+/** What a caller is told about its job. */
+export type JobReply = { kind: "status"; status: JobStatus } | Failure;
+
+/** Names a job of a client account. */
+export interface JobReference {
+    clientAccount: string;
+    id: string;
+}
+
+/** Calls to agents at `ip:port`, supplied by the peer package. */
+export interface JobCalls {
+    reserve(address: string, reservation: Reservation): Promise<Either<Failure, ReserveReply>>;
+    release(address: string, reference: GangReference): Promise<Either<Failure, { released: true }>>;
+    commit(address: string, commitment: Commitment): Promise<Either<Failure, CommitReply>>;
+    settleGang(address: string, settlement: Settlement): Promise<Either<Failure, SettleReply>>;
+}
+
+/** Chooses accelerators for a gang; undefined if it has to wait. */
+export type Place = (
+    demand: Demand,
+    workers: WorkerView[],
+    configuration: Configuration,
+) => Placement | undefined;
+
+/** Orders the waiting jobs; those that must not start now are left out. */
+export type OrderQueue = (jobs: WaitingJob[], configuration: Configuration) => WaitingJob[];
+
+/** Messages of the jobs task. `turn` identifies the state of the job that a reply belongs to. */
+export type JobMessage =
+    | { kind: "submit"; job: CallerJob; reply: Reply<JobReply> }
+    | { kind: "status"; job: JobReference; reply: Reply<JobReply> }
+    | { kind: "cancel"; job: JobReference; reply: Reply<JobReply> }
+    | { kind: "fleet"; agents: AgentView[] }
+    | { kind: "configuration"; configuration: Configuration }
+    | { kind: "gangs"; gangs: GangReport[]; reply: Reply<string[]> }
+    | { kind: "tick" }
+    | { kind: "released" }
+    | { kind: "reserved"; key: string; turn: number; agent: string; result: Either<Failure, ReserveReply> }
+    | { kind: "reserve-again"; key: string; turn: number }
+    | { kind: "committed"; key: string; turn: number; result: Either<Failure, CommitReply> }
+    | { kind: "settle"; key: string; turn: number }
+    | { kind: "settled"; key: string; turn: number; result: Either<Failure, SettleReply> }
+    | { kind: "written"; key: string; record: JobRecord; result: RecordWrite }
+    | { kind: "write-again"; key: string }
+    | { kind: "claim"; owner: string }
+    | { kind: "listed"; owner: string; result: Either<Failure, StoredJob[]> }
+    | { kind: "hand-over"; reply: Reply<void> };
+
+/** Dependencies of the jobs task. */
+export interface JobOptions {
+    /** Name of this entry, the owner in job records. */
+    entry: string;
+    clock: Clock;
+    log: Log;
+    random: () => number;
+    newId: () => string;
+    calls: JobCalls;
+    records: JobRecords;
+    place: Place;
+    order: OrderQueue;
+    /** False for a quarantined worker. */
+    usable: (agent: AgentView) => boolean;
+}
+
+/** Step of a job at its coordinator. */
+export type JobPhase =
+    "accepting" | "queued" | "reserving" | "recording" | "committing" | "running" | "settling" | "ended";
+
+/** A job that this entry coordinates. Times are this process's monotonic milliseconds. */
+export interface Job {
+    key: string;
+    record: JobRecord;
+    priority: Priority;
+    repeatable: boolean;
+    limitMs: number;
+    suppliedId: boolean;
+    phase: JobPhase;
+    /** Grows with each phase, so that replies of earlier phases are ignored. */
+    turn: number;
+    acceptedAt: number;
+    placement: Placement | undefined;
+    replies: Map<string, ReserveReply | undefined>;
+    attemptAt: number;
+    grantedAt: number;
+    nextTryAt: number;
+    backoffMs: number;
+    settleSince: number;
+    cancelled: boolean;
+    failures: number;
+    excluded: Set<string>;
+    /** Version of the stored record; 0 if there is none. */
+    version: number;
+    /** True if the stored record is the current one. */
+    recorded: boolean;
+    writing: boolean;
+    /** Ids of writes that may still have taken effect. */
+    unresolved: Set<string>;
+    /** Attempt whose anchor the stored record names. */
+    recordedAttempt: number;
+    /** Ended attempts to acknowledge to their anchors once the record is written. */
+    ends: string[];
+    waiters: Reply<JobReply>[];
+    endedAt: number;
+}
+
+/** State of the jobs task. */
+export interface JobsState {
+    jobs: Map<string, Job>;
+    agents: AgentView[];
+    configuration: Configuration | undefined;
+    platformDownUntil: number;
+    handOver: Reply<void> | undefined;
+    options: JobOptions;
+}
+
+/** Context of the jobs task's handlers. */
+export type JobContext = TaskContext<JobMessage>;
--- /dev/null
+++ b/packages/platform/src/record/jobRecords.ts
@@ -0,0 +1,70 @@
+import { Either } from "purify-ts/Either";
+import type { JobRecord } from "@tanagerdeck/decisions/gang/jobTypes";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Store, StoredValue } from "../store/storeTypes.ts";
+
+/** A job record with its version for compare-and-swap. */
+export interface StoredJob {
+    record: JobRecord;
+    version: number;
+}
+
+/** Result of a write; `unavailable` means that it may still take effect. */
+export type RecordWrite =
+    | { kind: "written"; version: number }
+    | { kind: "conflict"; stored: StoredJob | undefined }
+    | { kind: "unavailable" };
+
+/** Job records on the platform. */
+export interface JobRecords {
+    read(clientAccount: string, id: string): Promise<Either<Failure, StoredJob | undefined>>;
+    /** Writes a record if its version is still `version`; 0 means that there must be none. */
+    write(record: JobRecord, version: number): Promise<RecordWrite>;
+    list(): Promise<Either<Failure, StoredJob[]>>;
+}
+
+/** Job records of one environment in the platform's service. */
+export function createJobRecords(store: Store, environment: string): JobRecords {
+    const prefix = `${environment}/jobs/`;
+    const keyOf = (clientAccount: string, id: string) =>
+        `${prefix}${clientAccount}/${encodeURIComponent(id)}`;
+
+    async function read(clientAccount: string, id: string): Promise<Either<Failure, StoredJob | undefined>> {
+        const value = await store.get(keyOf(clientAccount, id));
+        return value.map(stored => (stored ? decode(stored) : undefined));
+    }
+
+    return {
+        read,
+        async write(record, version) {
+            const key = keyOf(record.clientAccount, record.id);
+            const value = JSON.stringify(record);
+            await store.write([{ key, value, expectedVersion: version }]);
+            // Whatever the reply was, the stored write id tells whether this write took effect.
+            const stored = await read(record.clientAccount, record.id);
+            return stored.caseOf<RecordWrite>({
+                Left: () => ({ kind: "unavailable" }),
+                Right: found => resolveWrite(found, record.writeId, version),
+            });
+        },
+        async list() {
+            const values = await store.list(prefix);
+            return values.map(stored => stored.map(decode));
+        },
+    };
+}
+
+/** An unchanged version after a write means that the write has not arrived yet, or never will. */
+function resolveWrite(found: StoredJob | undefined, writeId: string, version: number): RecordWrite {
+    if (found?.record.writeId === writeId) {
+        return { kind: "written", version: found.version };
+    }
+    if ((found?.version ?? 0) === version) {
+        return { kind: "unavailable" };
+    }
+    return { kind: "conflict", stored: found };
+}
+
+function decode(stored: StoredValue): StoredJob {
+    return { record: JSON.parse(stored.value) as JobRecord, version: stored.version };
+}
