Run the gang tasks together on the manual clock

The fixture starts the real jobs, membership, announcement, anchor and worker tasks of several processes over a network with latency and faults.

--- /dev/null
+++ b/packages/tanagerdeck/src/gang/gangPath.spec.ts
@@ -0,0 +1,74 @@
+import { expect } from "chai";
+import type { JobReply } from "@tanagerdeck/caller/job/jobTaskTypes";
+import type { JobStatus } from "@tanagerdeck/decisions/gang/jobTypes";
+import type { Commitment } from "@tanagerdeck/decisions/gang/gangTypes";
+import { startGangFixture, type GangFixture } from "@tanagerdeck/standins/gang/gangFixture";
+import { gangConfiguration } from "@tanagerdeck/standins/gang/gangConfiguration";
+import { doubleUses, longestPartialMs } from "@tanagerdeck/standins/gang/gangMeasures";
+
+const JOB = { id: "job", clientAccount: "vans", kind: "routes", accelerators: 6, ms: 3_000 };
+
+describe("gang jobs", () => {
+    let fixture: GangFixture;
+    const commitments: Commitment[] = [];
+
+    beforeEach(async () => {
+        fixture = await startGangFixture({
+            workers: 4,
+            accelerators: 2,
+            entries: 2,
+            configuration: gangConfiguration(),
+            random: () => 0.5,
+        });
+        fixture.network.choose = ({ step, input }) => {
+            if (step === "commit") {
+                commitments.push(input as Commitment);
+            }
+            return "none";
+        };
+    });
+
+    afterEach(() => fixture.stop());
+
+    describe("without faults", () => {
+        it("runs all parts together, once, and tells the caller that the job ran", async () => {
+            const accepted = fixture.submit(0, JOB);
+            await fixture.clock.advance(8_000);
+            expect(statusOf(await accepted)).to.deep.include({ state: "queued", recorded: true });
+            const status = await lookUp(0, "job");
+            expect(status).to.deep.include({ state: "finished", recorded: true });
+            expect(status.end?.verdict).to.equal("ran");
+            const models = fixture.agents.map(agent => agent.model);
+            expect(models.map(model => model.intervals.length)).to.deep.equal([1, 1, 1, 0]);
+            expect(longestPartialMs(models, commitments, fixture.clock.now())).to.be.below(50);
+            expect(doubleUses(models, fixture.clock.now())).to.deep.equal([]);
+        });
+
+        it("frees the accelerators for the next job", async () => {
+            for (const id of ["a", "b", "c"]) {
+                void fixture.submit(0, { ...JOB, id, ms: 1_000 });
+            }
+            await fixture.clock.advance(20_000);
+            for (const id of ["a", "b", "c"]) {
+                expect((await lookUp(0, id)).state).to.equal("finished");
+            }
+            expect(
+                doubleUses(
+                    fixture.agents.map(agent => agent.model),
+                    fixture.clock.now(),
+                ),
+            ).to.deep.equal([]);
+        });
+    });
+
+    async function lookUp(entry: number, id: string): Promise<JobStatus> {
+        const reply = fixture.status(entry, id, "vans");
+        await fixture.clock.advance(10);
+        return statusOf(await reply);
+    }
+});
+
+function statusOf(reply: JobReply): JobStatus {
+    expect(reply.kind).to.equal("status");
+    return (reply as { status: JobStatus }).status;
+}
--- /dev/null
+++ b/standins/src/gang/networkFixture.ts
@@ -0,0 +1,73 @@
+import { Left, Right, type Either } from "purify-ts/Either";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { ProcessFixture } from "./processFixture.ts";
+
+/** What happens to one message. */
+export type MessageFault = "none" | "request-lost" | "reply-lost" | "request-delayed" | "request-duplicated";
+
+/** One call between processes; `step` is the name of the operation. */
+export interface CallLabel {
+    step: string;
+    from: string;
+    to: string;
+    input: unknown;
+}
+
+/** Decides the fate of each call; called when it is sent. */
+export type ChooseFault = (label: CallLabel) => MessageFault;
+
+/** Calls between processes with latency, time limits and faults. */
+export interface NetworkFixture {
+    choose: ChooseFault;
+    /** Delay of a delayed message and of a duplicate. */
+    delayMs: number;
+    latencyMs: number;
+    call<T>(
+        from: ProcessFixture,
+        to: ProcessFixture | undefined,
+        label: { step: string; input: unknown },
+        timeoutMs: number,
+        run: () => Promise<T>,
+    ): Promise<Either<Failure, T>>;
+}
+
+/** Builds a network on a shared clock. */
+export function createNetworkFixture(clock: Clock): NetworkFixture {
+    const network: NetworkFixture = {
+        choose: () => "none",
+        delayMs: 2_500,
+        latencyMs: 1,
+        call(from, to, label, timeoutMs, run) {
+            const fault = network.choose({ ...label, from: from.name, to: to?.name ?? "" });
+            return new Promise(resolve => {
+                const settle = (value: Parameters<typeof resolve>[0]) => from.deliver(() => resolve(value));
+                const lost = failure("may-have-run", "unreachable", "The call timed out.");
+                const refused = failure("not-run", "unreachable", "The connection was refused.");
+                clock.startTimer(timeoutMs, () => settle(Left(lost)));
+                const arrive = () => {
+                    if (!to?.isAlive()) {
+                        settle(Left(refused));
+                        return;
+                    }
+                    to.deliver(() => {
+                        void run().then(reply => {
+                            if (fault !== "reply-lost") {
+                                clock.startTimer(network.latencyMs, () => settle(Right(reply)));
+                            }
+                        });
+                    });
+                };
+                if (fault === "request-lost") {
+                    return;
+                }
+                const delayMs = fault === "request-delayed" ? network.delayMs : 0;
+                clock.startTimer(network.latencyMs + delayMs, arrive);
+                if (fault === "request-duplicated") {
+                    clock.startTimer(network.latencyMs + network.delayMs, arrive);
+                }
+            });
+        },
+    };
+    return network;
+}
