Test every fault at every step of the gang protocol

Kills, freezes, restarts, silent workers, message faults, two coordinators and platform outages occur at each step and in pairs.

--- /dev/null
+++ b/standins/src/gang/gangFaults.ts
@@ -0,0 +1,120 @@
+import type { Commitment } from "@tanagerdeck/decisions/gang/gangTypes";
+import type { GangFixture } from "./gangFixture.ts";
+import type { CallLabel, MessageFault } from "./networkFixture.ts";
+import type { ProcessFixture } from "./processFixture.ts";
+
+/** Steps of the gang protocol at which a fault can occur. */
+export const GANG_STEPS = ["reserve", "commit", "prepare", "start", "renew", "stop"] as const;
+
+/** A step of the gang protocol. */
+export type GangStep = (typeof GANG_STEPS)[number];
+
+/** Faults that can occur at a step; the member is the receiver of the step's message. */
+export const GANG_FAULTS = [
+    "coordinator killed",
+    "coordinator frozen and resumed",
+    "anchor killed",
+    "anchor frozen and resumed",
+    "member killed",
+    "member frozen and resumed",
+    "member restarted",
+    "worker silent",
+    "message lost",
+    "reply lost",
+    "message delayed",
+    "message duplicated",
+    "two coordinators",
+    "platform down",
+    "platform replies lost",
+] as const;
+
+/** A fault of the gang protocol. */
+export type GangFault = (typeof GANG_FAULTS)[number];
+
+/** A fault at the n-th call of a step, counted from 1. */
+export interface Injection {
+    step: GangStep;
+    fault: GangFault;
+    occurrence: number;
+}
+
+const FREEZE_MS = 8_000;
+const OUTAGE_MS = 10_000;
+/** An entry is taken for dead after its registration lease. */
+const CLAIM_AFTER_MS = 5_000;
+
+const MESSAGE_FAULTS: Partial<Record<GangFault, MessageFault>> = {
+    "message lost": "request-lost",
+    "reply lost": "reply-lost",
+    "message delayed": "request-delayed",
+    "message duplicated": "request-duplicated",
+};
+
+/** Injects faults into a fixture and notes all commitments. */
+export function injectFaults(fixture: GangFixture, injections: Injection[]): Commitment[] {
+    const commitments: Commitment[] = [];
+    const counts = new Map<string, number>();
+    fixture.network.choose = label => {
+        if (label.step === "commit") {
+            commitments.push(label.input as Commitment);
+        }
+        const count = (counts.get(label.step) ?? 0) + 1;
+        counts.set(label.step, count);
+        let result: MessageFault = "none";
+        for (const { step, fault, occurrence } of injections) {
+            if (step === label.step && occurrence === count) {
+                cause(fixture, fault, label);
+                result = MESSAGE_FAULTS[fault] ?? result;
+            }
+        }
+        return result;
+    };
+    return commitments;
+}
+
+function cause(fixture: GangFixture, fault: GangFault, label: CallLabel): void {
+    const { clock, platform, entries, agents } = fixture;
+    const coordinator = entries[0]!.process;
+    const anchorName = label.step === "reserve" || label.step === "commit" ? "agent-0" : label.from;
+    const anchor = agents.find(({ process }) => process.name === anchorName) ?? agents[0]!;
+    const position = Math.max(
+        0,
+        agents.findIndex(({ process }) => process.name === label.to),
+    );
+    const claim = () => entries[1]!.jobs.send({ kind: "claim", owner: coordinator.name });
+    const member = agents[position]!;
+    const actions: Partial<Record<GangFault, () => void>> = {
+        "coordinator killed"() {
+            coordinator.kill();
+            clock.startTimer(CLAIM_AFTER_MS, claim);
+        },
+        "coordinator frozen and resumed"() {
+            freeze(fixture, coordinator);
+            clock.startTimer(CLAIM_AFTER_MS, claim);
+        },
+        "anchor killed": () => anchor.process.kill(),
+        "anchor frozen and resumed": () => freeze(fixture, anchor.process),
+        "member killed": () => member.process.kill(),
+        "member frozen and resumed": () => freeze(fixture, member.process),
+        "member restarted": () => fixture.restartAgent(position),
+        "worker silent"() {
+            member.model.faults.silent = true;
+            clock.startTimer(OUTAGE_MS, () => (member.model.faults.silent = false));
+        },
+        "two coordinators": claim,
+        "platform down"() {
+            platform.mode = "down";
+            clock.startTimer(OUTAGE_MS, () => (platform.mode = "normal"));
+        },
+        "platform replies lost"() {
+            platform.mode = "lose-write-reply";
+            clock.startTimer(OUTAGE_MS, () => (platform.mode = "normal"));
+        },
+    };
+    actions[fault]?.();
+}
+
+function freeze(fixture: GangFixture, process: ProcessFixture): void {
+    process.freeze();
+    fixture.clock.startTimer(FREEZE_MS, () => process.resume());
+}
