--- a/packages/caller/src/job/jobAdmission.ts
+++ b/packages/caller/src/job/jobAdmission.ts
@@ -1,7 +1,7 @@
 import { findAccount, jobRefusal } from "@tanagerdeck/decisions/gang/jobAdmission";
 import type { JobRecord } from "@tanagerdeck/decisions/gang/jobTypes";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import { sameJob, saveJob } from "./jobRecording.ts";
+import { awaitRecord, sameJob } from "./jobRecording.ts";
 import { createJob, jobKey, jobStatus } from "./jobState.ts";
 import type { CallerJob, JobContext, JobReply, JobsState } from "./jobTaskTypes.ts";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
@@ -33,7 +33,7 @@
         created.suppliedId = job.suppliedId;
         created.waiters.push(reply);
         state.jobs.set(created.key, created);
-        saveJob(state, created, context);
+        awaitRecord(state, created, context);
     }
 }
 
--- a/packages/caller/src/job/jobAttempt.ts
+++ b/packages/caller/src/job/jobAttempt.ts
@@ -2,7 +2,7 @@
 import { HOLD_MS, type CommitReply, type ReserveReply } from "@tanagerdeck/decisions/gang/gangTypes";
 import type { Placement } from "@tanagerdeck/decisions/placement/placementTypes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import { saveJob } from "./jobRecording.ts";
+import { awaitRecord, saveJob } from "./jobRecording.ts";
 import { beginSettle, cancelAttempt } from "./jobSettle.ts";
 import { enterPhase, requeue } from "./jobState.ts";
 import type { Job, JobContext, JobsState } from "./jobTaskTypes.ts";
@@ -14,12 +14,15 @@
 const FRESH_GRANT_MS = 1_500;
 /** A random step keeps two coordinators that do not know of each other from using the same attempt. */
 const ATTEMPT_STEP = 1_000;
+/** Passes the attempts of a former owner, which would otherwise displace the new owner's gang. */
+const CLAIM_STEP = 1_000_000;
 /** After a refusal as stale: passes the attempts that a former coordinator did not record. */
 const STALE_STEP = 100_000;
 
 /** Begins an attempt on the chosen accelerators. */
 export function beginAttempt(state: JobsState, job: Job, placement: Placement, context: JobContext): void {
-    const step = 1 + Math.floor(state.options.random() * ATTEMPT_STEP);
+    const step = 1 + Math.floor(state.options.random() * ATTEMPT_STEP) + (job.claimed ? CLAIM_STEP : 0);
+    job.claimed = false;
     job.record = { ...job.record, attempt: job.record.attempt + step, state: "placing" };
     job.placement = placement;
     job.attemptAt = context.clock.now();
@@ -96,7 +99,7 @@
     }
     job.record = { ...record, anchor: { agent: anchor.agent, address: anchor.address, incarnation } };
     enterPhase(job, "recording");
-    saveJob(state, job, context);
+    awaitRecord(state, job, context);
     if (job.repeatable && state.platformDownUntil > context.clock.now()) {
         commitAttempt(state, job, context);
     }
--- a/packages/caller/src/job/jobRecording.ts
+++ b/packages/caller/src/job/jobRecording.ts
@@ -7,6 +7,8 @@
 import type { Job, JobContext, JobReply, JobsState } from "./jobTaskTypes.ts";
 
 const RETRY_MS = 2_000;
+/** A job that may run without being stored waits for the platform for this time. */
+const RECORD_WAIT_MS = 300;
 /** After a failed call, jobs that may run twice do not wait for the platform for this time. */
 const DOWN_MS = 5_000;
 
@@ -27,6 +29,12 @@
     );
 }
 
+/** Stores the record for a job that waits for it, but not for long where the job allows that. */
+export function awaitRecord(state: JobsState, job: Job, context: JobContext): void {
+    saveJob(state, job, context);
+    context.after(RECORD_WAIT_MS, { kind: "record-overdue", key: job.key, turn: job.turn });
+}
+
 /** Takes the result of a write. */
 export function recordWritten(
     state: JobsState,
@@ -57,7 +65,9 @@
 }
 
 function recordStored(state: JobsState, job: Job, written: JobRecord, context: JobContext): void {
-    answerWaiters(job, { kind: "status", status: jobStatus(job.record, job.recorded) });
+    if (job.recorded) {
+        answerWaiters(job, { kind: "status", status: jobStatus(job.record, true) });
+    }
     if (job.phase === "accepting") {
         openJob(state, job, context);
         return;
@@ -77,26 +87,26 @@
     enterPhase(job, "queued");
 }
 
-function writeUnavailable(state: JobsState, job: Job, context: JobContext): void {
-    state.platformDownUntil = context.clock.now() + DOWN_MS;
-    context.after(RETRY_MS, { kind: "write-again", key: job.key });
+/** Goes on without the platform where the job allows it; a slow platform must not delay urgent work. */
+export function recordOverdue(state: JobsState, job: Job, context: JobContext): void {
     answerWaiters(job, { kind: "status", status: jobStatus(job.record, false) });
-    if (job.phase === "accepting" && job.version === 0) {
-        const storedFirst = !job.repeatable && job.suppliedId;
-        if (!storedFirst) {
-            enterPhase(job, "queued");
-        }
-        return;
-    }
-    if (job.phase !== "recording") {
-        return;
+    const storedFirst = job.version > 0 || (!job.repeatable && job.suppliedId);
+    if (job.phase === "accepting" && !storedFirst) {
+        enterPhase(job, "queued");
     }
-    if (job.repeatable) {
+    if (job.phase === "recording" && job.repeatable) {
         commitAttempt(state, job, context);
-        return;
     }
-    releaseAll(state, job, context);
-    requeue(state, job, context, RETRY_MS);
+}
+
+function writeUnavailable(state: JobsState, job: Job, context: JobContext): void {
+    state.platformDownUntil = context.clock.now() + DOWN_MS;
+    context.after(RETRY_MS, { kind: "write-again", key: job.key });
+    if (job.phase === "recording" && !job.repeatable) {
+        releaseAll(state, job, context);
+        requeue(state, job, context, RETRY_MS);
+    }
+    recordOverdue(state, job, context);
 }
 
 function writeConflict(state: JobsState, job: Job, stored: StoredJob | undefined, context: JobContext): void {
@@ -129,7 +139,7 @@
     if (committed && !sameAttempt) {
         cancelAttempt(state, job, context);
     }
-    answerWaiters(job, failure("not-run", "conflict", "Another entry owns this job."));
+    answerWaiters(job, failure("may-have-run", "conflict", "Another entry owns this job."));
     state.jobs.delete(job.key);
 }
 
--- a/packages/caller/src/job/jobState.ts
+++ b/packages/caller/src/job/jobState.ts
@@ -33,6 +33,7 @@
         repeatable: kind.repeatable,
         limitMs: kind.limits.seconds * 1_000,
         suppliedId: true,
+        claimed: version > 0,
         phase: "accepting",
         turn: 0,
         acceptedAt: clock.now() - Math.max(0, clock.wall() - record.acceptedAt),
@@ -98,8 +99,15 @@
     saveJob(state, job, context);
 }
 
-/** What a caller sees of a job. */
+/**
+ * What a caller sees of a job. Until the end is stored, another entry may have taken the job over,
+ * so only a stored end says that it did not run.
+ */
 export function jobStatus(record: JobRecord, recorded: boolean): JobStatus {
-    const { id, state, attempt, end } = record;
-    return { id, state, attempt, recorded, end: isEnded(state) ? end : undefined };
+    const { id, state, attempt } = record;
+    const end = isEnded(state) ? record.end : undefined;
+    if (end?.verdict === "not-run" && !recorded) {
+        return { id, state, attempt, recorded, end: { ...end, verdict: "may-have-run" } };
+    }
+    return { id, state, attempt, recorded, end };
 }
--- a/packages/caller/src/job/jobTask.ts
+++ b/packages/caller/src/job/jobTask.ts
@@ -5,7 +5,7 @@
 import { admitJob } from "./jobAdmission.ts";
 import { claimListed } from "./jobClaim.ts";
 import { placeWaiting } from "./jobQueue.ts";
-import { recordWritten, saveJob } from "./jobRecording.ts";
+import { recordOverdue, recordWritten, saveJob } from "./jobRecording.ts";
 import { remoteCancel, remoteStatus } from "./jobRemote.ts";
 import { attemptEnded, beginSettle, jobSettled, settle } from "./jobSettle.ts";
 import { endCancelled, jobKey, jobStatus } from "./jobState.ts";
@@ -63,6 +63,10 @@
             return;
         }
         cancelJob(state, job, context);
+        if (isEnded(job.record.state) && !job.recorded) {
+            job.waiters.push(reply);
+            return;
+        }
         reply({ kind: "status", status: jobStatus(job.record, job.recorded) });
     },
     fleet(state, message, context) {
@@ -139,6 +143,12 @@
             saveJob(state, job, context);
         }
     },
+    "record-overdue"(state, message, context) {
+        const job = inTurn(state, message);
+        if (job) {
+            recordOverdue(state, job, context);
+        }
+    },
     claim(state, message, context) {
         context.start(
             () => state.options.records.list(),
--- a/packages/caller/src/job/jobTaskTypes.ts
+++ b/packages/caller/src/job/jobTaskTypes.ts
@@ -75,6 +75,7 @@
     | { kind: "settled"; key: string; turn: number; result: Either<Failure, SettleReply> }
     | { kind: "written"; key: string; record: JobRecord; result: RecordWrite }
     | { kind: "write-again"; key: string }
+    | { kind: "record-overdue"; key: string; turn: number }
     | { kind: "claim"; owner: string }
     | { kind: "listed"; owner: string; result: Either<Failure, StoredJob[]> }
     | { kind: "hand-over"; reply: Reply<void> };
@@ -107,6 +108,8 @@
     repeatable: boolean;
     limitMs: number;
     suppliedId: boolean;
+    /** True until the first attempt after the job was claimed from another entry. */
+    claimed: boolean;
     phase: JobPhase;
     /** Grows with each phase, so that replies of earlier phases are ignored. */
     turn: number;
--- a/packages/tanagerdeck/src/gang/gangWhole.fault.spec.ts
+++ b/packages/tanagerdeck/src/gang/gangWhole.fault.spec.ts
@@ -139,7 +139,7 @@
             const settled = await Promise.race([reply, undefined]);
             if (settled?.kind === "status") {
                 last = settled.status;
-                if (isEnded(last.state)) {
+                if (isEnded(last.state) && last.recorded) {
                     return last;
                 }
             }
--- a/standins/src/gang/gangFixture.ts
+++ b/standins/src/gang/gangFixture.ts
@@ -227,6 +227,13 @@
         return { process, jobs, membership };
     }
 
+    function askEntry(position: number, build: (reply: Reply<JobReply>) => JobMessage): Promise<JobReply> {
+        const { process, jobs } = entries[position]!;
+        return new Promise(resolve =>
+            process.deliver(() => void jobs.ask(build).then(reply => process.deliver(() => resolve(reply)))),
+        );
+    }
+
     for (let position = 0; position < options.entries; position++) {
         entries.push(startEntry(position));
     }
@@ -252,20 +259,12 @@
             const shape = { span: "neighbouring-racks" as const, accelerators };
             const body = JSON.stringify({ ms });
             const job = { id, suppliedId: true, clientAccount, kind, shape, seconds: 1, body };
-            return entries[entry]!.jobs.ask((reply: Reply<JobReply>) => ({ kind: "submit", job, reply }));
+            return askEntry(entry, reply => ({ kind: "submit", job, reply }));
         },
         cancel: (entry, id, clientAccount) =>
-            entries[entry]!.jobs.ask((reply: Reply<JobReply>) => ({
-                kind: "cancel",
-                job: { id, clientAccount },
-                reply,
-            })),
+            askEntry(entry, reply => ({ kind: "cancel", job: { id, clientAccount }, reply })),
         status: (entry, id, clientAccount) =>
-            entries[entry]!.jobs.ask((reply: Reply<JobReply>) => ({
-                kind: "status",
-                job: { id, clientAccount },
-                reply,
-            })),
+            askEntry(entry, reply => ({ kind: "status", job: { id, clientAccount }, reply })),
         async stop() {
             for (const { process } of [...agents, ...entries]) {
                 process.kill();
