Wire gang jobs into the entry and the agent of a worker

An agent beside a worker runs the worker task, the anchor task and the announcement; the entry adds the job routes and acknowledges recorded ends in its replies to reports.

--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -14,19 +14,20 @@
 import type { Reply } from "@tanagerdeck/runtime/task/task";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
 import type { AgentSettings } from "../settings/settingsSchema.ts";
+import { startWorkerAgent } from "./workerAgent.ts";
 
 const REPORT_INTERVAL_MS = 2_000;
 const REPORT_TIMEOUT_MS = 2_000;
 
-/** Starts an agent beside a runner and wires its tasks. */
+/** Starts the agent of a backend server and wires its tasks. */
 export async function startAgent(settings: AgentSettings): Promise<RunningProcess> {
+    if (settings.server.kind === "worker") {
+        return startWorkerAgent(settings, settings.server);
+    }
     const log = createLog(settings.name, settings.logLevel);
     const clock = systemClock;
     const clients = createPeerClients(settings.peerToken);
     const incarnation = nanoid(10);
-    if (settings.server.kind !== "runner") {
-        throw new Error("A worker's agent is not wired yet.");
-    }
     const runnerClient = createRunnerClient(settings.server.address, settings.server.connections);
     const runner = startRunnerTask({
         slots: settings.server.slots,
--- /dev/null
+++ b/packages/tanagerdeck/src/agent/workerWiring.ts
@@ -0,0 +1,119 @@
+import { createWorkerClient } from "@tanagerdeck/backend/worker/workerClient";
+import { startWorkerTask } from "@tanagerdeck/backend/worker/workerTask";
+import type { WorkerStatus } from "@tanagerdeck/backend/worker/workerTypes";
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import type { GangReport, Report } from "@tanagerdeck/decisions/fleet/reportTypes";
+import { boundAccounts } from "@tanagerdeck/decisions/ledger/ledger";
+import { startAnchorTask } from "@tanagerdeck/peer/gang/anchorTask";
+import { createMemberCalls } from "@tanagerdeck/peer/gang/gangCalls";
+import type { GangHandlers } from "@tanagerdeck/peer/gang/gangHandlers";
+import { peerCall } from "@tanagerdeck/peer/link/peerCall";
+import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Reply } from "@tanagerdeck/runtime/task/task";
+
+const RECLAIM_TIMEOUT_MS = 1_000;
+/** Interval at which a draining worker looks for the end of its parts. */
+const DRAIN_POLL_MS = 200;
+
+/** Position and address of the worker beside an agent. */
+export interface WorkerSettings {
+    address: string;
+    rack: string;
+    slot: number;
+    accelerators: number;
+}
+
+/** What the tasks of a worker's agent depend on. */
+export interface WorkerWiringOptions {
+    settings: WorkerSettings;
+    incarnation: string;
+    /** Bound `ip:port` of this agent. */
+    address: () => string;
+    clients: PeerClients;
+    clock: Clock;
+    log: Log;
+}
+
+/** The tasks of an agent beside a worker. */
+export interface WorkerWiring {
+    handlers: GangHandlers;
+    report(): Promise<Pick<Report, "worker" | "gangs" | "usage">>;
+    adopt(configuration: Configuration): void;
+    /** Tells the anchor which ends the entries have recorded. */
+    recorded(keys: string[]): void;
+    /** Takes no new work; resolves when the parts have ended, checkpointing those left after `graceMs`. */
+    drain(graceMs: number): Promise<void>;
+    stop(): Promise<void>;
+}
+
+/** Starts and connects the tasks of an agent beside a worker. */
+export function startWorkerWiring(options: WorkerWiringOptions): WorkerWiring {
+    const { settings, incarnation, clients, clock, log, address } = options;
+    const { rack, slot, accelerators } = settings;
+    const client = createWorkerClient(settings.address);
+    const anchor = startAnchorTask({
+        address,
+        incarnation,
+        clock,
+        log: log.part("anchor"),
+        calls: createMemberCalls(clients),
+    });
+    const worker = startWorkerTask({
+        rack,
+        slot,
+        accelerators,
+        incarnation,
+        clock,
+        log: log.part("worker"),
+        calls: client.calls,
+        askReclaim: (target, reference) =>
+            void peerCall(RECLAIM_TIMEOUT_MS, signal =>
+                clients.agent(target).reclaimGang.mutate(reference, { signal }),
+            ),
+    });
+    const status = () => worker.ask((reply: Reply<WorkerStatus>) => ({ kind: "status", reply }));
+
+    return {
+        handlers: {
+            reserve: reservation => worker.ask(reply => ({ kind: "reserve", reservation, reply })),
+            release: reference => worker.ask(reply => ({ kind: "release", reference, reply })),
+            prepare: preparation => worker.ask(reply => ({ kind: "prepare", preparation, reply })),
+            start: order => worker.ask(reply => ({ kind: "start", order, reply })),
+            renew: order => worker.ask(reply => ({ kind: "renew", order, reply })),
+            stop: order => worker.ask(reply => ({ kind: "stop", order, reply })),
+            commit: commitment => anchor.ask(reply => ({ kind: "commit", commitment, reply })),
+            settleGang: settlement => anchor.ask(reply => ({ kind: "settle", settlement, reply })),
+            reclaimGang: reference => anchor.ask(reply => ({ kind: "reclaim", reference, reply })),
+        },
+        async report() {
+            const { load, usage } = await status();
+            const gangs = await anchor.ask((reply: Reply<GangReport[]>) => ({ kind: "reports", reply }));
+            return { worker: load, gangs, usage };
+        },
+        adopt({ bindings }) {
+            worker.send({ kind: "bindings", bound: boundAccounts(bindings, rack, slot, accelerators) });
+        },
+        recorded(keys) {
+            anchor.send({ kind: "recorded", keys });
+        },
+        async drain(graceMs) {
+            worker.send({ kind: "drain" });
+            const deadline = clock.now() + graceMs;
+            let checkpointing = false;
+            while ((await status()).parts > 0) {
+                if (!checkpointing && clock.now() >= deadline) {
+                    checkpointing = true;
+                    worker.send({ kind: "drain-end" });
+                }
+                await new Promise<void>(resolve => clock.startTimer(DRAIN_POLL_MS, resolve));
+            }
+        },
+        async stop() {
+            await worker.stop();
+            await anchor.stop();
+            await client.close();
+        },
+    };
+}
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -1,5 +1,7 @@
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
+import { orderByPriority } from "@tanagerdeck/decisions/gang/jobTypes";
+import { firstFitPlacement } from "@tanagerdeck/decisions/placement/firstFitPlacement";
 import type { Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startCallerListener } from "@tanagerdeck/caller/listener/callerListener";
 import { createRequestRoutes } from "@tanagerdeck/caller/routing/requestRoutes";
@@ -19,6 +21,7 @@
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
 import type { EntrySettings } from "../settings/settingsSchema.ts";
 import { createAgentCalls } from "./agentCalls.ts";
+import { startJobWiring } from "./jobWiring.ts";
 
 const REPORT_INTERVAL_MS = 2_000;
 
@@ -36,11 +39,25 @@
         random: Math.random,
         calls: createAgentCalls(clients),
     });
+    const jobs = startJobWiring({
+        entry: settings.name,
+        environment: settings.environment,
+        store,
+        clients,
+        clock,
+        log,
+        place: firstFitPlacement,
+        order: orderByPriority,
+        usable: () => true,
+    });
     const membership = startMembershipTask({
         clock,
         log: log.part("membership"),
         reportIntervalMs: REPORT_INTERVAL_MS,
-        changed: agents => routing.send({ kind: "fleet", agents }),
+        changed(agents) {
+            routing.send({ kind: "fleet", agents });
+            jobs.jobs.send({ kind: "fleet", agents });
+        },
     });
     const configuration = startConfigurationTask({
         environment: settings.environment,
@@ -49,6 +66,7 @@
         log: log.part("configuration"),
         adopted: adopted => {
             routing.send({ kind: "configuration", configuration: adopted });
+            jobs.jobs.send({ kind: "configuration", configuration: adopted });
             membership.send({ kind: "configuration", revision: adopted.revision });
         },
     });
@@ -59,8 +77,11 @@
         settings.peerAddress,
         settings.peerToken,
         createEntryRouter({
-            announce: report =>
-                membership.ask((reply: Reply<ReportReply>) => ({ kind: "report", report, reply })),
+            announce: async report =>
+                jobs.acknowledge(
+                    report,
+                    await membership.ask((reply: Reply<ReportReply>) => ({ kind: "report", report, reply })),
+                ),
             configurationStatus: async () => {
                 const current = await currentConfiguration();
                 return { revision: current?.revision ?? 0, confirmedAgoMs: 0, platformReachable: true };
@@ -83,9 +104,12 @@
     const callerListener = await startCallerListener({
         address: settings.callerAddress,
         configuration: currentConfiguration,
-        routes: createRequestRoutes(request =>
-            routing.ask((reply: Reply<Outcome>) => ({ kind: "request", request, reply })),
-        ),
+        routes: {
+            ...createRequestRoutes(request =>
+                routing.ask((reply: Reply<Outcome>) => ({ kind: "request", request, reply })),
+            ),
+            ...jobs.routes,
+        },
     });
     log.info("The entry is serving.", { callerAddress: callerListener.address });
 
@@ -102,6 +126,7 @@
             await configuration.stop();
             await membership.stop();
             await routing.stop();
+            await jobs.jobs.stop();
             await clients.close();
             await store.close();
             log.info("The entry has stopped.");
--- /dev/null
+++ b/packages/tanagerdeck/src/entry/jobWiring.ts
@@ -0,0 +1,83 @@
+import { nanoid } from "nanoid";
+import { createJobRoutes } from "@tanagerdeck/caller/job/jobRoutes";
+import { startJobTask } from "@tanagerdeck/caller/job/jobTask";
+import type { JobMessage, JobReply, OrderQueue, Place } from "@tanagerdeck/caller/job/jobTaskTypes";
+import type { CallerContext } from "@tanagerdeck/caller/listener/callerListener";
+import type { Report, ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
+import { createCoordinatorCalls } from "@tanagerdeck/peer/gang/gangCalls";
+import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
+import { createJobRecords } from "@tanagerdeck/platform/record/jobRecords";
+import type { Store } from "@tanagerdeck/platform/store/storeTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Routes } from "@tanagerdeck/runtime/http/routes";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
+
+/** What the jobs task of an entry depends on. */
+export interface JobWiringOptions {
+    entry: string;
+    environment: string;
+    store: Store;
+    clients: PeerClients;
+    clock: Clock;
+    log: Log;
+    place: Place;
+    order: OrderQueue;
+    usable: (agent: AgentView) => boolean;
+}
+
+/** The jobs task of an entry. */
+export interface JobWiring {
+    jobs: Task<JobMessage>;
+    routes: Routes<CallerContext>;
+    /** Adds the recorded ends to the reply to a report. */
+    acknowledge(report: Report, reply: ReportReply): Promise<ReportReply>;
+    /** Claims the jobs of an entry whose registration has ended, and those that were handed over. */
+    claim(owner: string): void;
+    /** Resolves when the waiting jobs have no owner. */
+    handOver(): Promise<void>;
+}
+
+/** Starts and connects the jobs task of an entry. */
+export function startJobWiring(options: JobWiringOptions): JobWiring {
+    const { entry, environment, store, clients, clock, log, place, order, usable } = options;
+    const jobs = startJobTask({
+        entry,
+        clock,
+        log: log.part("jobs"),
+        random: Math.random,
+        newId: nanoid,
+        calls: createCoordinatorCalls(clients),
+        records: createJobRecords(store, environment),
+        place,
+        order,
+        usable,
+    });
+    // A restarted entry finds the jobs of its former incarnation under its own name.
+    jobs.send({ kind: "claim", owner: entry });
+
+    return {
+        jobs,
+        routes: createJobRoutes({
+            submit: job => jobs.ask((reply: Reply<JobReply>) => ({ kind: "submit", job, reply })),
+            status: job => jobs.ask((reply: Reply<JobReply>) => ({ kind: "status", job, reply })),
+            cancel: job => jobs.ask((reply: Reply<JobReply>) => ({ kind: "cancel", job, reply })),
+        }),
+        async acknowledge({ gangs }, reply) {
+            if (gangs.length === 0 || !reply.accepted) {
+                return reply;
+            }
+            const recorded = await jobs.ask((done: Reply<string[]>) => ({
+                kind: "gangs",
+                gangs,
+                reply: done,
+            }));
+            return { ...reply, recordedGangs: [...reply.recordedGangs, ...recorded] };
+        },
+        claim(owner) {
+            jobs.send({ kind: "claim", owner });
+        },
+        handOver: () => jobs.ask((reply: Reply<void>) => ({ kind: "hand-over", reply })),
+    };
+}
