Test leases, settlements and jobs one mechanism at a time

A lost attempt is now stored as queued at once; before, an entry that claimed the job waited for the lost anchor a second time.

--- /dev/null
+++ b/packages/backend/src/worker/workerTask.fault.spec.ts
@@ -0,0 +1,238 @@
+import { expect } from "chai";
+import type { GangReference, PartReply, ReserveReply } from "@tanagerdeck/decisions/gang/gangTypes";
+import { attemptKey, CHECKPOINT_GRACE_MS } from "@tanagerdeck/decisions/gang/gangTypes";
+import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { silentLog } from "@tanagerdeck/runtime/log/log";
+import type { Task } from "@tanagerdeck/runtime/task/task";
+import { createProcessFixture, type ProcessFixture } from "@tanagerdeck/standins/gang/processFixture";
+import { createWorkerCalls } from "@tanagerdeck/standins/gang/workerCallsFixture";
+import { createWorkerModel, healthyWorker, type WorkerModel } from "@tanagerdeck/standins/worker/workerModel";
+import { startWorkerTask } from "./workerTask.ts";
+import type { WorkerMessage, WorkerStatus } from "./workerTypes.ts";
+
+const BORROWER: GangReference = { gang: "vans/long", attempt: 1 };
+const OWNER: GangReference = { gang: "owner/urgent", attempt: 1 };
+const CALL_MS = 300;
+const TASK_LEASE_MS = 1_500;
+/** The stated worst case, and one call to a worker that does not answer. */
+const RECLAIM_LIMIT_MS = CHECKPOINT_GRACE_MS + CALL_MS + TASK_LEASE_MS;
+const POLL_MS = 50;
+
+describe("invariant 1: an account can always reclaim its guaranteed shape", () => {
+    describe("step: reclaim", () => {
+        it("fault: anchor never reacts: the agent ends the part itself", async () => {
+            const member = await startMember();
+            const order = await compute(member, BORROWER, 3_000);
+            const grantedAfter = await reclaim(member, () => void renew(member, order));
+            expect(grantedAfter).to.be.at.most(CHECKPOINT_GRACE_MS + CALL_MS);
+        });
+
+        it("fault: worker silent: nothing is granted before the task has ended by its lease", async () => {
+            const member = await startMember();
+            const order = await compute(member, BORROWER, 3_000);
+            member.model.faults.silent = true;
+            const grantedAfter = await reclaim(member, () => void renew(member, order));
+            expect(grantedAfter).to.be.at.most(RECLAIM_LIMIT_MS);
+        });
+    });
+});
+
+describe("invariant 2: no part runs without the rest of its gang", () => {
+    describe("step: renew", () => {
+        it("fault: message delayed: the lease counts from the member's own stamp", async () => {
+            const member = await startMember();
+            const order = await compute(member, BORROWER, 2_000);
+            const startedAt = member.clock.now();
+            await member.clock.advance(1_500);
+            await answer(member, renew(member, order));
+            await member.clock.advance(3_000);
+            expect(computedMs(member)).to.be.at.most(2_000);
+            expect(member.model.intervals[0]!.end! - startedAt).to.be.at.most(2_000);
+        });
+
+        it("fault: member killed: its task does not outlive the run lease", async () => {
+            const member = await startMember();
+            await compute(member, BORROWER, 1_800);
+            await member.clock.advance(1_100);
+            member.process.kill();
+            await member.clock.advance(3_000);
+            expect(computedMs(member)).to.be.at.most(1_800);
+        });
+
+        it("fault: member frozen past its lease and resumed: its part is over", async () => {
+            const member = await startMember();
+            const order = await compute(member, BORROWER, 3_000);
+            member.process.freeze();
+            await member.clock.advance(8_000);
+            const late = renew(member, order);
+            member.process.resume();
+            expect(await answer(member, late)).to.deep.equal({ kind: "lost", reason: "expired" });
+            await member.clock.advance(1_000);
+            expect(computedMs(member)).to.be.at.most(1_500);
+            expect(await freeAccelerators(member)).to.equal(2);
+        });
+
+        it("fault: worker killed: the member stops confirming", async () => {
+            const member = await startMember();
+            const order = await compute(member, BORROWER, 3_000);
+            member.model.fail();
+            member.model.faults.silent = true;
+            await member.clock.advance(1_600);
+            expect((await answer(member, renew(member, order))).kind).to.equal("lost");
+        });
+    });
+
+    describe("step: prepare", () => {
+        it("fault: message delayed past the hold: the part is not loaded", async () => {
+            const member = await startMember();
+            await answer(member, reserve(member, BORROWER, "vans"));
+            await member.clock.advance(3_000);
+            const reply = await answer(member, prepare(member, BORROWER));
+            expect(reply).to.deep.equal({ kind: "lost", reason: "stale" });
+            expect(member.model.list()).to.deep.equal([]);
+        });
+
+        it("fault: agent restarted: the new incarnation waits for the old leases", async () => {
+            const member = await startMember();
+            await compute(member, BORROWER, 3_000);
+            member.process.kill();
+            const next = startAgent(member.clock, member.model);
+            const refused = await answer(next, reserve(next, OWNER, "owner"));
+            expect(refused).to.deep.equal({ kind: "refused", reason: "starting" });
+            await member.clock.advance(TASK_LEASE_MS + CALL_MS);
+            expect((await answer(next, reserve(next, OWNER, "owner"))).kind).to.equal("granted");
+            expect(member.model.list()).to.deep.equal([]);
+        });
+    });
+
+    describe("step: usage", () => {
+        it("fault: reports late, repeated and out of order: use is counted once, from the first renewal", async () => {
+            const member = await startMember();
+            member.model.faults.usageLagMs = 1_000;
+            let order = await compute(member, BORROWER, 3_000);
+            for (let second = 0; second < 5; second++) {
+                await member.clock.advance(1_000);
+                const reply = await answer(member, renew(member, order));
+                order = { ...order, stamp: reply.kind === "confirmed" ? reply.stamp : 0 };
+            }
+            await answer(member, stop(member, BORROWER));
+            await member.clock.advance(10_000);
+            const computed = computedMs(member) * 2;
+            const { usage } = await status(member);
+            expect(usage).to.have.length(1);
+            expect(usage[0]!.milliseconds).to.be.within(computed - 2 * 1_000 - 50, computed - 2 * 1_000);
+        });
+
+        it("fault: anchor killed after the start: use of a part that was never confirmed whole is not counted", async () => {
+            const member = await startMember();
+            await compute(member, BORROWER, 3_000);
+            await member.clock.advance(10_000);
+            expect(computedMs(member)).to.be.above(1_000);
+            expect((await status(member)).usage).to.deep.equal([]);
+        });
+    });
+});
+
+interface Member {
+    clock: ManualClock;
+    process: ProcessFixture;
+    model: WorkerModel;
+    task: Task<WorkerMessage>;
+}
+
+async function startMember(): Promise<Member> {
+    const clock = createManualClock();
+    const member = startAgent(clock, createWorkerModel(clock, healthyWorker()));
+    await clock.advance(10);
+    return member;
+}
+
+function startAgent(clock: ManualClock, model: WorkerModel): Member {
+    const process = createProcessFixture("agent", clock);
+    const task = startWorkerTask({
+        rack: "rack-0",
+        slot: 0,
+        accelerators: 2,
+        incarnation: "first",
+        clock: process.clock,
+        log: silentLog,
+        calls: createWorkerCalls(process, model, clock),
+        askReclaim: () => undefined,
+    });
+    task.send({ kind: "bindings", bound: ["owner", "owner"] });
+    return { clock, process, model, task };
+}
+
+/** Runs a part under a lease of `leaseMs` from now, with its stamp from the preparation. */
+async function compute(member: Member, reference: GangReference, leaseMs: number) {
+    await answer(member, reserve(member, reference, "vans"));
+    await answer(member, prepare(member, reference));
+    await member.clock.settle();
+    const prepared = await answer(member, prepare(member, reference));
+    const stamp = prepared.kind === "confirmed" ? prepared.stamp : 0;
+    const order = { ...reference, stamp, leaseMs };
+    const started = await answer(
+        member,
+        member.task.ask<PartReply>(reply => ({ kind: "start", order, reply })),
+    );
+    expect(started).to.deep.include({ kind: "confirmed", state: "computing" });
+    return order;
+}
+
+/** Time until the owner is granted the borrower's accelerators; `meanwhile` runs every 500 ms. */
+async function reclaim(member: Member, meanwhile: () => void): Promise<number> {
+    const askedAt = member.clock.now();
+    for (let polls = 0; polls < 200; polls++) {
+        const reply = await answer(member, reserve(member, OWNER, "owner"));
+        if (reply.kind === "granted") {
+            const open = member.model.intervals.filter(({ end }) => end === undefined);
+            expect(open, "the borrower still computes").to.deep.equal([]);
+            return member.clock.now() - askedAt;
+        }
+        if (polls % 10 === 0) {
+            meanwhile();
+        }
+        await member.clock.advance(POLL_MS);
+    }
+    return Number.POSITIVE_INFINITY;
+}
+
+function reserve({ task }: Member, reference: GangReference, clientAccount: string) {
+    const reservation = { ...reference, clientAccount, indexes: [0, 1], guaranteed: false, holdMs: 3_000 };
+    return task.ask<ReserveReply>(reply => ({ kind: "reserve", reservation, reply }));
+}
+
+function prepare({ task }: Member, reference: GangReference) {
+    const body = JSON.stringify({ ms: 60_000 });
+    const gangTask = { kind: "routes", clientAccount: "vans", body, limitMs: 60_000 };
+    const preparation = { ...reference, anchor: "anchor", task: gangTask };
+    return task.ask<PartReply>(reply => ({ kind: "prepare", preparation, reply }));
+}
+
+/** Renews with an order's stamp, as an anchor does whose messages are late. */
+function renew({ task }: Member, order: GangReference & { stamp: number; leaseMs: number }) {
+    return task.ask<PartReply>(reply => ({ kind: "renew", order, reply }));
+}
+
+function stop({ task }: Member, reference: GangReference) {
+    return task.ask(reply => ({ kind: "stop", order: { ...reference, checkpoint: false }, reply }));
+}
+
+async function answer<T>(member: Member, reply: Promise<T>): Promise<T> {
+    await member.clock.settle();
+    return reply;
+}
+
+function status({ task }: Member): Promise<WorkerStatus> {
+    return task.ask<WorkerStatus>(reply => ({ kind: "status", reply }));
+}
+
+async function freeAccelerators(member: Member): Promise<number> {
+    const { load } = await status(member);
+    return load.accelerators.filter(({ kind }) => kind === "free").length;
+}
+
+function computedMs({ model, clock }: Member): number {
+    const own = model.intervals.filter(({ id }) => id === attemptKey(BORROWER));
+    return own.reduce((sum, { begin, end }) => sum + (end ?? clock.now()) - begin, 0);
+}
--- a/packages/caller/src/job/jobSettle.ts
+++ b/packages/caller/src/job/jobSettle.ts
@@ -152,7 +152,9 @@
         fail(state, job, "may-have-run", "incarnation-gone", detail, context);
         return;
     }
+    // Stored at once, so that an entry that claims the job does not wait for the lost anchor again.
     requeue(state, job, context, PARTIAL_LIMIT_MS);
+    saveJob(state, job, context);
 }
 
 function fail(
--- /dev/null
+++ b/packages/caller/src/job/jobTask.spec.ts
@@ -0,0 +1,207 @@
+import { expect } from "chai";
+import type { JobStatus } from "@tanagerdeck/decisions/gang/jobTypes";
+import { gangConfiguration, ONCE_KIND, REPEATABLE_KIND } from "@tanagerdeck/standins/gang/gangConfiguration";
+import {
+    startGangFixture,
+    type GangFixture,
+    type JobSubmission,
+} from "@tanagerdeck/standins/gang/gangFixture";
+import { doubleUses } from "@tanagerdeck/standins/gang/gangMeasures";
+import type { JobReply } from "./jobTaskTypes.ts";
+
+const JOB = { id: "job", clientAccount: "vans", kind: REPEATABLE_KIND, accelerators: 4, ms: 2_000 };
+
+describe("jobs", () => {
+    let fixture: GangFixture;
+
+    beforeEach(async () => {
+        const configuration = gangConfiguration();
+        configuration.document.clientAccounts[0]!.quota = {
+            accelerators: 8,
+            requestsPerSecond: 10,
+            waiting: 20,
+        };
+        fixture = await startGangFixture({
+            workers: 6,
+            accelerators: 2,
+            entries: 2,
+            configuration,
+            random: () => 0.5,
+        });
+    });
+
+    afterEach(() => fixture.stop());
+
+    describe("platform down", () => {
+        beforeEach(() => {
+            fixture.platform.mode = "down";
+        });
+
+        it("runs a repeatable job unrecorded and stores its end later", async () => {
+            expect(await submit(0, JOB)).to.deep.include({ state: "queued", recorded: false });
+            await fixture.clock.advance(8_000);
+            expect(await lookUp(0)).to.deep.include({ state: "finished", recorded: false });
+            fixture.platform.mode = "normal";
+            await fixture.clock.advance(4_000);
+            expect(await lookUp(1)).to.deep.include({ state: "finished", recorded: true });
+        });
+
+        it("does not start a job that must not run twice, since another entry may have its id", async () => {
+            for (const entry of [0, 1]) {
+                expect(await submit(entry, { ...JOB, kind: ONCE_KIND })).to.deep.include({ recorded: false });
+            }
+            await fixture.clock.advance(8_000);
+            expect(tasks()).to.deep.equal([]);
+            fixture.platform.mode = "normal";
+            await fixture.clock.advance(12_000);
+            expect(new Set(tasks()).size, "attempts").to.equal(1);
+            expect((await lookUp(0)).state).to.equal("finished");
+            expect((await lookUp(1)).state).to.equal("finished");
+        });
+
+        it("does not promise not run for a cancelled job before its end is stored", async () => {
+            await submit(0, { ...JOB, accelerators: 8, kind: ONCE_KIND });
+            const reply = fixture.cancel(0, JOB.id, JOB.clientAccount);
+            await fixture.clock.advance(4_000);
+            expect(statusOf(await reply).end?.verdict).to.equal("may-have-run");
+            fixture.platform.mode = "normal";
+            await fixture.clock.advance(4_000);
+            expect((await lookUp(0)).end?.verdict).to.equal("not-run");
+        });
+    });
+
+    describe("write replies lost", () => {
+        it("finds its own writes by reading back and runs the job once", async () => {
+            fixture.platform.mode = "lose-write-reply";
+            await submit(0, { ...JOB, kind: ONCE_KIND });
+            await fixture.clock.advance(15_000);
+            expect(await lookUp(1)).to.deep.include({ state: "finished", recorded: true });
+            expect(new Set(tasks()).size).to.equal(1);
+        });
+    });
+
+    describe("the same id at both entries", () => {
+        it("runs once, and another job under the id is refused as a conflict", async () => {
+            const first = fixture.submit(0, { ...JOB, kind: ONCE_KIND });
+            const second = fixture.submit(1, { ...JOB, kind: ONCE_KIND });
+            await fixture.clock.advance(8_000);
+            expect((await first).kind).to.equal("status");
+            expect((await second).kind).to.equal("status");
+            expect(new Set(tasks()).size).to.equal(1);
+            for (const entry of [0, 1]) {
+                const other = fixture.submit(entry, { ...JOB, ms: 1 });
+                await fixture.clock.advance(100);
+                expect(await other).to.deep.include({ reason: "conflict", verdict: "not-run" });
+            }
+        });
+    });
+
+    describe("a wave of cancellations", () => {
+        it("ends waiting, placing and running jobs and frees all accelerators", async () => {
+            const ids = Array.from({ length: 12 }, (_, position) => `job-${position}`);
+            for (const id of ids) {
+                void fixture.submit(0, { ...JOB, id, ms: 15_000 });
+            }
+            await fixture.clock.advance(2_500);
+            for (const id of ids) {
+                void fixture.cancel(Number(id.at(-1)) % 2, id, JOB.clientAccount);
+            }
+            await fixture.clock.advance(12_000);
+            const open = fixture.agents.flatMap(({ model }) => model.list());
+            expect(open).to.deep.equal([]);
+            const started = new Set(tasks().map(id => id.split("#")[0]));
+            for (const id of ids) {
+                const { state, end } = await lookUp(0, id);
+                expect(state, id).to.equal("cancelled");
+                expect(end!.verdict === "not-run" && started.has(`vans/${id}`), id).to.equal(false);
+            }
+        });
+    });
+
+    describe("a quota of accelerators", () => {
+        it("is never passed, and jobs over it wait or are refused at once", async () => {
+            for (const id of ["a", "b", "c"]) {
+                void fixture.submit(0, { ...JOB, id });
+            }
+            const over = fixture.submit(0, { ...JOB, id: "over", accelerators: 9 });
+            await fixture.clock.advance(20_000);
+            expect(await over).to.deep.include({ reason: "infeasible", verdict: "not-run" });
+            for (const id of ["a", "b", "c"]) {
+                expect((await lookUp(0, id)).state).to.equal("finished");
+            }
+            expect(mostUsed()).to.equal(8);
+        });
+    });
+
+    describe("a worker that fails everything", () => {
+        it("is avoided by the job's next attempt", async () => {
+            fixture.agents[0]!.model.faults.failEverything = true;
+            await submit(0, JOB);
+            await fixture.clock.advance(15_000);
+            expect((await lookUp(0)).state).to.equal("finished");
+        });
+    });
+
+    describe("declared run times that are far from the real ones", () => {
+        it("fails a job over its kind's limit with a clear reason, after a checkpoint", async () => {
+            await submit(0, { ...JOB, ms: 600_000 });
+            await fixture.clock.advance(40_000);
+            const { state, end } = await lookUp(0);
+            expect(state).to.equal("failed");
+            expect(end).to.deep.include({ verdict: "ran", reason: "deadline-exceeded" });
+        });
+    });
+
+    describe("an entry that hands its waiting jobs over", () => {
+        it("has them run by another entry", async () => {
+            void fixture.submit(0, { ...JOB, id: "first", accelerators: 8, ms: 6_000 });
+            await fixture.clock.advance(1_000);
+            await submit(0, JOB);
+            let done = false;
+            void fixture.entries[0]!.jobs.ask(reply => ({ kind: "hand-over", reply })).then(
+                () => (done = true),
+            );
+            await fixture.clock.advance(500);
+            expect(done).to.equal(true);
+            fixture.entries[1]!.jobs.send({ kind: "claim", owner: "entry-0" });
+            await fixture.clock.advance(20_000);
+            expect((await lookUp(1)).state).to.equal("finished");
+            expect(doubleUses(models(), fixture.clock.now())).to.deep.equal([]);
+        });
+    });
+
+    async function submit(entry: number, job: JobSubmission): Promise<JobStatus> {
+        const reply = fixture.submit(entry, job);
+        await fixture.clock.advance(1_500);
+        return statusOf(await reply);
+    }
+
+    async function lookUp(entry: number, id = JOB.id): Promise<JobStatus> {
+        const reply = fixture.status(entry, id, JOB.clientAccount);
+        await fixture.clock.advance(600);
+        return statusOf(await reply);
+    }
+
+    function models() {
+        return fixture.agents.map(({ model }) => model);
+    }
+
+    function tasks(): string[] {
+        return models().flatMap(({ intervals }) => intervals.map(({ id }) => id));
+    }
+
+    /** Most accelerators that computed at one time. */
+    function mostUsed(): number {
+        const intervals = models().flatMap(model => model.intervals);
+        const usedAt = (time: number) =>
+            intervals
+                .filter(({ begin, end }) => begin <= time && time < (end ?? Number.POSITIVE_INFINITY))
+                .reduce((sum, { indexes }) => sum + indexes.length, 0);
+        return Math.max(...intervals.map(({ begin }) => usedAt(begin)));
+    }
+});
+
+function statusOf(reply: JobReply): JobStatus {
+    expect(reply.kind, JSON.stringify(reply)).to.equal("status");
+    return (reply as { status: JobStatus }).status;
+}
--- /dev/null
+++ b/packages/decisions/src/gang/leaseGrant.spec.ts
@@ -0,0 +1,34 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { PARTIAL_LIMIT_MS, RUN_LEASE_MS } from "./gangTypes.ts";
+import { leaseGrants } from "./leaseGrant.ts";
+
+describe("lease grants", () => {
+    describe("a quick round", () => {
+        it("gives the whole run lease", () => {
+            const grants = leaseGrants(1_000, new Map([["a", { receivedAt: 1_004, staleMs: 400 }]]));
+            expect(grants.get("a")).to.equal(RUN_LEASE_MS);
+        });
+    });
+
+    describe("any round", () => {
+        it("gives no part more than the limit after the oldest sign of life of any part", () => {
+            const confirmation = fc.record({
+                receivedAt: fc.integer({ min: 1_000, max: 2_000 }),
+                staleMs: fc.integer({ min: 0, max: 1_000 }),
+            });
+            fc.assert(
+                fc.property(fc.array(confirmation, { minLength: 1, maxLength: 8 }), confirmations => {
+                    const round = new Map(confirmations.entries());
+                    const wholeAt = 1_000 - Math.max(...confirmations.map(({ staleMs }) => staleMs));
+                    for (const [member, grant] of leaseGrants(1_000, round)) {
+                        // The stamp is not later than the confirmation's arrival.
+                        const end = round.get(member)!.receivedAt + grant;
+                        expect(end - wholeAt).to.be.at.most(PARTIAL_LIMIT_MS);
+                    }
+                }),
+                { seed: 20_260 },
+            );
+        });
+    });
+});
