Merge gang jobs from the caller to the workers

Cause: gang jobs were built beside the new configuration and membership tasks. The common part of both agents (listener, announcements, configuration) is now one file, agentCore.ts, with the runner's and the worker's side passed in; the worker's agent thereby confirms its configuration as the runner's does.

--- /dev/null
+++ b/packages/tanagerdeck/src/agent/agentCore.ts
@@ -0,0 +1,148 @@
+import type { Either } from "purify-ts/Either";
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import type { Report, ReportReply, ServingState } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { startAnnouncementTask } from "@tanagerdeck/peer/announcement/announcementTask";
+import { startAgentConfigurationTask } from "@tanagerdeck/peer/configuration/agentConfigurationTask";
+import { createAgentRouter, type AgentHandlers } from "@tanagerdeck/peer/link/agentRouter";
+import { peerCall } from "@tanagerdeck/peer/link/peerCall";
+import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
+import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Reply } from "@tanagerdeck/runtime/task/task";
+import type { AgentSettings } from "../settings/settingsSchema.ts";
+
+const REPORT_INTERVAL_MS = 2_000;
+const REPORT_TIMEOUT_MS = 2_000;
+
+/** The part of a report that depends on the backend server. */
+export type ServerReport = Pick<Report, "runner" | "worker" | "gangs" | "usage">;
+
+/** What differs between the agents of runners and workers. */
+export interface BackendServer {
+    handlers: Omit<AgentHandlers, "drain">;
+    report(): Promise<ServerReport>;
+    adopted(configuration: Configuration): void;
+    /** Called with each answer of an entry. */
+    replied(reply: ReportReply): void;
+    /** Takes no new work from now on; resolves when the running work has ended. */
+    drain(): Promise<void>;
+    stop(): Promise<void>;
+}
+
+/** Dependencies of an agent's common tasks. */
+export interface AgentCoreOptions {
+    settings: AgentSettings;
+    incarnation: string;
+    clients: PeerClients;
+    clock: Clock;
+    log: Log;
+    /** Builds the backend server's side; `require` gives the configuration unless the calling entry is behind. */
+    connect: (require: RequireConfiguration) => BackendServer;
+}
+
+/** The configuration if the calling entry's revision is not behind it. */
+export type RequireConfiguration = (revision: number) => Promise<Either<Failure, Configuration>>;
+
+/** The common tasks of a running agent. */
+export interface AgentCore {
+    peerAddress: string;
+    stop(): Promise<void>;
+}
+
+/** Starts the listener, the announcements and the configuration of an agent. */
+export async function startAgentCore(options: AgentCoreOptions): Promise<AgentCore> {
+    const { settings, incarnation, clients, clock, log } = options;
+    let sequence = 0;
+    let servingState: ServingState = "serving";
+    const configuration = startAgentConfigurationTask({
+        clock,
+        log: log.part("configuration"),
+        fetch: (entry, afterRevision) =>
+            peerCall(REPORT_TIMEOUT_MS, signal =>
+                clients.entry(entry).configuration.mutate({ afterRevision }, { signal }),
+            ),
+        announce: () => announcement.send({ kind: "announce" }),
+        adopted: adopted => server.adopted(adopted),
+    });
+    const server = options.connect(revision =>
+        configuration.ask((reply: Reply<Either<Failure, Configuration>>) => ({
+            kind: "require",
+            revision,
+            reply,
+        })),
+    );
+
+    function drain(): Promise<void> {
+        servingState = "draining";
+        announcement.send({ kind: "announce" });
+        return server.drain();
+    }
+
+    const peerListener = await startPeerListener(
+        settings.peerAddress,
+        settings.peerToken,
+        createAgentRouter({
+            ...server.handlers,
+            async drain() {
+                void drain();
+                return { draining: true };
+            },
+        }),
+    );
+
+    async function report(): Promise<Report> {
+        const current = await configuration.ask((reply: Reply<Configuration | undefined>) => ({
+            kind: "get",
+            reply,
+        }));
+        return {
+            name: settings.name,
+            incarnation,
+            sequence: sequence++,
+            address: peerListener.address,
+            availabilityZone: settings.availabilityZone,
+            server: settings.server.kind,
+            state: servingState,
+            configurationRevision: current?.revision ?? 0,
+            ...(await server.report()),
+        };
+    }
+
+    const announcement = startAnnouncementTask({
+        seeds: settings.seeds,
+        reportIntervalMs: REPORT_INTERVAL_MS,
+        clock,
+        log: log.part("announcement"),
+        random: Math.random,
+        report,
+        send: (entry, message) =>
+            peerCall(REPORT_TIMEOUT_MS, signal => clients.entry(entry).announce.mutate(message, { signal })),
+        replied(entry, reply, askedAt) {
+            server.replied(reply);
+            configuration.send({
+                kind: "learned",
+                entry,
+                askedAt,
+                revision: reply.configurationRevision,
+                confirmedAgoMs: reply.configurationConfirmedAgoMs,
+            });
+        },
+    });
+    log.info("The agent is serving.", { peerAddress: peerListener.address });
+
+    return {
+        peerAddress: peerListener.address,
+        async stop() {
+            await drain();
+            await peerListener.close();
+            servingState = "left";
+            await announcement.ask((reply: Reply<void>) => ({ kind: "leave", reply }));
+            await announcement.stop();
+            await configuration.stop();
+            await server.stop();
+            log.info("The agent has stopped.");
+        },
+    };
+}
--- /dev/null
+++ b/packages/tanagerdeck/src/agent/runnerServer.ts
@@ -0,0 +1,78 @@
+import { createRunnerClient } from "@tanagerdeck/backend/runner/runnerClient";
+import { startRunnerTask } from "@tanagerdeck/backend/runner/runnerTask";
+import type { RunnerLoad } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { Progress, Request } from "@tanagerdeck/decisions/request/requestTypes";
+import { noGangHandlers } from "@tanagerdeck/peer/gang/gangHandlers";
+import type { RequestHandlers } from "@tanagerdeck/peer/link/agentRouter";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Reply } from "@tanagerdeck/runtime/task/task";
+import type { BackendServer, RequireConfiguration } from "./agentCore.ts";
+
+/** Address and capacity of the runner beside an agent. */
+export interface RunnerSettings {
+    address: string;
+    slots: number;
+    connections: number;
+}
+
+/** Starts the tasks of an agent beside a runner. */
+export function startRunnerServer(
+    settings: RunnerSettings,
+    clock: Clock,
+    log: Log,
+    require: RequireConfiguration,
+): BackendServer {
+    const client = createRunnerClient(settings.address, settings.connections);
+    const runner = startRunnerTask({
+        slots: settings.slots,
+        clock,
+        log: log.part("runner"),
+        run: client.run,
+    });
+
+    /** The progress of a request that is known here, else the refusal: a repeat may belong to work that ran. */
+    async function knownOr({ id, clientAccount }: Request, refusal: Progress): Promise<Progress> {
+        const known = await runner.ask((reply: Reply<Progress>) => ({
+            kind: "result",
+            id,
+            clientAccount,
+            reply,
+        }));
+        const unknown =
+            known.kind === "done" && known.outcome.kind === "failure" && known.outcome.reason === "not-found";
+        return unknown ? refusal : known;
+    }
+
+    const requests: RequestHandlers = {
+        async submit({ request, configurationRevision }) {
+            const current = await require(configurationRevision);
+            return current.caseOf<Promise<Progress>>({
+                Left: refusal => knownOr(request, { kind: "done", outcome: refusal }),
+                Right: () => runner.ask(reply => ({ kind: "submit", request, reply })),
+            });
+        },
+        result: reference =>
+            runner.ask((reply: Reply<Progress>) => ({ kind: "result", ...reference, reply })),
+        settle: reference =>
+            runner.ask((reply: Reply<Progress>) => ({ kind: "settle", ...reference, reply })),
+        cancel: async () => undefined,
+    };
+
+    return {
+        handlers: { requests, gangs: noGangHandlers },
+        async report() {
+            const load = await runner.ask((reply: Reply<RunnerLoad>) => ({ kind: "load", reply }));
+            return { runner: load, gangs: [], usage: [] };
+        },
+        adopted: () => undefined,
+        replied: () => undefined,
+        async drain() {
+            runner.send({ kind: "drain" });
+        },
+        async stop() {
+            await runner.stop();
+            await client.close();
+        },
+    };
+}
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -2,6 +2,8 @@
 import { nanoid } from "nanoid";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { Registration } from "@tanagerdeck/decisions/fleet/entryPresence";
+import { orderByPriority } from "@tanagerdeck/decisions/gang/jobTypes";
+import { firstFitPlacement } from "@tanagerdeck/decisions/placement/firstFitPlacement";
 import type { Failure, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startCallerListener } from "@tanagerdeck/caller/listener/callerListener";
 import { createRequestRoutes } from "@tanagerdeck/caller/routing/requestRoutes";
@@ -19,6 +21,7 @@
 import type { EntrySettings } from "../settings/settingsSchema.ts";
 import { createAgentCalls } from "./agentCalls.ts";
 import { startEntryControl, type EntryControl } from "./entryControl.ts";
+import { startJobWiring } from "./jobWiring.ts";
 import { createOperatorRoutes } from "./operatorRoutes.ts";
 
 const EXCHANGE_TIMEOUT_MS = 1_000;
@@ -42,11 +45,23 @@
         random: Math.random,
         calls: createAgentCalls(clients, () => started.control?.configuration.send({ kind: "refresh" })),
     });
+    const jobs = startJobWiring({
+        entry: settings.name,
+        environment: settings.environment,
+        store,
+        clients,
+        clock,
+        log,
+        place: firstFitPlacement,
+        order: orderByPriority,
+        usable: () => true,
+    });
+
     const peerListener = await startPeerListener(
         settings.peerAddress,
         settings.peerToken,
         createEntryRouter({
-            announce: report => control.announce(report),
+            announce: async report => jobs.acknowledge(report, await control.announce(report)),
             configurationStatus: () =>
                 control.configuration.ask((reply: Reply<ConfigurationStatus>) => ({
                     kind: "own-status",
@@ -76,10 +91,16 @@
                 clients.entry(address).configuration.mutate({ afterRevision }, { signal }),
             ),
         rebind: undefined,
-        adopted: adopted => routing.send({ kind: "configuration", configuration: adopted }),
-        fleetChanged: agents => routing.send({ kind: "fleet", agents }),
+        adopted(adopted) {
+            routing.send({ kind: "configuration", configuration: adopted });
+            jobs.jobs.send({ kind: "configuration", configuration: adopted });
+        },
+        fleetChanged(agents) {
+            routing.send({ kind: "fleet", agents });
+            jobs.jobs.send({ kind: "fleet", agents });
+        },
         agentGone: () => undefined,
-        entryGone: () => undefined,
+        entryGone: ({ name }) => jobs.claim(name),
     });
     started.control = control;
     const currentConfiguration = () =>
@@ -106,9 +127,12 @@
                 kind: "admit",
                 reply,
             })),
-        routes: createRequestRoutes(request =>
-            routing.ask((reply: Reply<Outcome>) => ({ kind: "request", request, reply })),
-        ),
+        routes: {
+            ...createRequestRoutes(request =>
+                routing.ask((reply: Reply<Outcome>) => ({ kind: "request", request, reply })),
+            ),
+            ...jobs.routes,
+        },
     });
     log.info("The entry is serving.", { callerAddress: callerListener.address });
 
@@ -120,10 +144,12 @@
         },
         async stop() {
             await callerListener.close();
+            await jobs.handOver();
             await operatorListener.close();
             await peerListener.close();
             await control.stop();
             await routing.stop();
+            await jobs.jobs.stop();
             await clients.close();
             await store.close();
             log.info("The entry has stopped.");
