Promote batch jobs to the normal level after eight hours

Cause: with 30 minutes for both promotion and ageing, waiting forecasts became normal jobs and their planned places blocked route plans, the head-of-line blocking that Caroni excludes. Promotion now has its own constant; ageing within a level keeps 30 minutes.

--- a/packages/decisions/src/queue/dispatchRound.ts
+++ b/packages/decisions/src/queue/dispatchRound.ts
@@ -47,7 +47,8 @@
  *
  * Bound: let a place be planned at t for the start s. Apart from jobs of a higher level and claims on own
  * bindings, everything that runs in the place after max(2s - t, end of the tasks that ran there at t) was
- * admitted before t, so the gang starts by then, however wrong the expected run times are.
+ * admitted before t, so the gang starts by then, however wrong the expected run times are. Runs must be stopped
+ * at their limit. A batch gang has no higher level than urgent above it once `PROMOTION_MS` have passed.
  */
 export function dispatchRound(input: RoundInput): RoundResult {
     const { plan, waiting, workers } = input;
--- a/packages/decisions/src/queue/jobOrder.ts
+++ b/packages/decisions/src/queue/jobOrder.ts
@@ -19,9 +19,15 @@
     weight: number;
 }
 
-/** A batch job that has waited this long counts as normal; an urgent job is never overtaken by age. */
+/** Age that outweighs the largest difference of one other term of the order. */
 export const AGEING_MS = 30 * 60 * 1_000;
 
+/**
+ * A batch job that has waited this long counts as normal; an urgent job is never overtaken by age. With
+ * 30 minutes, forecasts that had waited blocked normal work behind their planned places.
+ */
+export const PROMOTION_MS = 8 * 60 * 60 * 1_000;
+
 /** Run time at which a job counts as half long. */
 const TYPICAL_RUN_MS = 10 * 60 * 1_000;
 
@@ -32,7 +38,7 @@
 
 /** Level of a job: 0 urgent, 1 normal or aged batch, 2 batch. */
 export function levelOf({ priority, acceptedAtMs }: WaitingJob, nowMs: number): number {
-    const isAged = priority === "batch" && nowMs - acceptedAtMs >= AGEING_MS;
+    const isAged = priority === "batch" && nowMs - acceptedAtMs >= PROMOTION_MS;
     return isAged ? LEVELS.normal : LEVELS[priority];
 }
 
