Count the fleet once for a series of placements

Cause: a round of 1,000 waiting jobs on 11,000 workers took 26.8 s, because every attempt read all accelerators again and rebuilt the view of the planned place. A fleet summary now holds counts by owner, which do not depend on the client account that asks, and a start replaces only its own workers.

--- a/packages/decisions/src/placement/choosePlacement.ts
+++ b/packages/decisions/src/placement/choosePlacement.ts
@@ -1,4 +1,5 @@
 import type { Binding, Shape, Span } from "../document/documentTypes.ts";
+import { type FleetSummary, summarizeFleet } from "./fleetSummary.ts";
 import type { PlacementIndex } from "./placementIndex.ts";
 import type { Demand, DisplacedAccelerator, Placement, Source, Stage, WorkerView } from "./placementTypes.ts";
 import { bestWindow, poolsOf } from "./spanWindows.ts";
@@ -31,7 +32,17 @@
     index: PlacementIndex,
     preference = PREFERENCE,
 ): Placement | undefined {
-    const fleet = poolWorkers(demand.clientAccount, workers, index);
+    return choosePlacementIn(demand, summarizeFleet(workers, index), index, preference);
+}
+
+/** Like `choosePlacement`, for a series of placements on one fleet. */
+export function choosePlacementIn(
+    demand: Demand,
+    summary: FleetSummary,
+    index: PlacementIndex,
+    preference = PREFERENCE,
+): Placement | undefined {
+    const fleet = poolWorkers(demand.clientAccount, summary);
     const quota = index.quotas.get(demand.clientAccount) ?? 0;
     const isWithinQuota = fleet.inUse + demand.shape.accelerators <= quota;
     for (const stage of preference) {
--- a/packages/decisions/src/placement/workerPool.ts
+++ b/packages/decisions/src/placement/workerPool.ts
@@ -1,3 +1,4 @@
+import type { FleetSummary, WorkerSummary } from "./fleetSummary.ts";
 import type { PlacementIndex } from "./placementIndex.ts";
 import type { Source, Stage, WorkerView } from "./placementTypes.ts";
 
@@ -16,26 +17,23 @@
     inUse: number;
 }
 
-/** Sorts every accelerator of the fleet by source. */
-export function poolWorkers(account: string, workers: WorkerView[], index: PlacementIndex): FleetPool {
-    const racks: (WorkerPool | undefined)[][] = index.racks.map(() => []);
-    let inUse = 0;
-    for (const worker of workers) {
-        inUse += usedBy(account, worker);
-        const rack = index.rackPositions.get(worker.rack);
-        if (!worker.usable || rack === undefined) {
-            continue;
-        }
-        const counts = { unbound: 0, lent: 0, own: 0, "own-lent-out": 0 };
-        for (let position = 0; position < worker.accelerators.length; position++) {
-            const source = sourceOf(account, worker, position, index.racks[rack]!.bound, index);
-            if (source) {
-                counts[source] += 1;
-            }
+/** Sorts the accelerators of the fleet by source for one client account. */
+export function poolWorkers(account: string, { racks, inUse }: FleetSummary): FleetPool {
+    const pools = racks.map(slots => slots.map(summary => summary && poolOf(account, summary)));
+    return { racks: pools, inUse: inUse.get(account) ?? 0 };
+}
+
+function poolOf(account: string, { worker, rack, unbound, owners }: WorkerSummary): WorkerPool {
+    const counts = { unbound, lent: 0, own: 0, "own-lent-out": 0 };
+    for (const { owner, free, lentOut } of owners) {
+        if (owner === account) {
+            counts.own += free;
+            counts["own-lent-out"] += lentOut;
+        } else {
+            counts.lent += free;
         }
-        racks[rack]![worker.slot] = { worker, rack, counts };
     }
-    return { racks, inUse };
+    return { worker, rack, counts };
 }
 
 /** Number of accelerators of a worker that a stage may use. */
@@ -84,13 +82,3 @@
     const isBorrowed = state.clientAccount !== account && (state.kind === "held" || state.reclaimable);
     return owner === account && isBorrowed ? "own-lent-out" : undefined;
 }
-
-function usedBy(account: string, worker: WorkerView): number {
-    let used = 0;
-    for (const state of worker.accelerators) {
-        if (state.kind !== "free" && state.clientAccount === account) {
-            used += 1;
-        }
-    }
-    return used;
-}
--- a/packages/decisions/src/queue/dispatchRound.ts
+++ b/packages/decisions/src/queue/dispatchRound.ts
@@ -1,4 +1,11 @@
-import { choosePlacement, PREFERENCE } from "../placement/choosePlacement.ts";
+import { choosePlacementIn, PREFERENCE } from "../placement/choosePlacement.ts";
+import {
+    type FleetSummary,
+    replaceWorkers,
+    summarizeFleet,
+    usableWorkers,
+    workerAt,
+} from "../placement/fleetSummary.ts";
 import type { PlacementIndex } from "../placement/placementIndex.ts";
 import type { Placement, Stage, WorkerView } from "../placement/placementTypes.ts";
 import { levelOf, orderJobs, type AccountShare } from "./jobOrder.ts";
@@ -30,8 +37,8 @@
 /** State of a round while it goes through the jobs. */
 interface Round extends RoundInput {
     starts: JobStart[];
-    /** Accelerators in use by client account. */
-    inUse: Map<string, number>;
+    /** The fleet after the starts of this round. */
+    fleet: FleetSummary;
     /** Smallest demand that did not fit, by client account, span and view. */
     tooLarge: Map<string, number>;
     /** Client accounts whose first job waits for their quota; their later jobs may not use it up. */
@@ -52,8 +59,8 @@
  */
 export function dispatchRound(input: RoundInput): RoundResult {
     const { plan, waiting, workers } = input;
-    const inUse = usedAccelerators(workers);
-    const round: Round = { ...input, starts: [], inUse, tooLarge: new Map(), blockedByQuota: new Set() };
+    const fleet = summarizeFleet(workers, input.index);
+    const round: Round = { ...input, starts: [], fleet, tooLarge: new Map(), blockedByQuota: new Set() };
     if (plan && !(waiting.some(({ id }) => id === plan.job) && isPlaceUsable(plan, workers))) {
         round.plan = undefined;
     }
@@ -82,7 +89,7 @@
     const { span, accelerators } = job.shape;
     const key = `${span}/plan`;
     if (accelerators < (round.tooLarge.get(key) ?? Infinity)) {
-        round.plan = planPlace(job, round);
+        round.plan = planPlace(job, { ...round, workers: usableWorkers(round.fleet) });
         round.tooLarge.set(key, round.plan ? Infinity : accelerators);
     }
 }
@@ -123,16 +130,16 @@
     if (shape.accelerators >= (round.tooLarge.get(key) ?? Infinity)) {
         return undefined;
     }
-    const { plan, workers } = round;
+    const { plan, fleet, index } = round;
     const placement =
         view === "beside" && plan
-            ? choosePlacement(
+            ? choosePlacementIn(
                   { clientAccount, shape },
-                  withoutPlace(workers, plan),
+                  withoutPlace(fleet, index, plan),
                   quotaBeside(round),
                   preference,
               )
-            : choosePlacement({ clientAccount, shape }, workers, round.index, preference);
+            : choosePlacementIn({ clientAccount, shape }, fleet, index, preference);
     if (!placement) {
         round.tooLarge.set(key, shape.accelerators);
     }
@@ -150,48 +157,35 @@
     return { ...index, quotas: new Map(index.quotas).set(clientAccount, rest) };
 }
 
-function isWithinQuota({ inUse, index }: Round, { clientAccount, shape }: WaitingJob): boolean {
-    return (inUse.get(clientAccount) ?? 0) + shape.accelerators <= (index.quotas.get(clientAccount) ?? 0);
+function isWithinQuota({ fleet, index }: Round, { clientAccount, shape }: WaitingJob): boolean {
+    return (
+        (fleet.inUse.get(clientAccount) ?? 0) + shape.accelerators <= (index.quotas.get(clientAccount) ?? 0)
+    );
 }
 
 function start(round: Round, job: WaitingJob, placement: Placement): void {
-    const { clientAccount, shape } = job;
+    const { clientAccount } = job;
     round.starts.push({ job, placement });
-    round.inUse.set(clientAccount, (round.inUse.get(clientAccount) ?? 0) + shape.accelerators);
     if (round.plan?.job === job.id) {
         round.plan = undefined;
         round.tooLarge.clear();
     }
-    const indexes = new Map(placement.members.map(member => [member.agent, member.indexes]));
-    round.workers = round.workers.map(worker => {
-        const taken = indexes.get(worker.agent);
-        if (!taken) {
-            return worker;
-        }
+    const started: WorkerView[] = [];
+    for (const { rack, slot, indexes } of placement.members) {
+        const worker = workerAt(round.fleet, round.index, rack, slot)!;
         const accelerators = [...worker.accelerators];
-        for (const index of taken) {
+        for (const index of indexes) {
             accelerators[index] = { kind: "held", clientAccount };
         }
-        return { ...worker, accelerators };
-    });
+        started.push({ ...worker, accelerators });
+    }
+    round.fleet = replaceWorkers(round.fleet, started, round.index);
 }
 
-function accountShares({ inUse, accountWeights }: Round): Map<string, AccountShare> {
+function accountShares({ fleet, accountWeights }: Round): Map<string, AccountShare> {
     const shares = new Map<string, AccountShare>();
     for (const [account, weight] of accountWeights) {
-        shares.set(account, { inUse: inUse.get(account) ?? 0, weight });
+        shares.set(account, { inUse: fleet.inUse.get(account) ?? 0, weight });
     }
     return shares;
 }
-
-function usedAccelerators(workers: WorkerView[]): Map<string, number> {
-    const used = new Map<string, number>();
-    for (const { accelerators } of workers) {
-        for (const state of accelerators) {
-            if (state.kind !== "free") {
-                used.set(state.clientAccount, (used.get(state.clientAccount) ?? 0) + 1);
-            }
-        }
-    }
-    return used;
-}
--- a/packages/decisions/src/queue/placePlan.ts
+++ b/packages/decisions/src/queue/placePlan.ts
@@ -1,4 +1,5 @@
 import type { Accelerator } from "../document/documentTypes.ts";
+import { type FleetSummary, replaceWorkers, workerAt } from "../placement/fleetSummary.ts";
 import type { PlacementIndex } from "../placement/placementIndex.ts";
 import type { WorkerView } from "../placement/placementTypes.ts";
 import type { PlannedPlace, RunningGang, RunTimes, WaitingJob } from "./queueTypes.ts";
@@ -55,26 +56,23 @@
     return accelerators.every(({ rack, slot }) => usable.has(`${rack}/${slot}`));
 }
 
-/** The workers with the free accelerators of the place taken out. */
-export function withoutPlace(workers: WorkerView[], { accelerators }: PlannedPlace): WorkerView[] {
-    const kept = new Map<string, Set<number>>();
-    for (const { rack, slot, index } of accelerators) {
+/** The fleet with the free accelerators of the place taken out. */
+export function withoutPlace(
+    fleet: FleetSummary,
+    index: PlacementIndex,
+    { accelerators }: PlannedPlace,
+): FleetSummary {
+    const masked = new Map<string, WorkerView>();
+    for (const { rack, slot, index: position } of accelerators) {
         const key = `${rack}/${slot}`;
-        kept.set(key, (kept.get(key) ?? new Set()).add(index));
+        const worker = masked.get(key) ?? workerAt(fleet, index, rack, slot);
+        if (worker?.accelerators[position]?.kind === "free") {
+            const states = [...worker.accelerators];
+            states[position] = { kind: "used", clientAccount: "", reclaimable: false };
+            masked.set(key, { ...worker, accelerators: states });
+        }
     }
-    return workers.map(worker => {
-        const indexes = kept.get(`${worker.rack}/${worker.slot}`);
-        return indexes
-            ? {
-                  ...worker,
-                  accelerators: worker.accelerators.map((state, index) =>
-                      state.kind === "free" && indexes.has(index)
-                          ? { kind: "used", clientAccount: "", reclaimable: false }
-                          : state,
-                  ),
-              }
-            : worker;
-    });
+    return replaceWorkers(fleet, [...masked.values()], index);
 }
 
 /** Availability by rack and slot; accelerators whose task is unknown are left out. */
