--- a/packages/decisions/src/placement/spanWindows.ts
+++ b/packages/decisions/src/placement/spanWindows.ts
@@ -113,7 +113,7 @@
             const { counts, worker } = pool;
             yield {
                 window: { racks: [rack], slot: worker.slot },
-                available: countOf(pool, stage),
+                available: countOf(counts, stage),
                 size: worker.accelerators.length,
                 lent: stage.includes("lent") ? counts.lent : 0,
                 displaced: stage.includes("own-lent-out") ? counts["own-lent-out"] : 0,
@@ -133,14 +133,7 @@
 }
 
 function sumRacks(fleet: FleetPool, stage: Stage, racks: IndexedRack[]): RackSums {
-    const sum = (sources: Stage) =>
-        fleet.racks.map(pools => {
-            let count = 0;
-            for (const pool of pools) {
-                count += countOf(pool, sources);
-            }
-            return count;
-        });
+    const sum = (sources: Stage) => fleet.rackCounts.map(counts => countOf(counts, sources));
     const free = sum(FREE);
     const pair = (left: number | undefined, right: number | undefined) =>
         (free[left ?? -1] ?? 0) + (free[right ?? -1] ?? 0);
--- a/packages/decisions/src/placement/workerPool.ts
+++ b/packages/decisions/src/placement/workerPool.ts
@@ -6,13 +6,18 @@
 export interface WorkerPool {
     worker: WorkerView;
     rack: number;
-    counts: Record<Source, number>;
+    counts: SourceCounts;
 }
 
+/** Number of accelerators by source. */
+export type SourceCounts = Record<Source, number>;
+
 /** The fleet as one client account may use it. */
 export interface FleetPool {
     /** Usable workers by rack and slot. */
     racks: (WorkerPool | undefined)[][];
+    /** Sums by rack. */
+    rackCounts: SourceCounts[];
     /** Accelerators that the client account uses or holds anywhere. */
     inUse: number;
 }
@@ -20,7 +25,20 @@
 /** Sorts the accelerators of the fleet by source for one client account. */
 export function poolWorkers(account: string, { racks, inUse }: FleetSummary): FleetPool {
     const pools = racks.map(slots => slots.map(summary => summary && poolOf(account, summary)));
-    return { racks: pools, inUse: inUse.get(account) ?? 0 };
+    return { racks: pools, rackCounts: pools.map(sumCounts), inUse: inUse.get(account) ?? 0 };
+}
+
+function sumCounts(pools: (WorkerPool | undefined)[]): SourceCounts {
+    const sum = { unbound: 0, lent: 0, own: 0, "own-lent-out": 0 };
+    for (const pool of pools) {
+        if (pool) {
+            sum.unbound += pool.counts.unbound;
+            sum.lent += pool.counts.lent;
+            sum.own += pool.counts.own;
+            sum["own-lent-out"] += pool.counts["own-lent-out"];
+        }
+    }
+    return sum;
 }
 
 function poolOf(account: string, { worker, rack, unbound, owners }: WorkerSummary): WorkerPool {
@@ -36,13 +54,11 @@
     return { worker, rack, counts };
 }
 
-/** Number of accelerators of a worker that a stage may use. */
-export function countOf(pool: WorkerPool | undefined, stage: Stage): number {
+/** Number of accelerators that a stage may use. */
+export function countOf(counts: SourceCounts, stage: Stage): number {
     let count = 0;
-    if (pool) {
-        for (const source of stage) {
-            count += pool.counts[source];
-        }
+    for (const source of stage) {
+        count += counts[source];
     }
     return count;
 }
