--- a/packages/decisions/src/placement/workerPool.ts
+++ b/packages/decisions/src/placement/workerPool.ts
@@ -1,3 +1,4 @@
+import type { FleetSummary, WorkerSummary } from "./fleetSummary.ts";
 import type { PlacementIndex } from "./placementIndex.ts";
 import type { Source, Stage, WorkerView } from "./placementTypes.ts";
 
@@ -5,46 +6,59 @@
 export interface WorkerPool {
     worker: WorkerView;
     rack: number;
-    counts: Record<Source, number>;
+    counts: SourceCounts;
 }
 
+/** Number of accelerators by source. */
+export type SourceCounts = Record<Source, number>;
+
 /** The fleet as one client account may use it. */
 export interface FleetPool {
     /** Usable workers by rack and slot. */
     racks: (WorkerPool | undefined)[][];
+    /** Sums by rack. */
+    rackCounts: SourceCounts[];
     /** Accelerators that the client account uses or holds anywhere. */
     inUse: number;
 }
 
-/** Sorts every accelerator of the fleet by source. */
-export function poolWorkers(account: string, workers: WorkerView[], index: PlacementIndex): FleetPool {
-    const racks: (WorkerPool | undefined)[][] = index.racks.map(() => []);
-    let inUse = 0;
-    for (const worker of workers) {
-        inUse += usedBy(account, worker);
-        const rack = index.rackPositions.get(worker.rack);
-        if (!worker.usable || rack === undefined) {
-            continue;
+/** Sorts the accelerators of the fleet by source for one client account. */
+export function poolWorkers(account: string, { racks, inUse }: FleetSummary): FleetPool {
+    const pools = racks.map(slots => slots.map(summary => summary && poolOf(account, summary)));
+    return { racks: pools, rackCounts: pools.map(sumCounts), inUse: inUse.get(account) ?? 0 };
+}
+
+function sumCounts(pools: (WorkerPool | undefined)[]): SourceCounts {
+    const sum = { unbound: 0, lent: 0, own: 0, "own-lent-out": 0 };
+    for (const pool of pools) {
+        if (pool) {
+            sum.unbound += pool.counts.unbound;
+            sum.lent += pool.counts.lent;
+            sum.own += pool.counts.own;
+            sum["own-lent-out"] += pool.counts["own-lent-out"];
         }
-        const counts = { unbound: 0, lent: 0, own: 0, "own-lent-out": 0 };
-        for (let position = 0; position < worker.accelerators.length; position++) {
-            const source = sourceOf(account, worker, position, index.racks[rack]!.bound, index);
-            if (source) {
-                counts[source] += 1;
-            }
+    }
+    return sum;
+}
+
+function poolOf(account: string, { worker, rack, unbound, owners }: WorkerSummary): WorkerPool {
+    const counts = { unbound, lent: 0, own: 0, "own-lent-out": 0 };
+    for (const { owner, free, lentOut } of owners) {
+        if (owner === account) {
+            counts.own += free;
+            counts["own-lent-out"] += lentOut;
+        } else {
+            counts.lent += free;
         }
-        racks[rack]![worker.slot] = { worker, rack, counts };
     }
-    return { racks, inUse };
+    return { worker, rack, counts };
 }
 
-/** Number of accelerators of a worker that a stage may use. */
-export function countOf(pool: WorkerPool | undefined, stage: Stage): number {
+/** Number of accelerators that a stage may use. */
+export function countOf(counts: SourceCounts, stage: Stage): number {
     let count = 0;
-    if (pool) {
-        for (const source of stage) {
-            count += pool.counts[source];
-        }
+    for (const source of stage) {
+        count += counts[source];
     }
     return count;
 }
@@ -84,13 +98,3 @@
     const isBorrowed = state.clientAccount !== account && (state.kind === "held" || state.reclaimable);
     return owner === account && isBorrowed ? "own-lent-out" : undefined;
 }
-
-function usedBy(account: string, worker: WorkerView): number {
-    let used = 0;
-    for (const state of worker.accelerators) {
-        if (state.kind !== "free" && state.clientAccount === account) {
-            used += 1;
-        }
-    }
-    return used;
-}
