Add benches of configuration spread, drain and return after an outage

Wrong percent-encoding in a path threw in the operators' listener and ended the process; it is answered with 404 now.

--- a/packages/runtime/src/http/routes.ts
+++ b/packages/runtime/src/http/routes.ts
@@ -25,12 +25,22 @@
     for (let length = parts.length; length > 1; length--) {
         const route = routes[`${request.method} ${parts.slice(0, length).join("/")}`];
         if (route) {
-            return { route, segments: parts.slice(length).map(decodeURIComponent) };
+            const segments = decodeSegments(parts.slice(length));
+            return segments && { route, segments };
         }
     }
     return undefined;
 }
 
+/** Undefined if a segment is not valid percent-encoding; an exception here would end the process. */
+function decodeSegments(parts: string[]): string[] | undefined {
+    try {
+        return parts.map(decodeURIComponent);
+    } catch {
+        return undefined;
+    }
+}
+
 /** Parses JSON; undefined if the text is missing or not JSON. */
 export function parseJson(text: string | undefined): unknown {
     try {
--- a/scripts/bench/bench.ts
+++ b/scripts/bench/bench.ts
@@ -1,7 +1,9 @@
 import { type Bench } from "./benchTypes.ts";
+import { controlBench } from "./controlBench.ts";
+import { platformReturnBench } from "./platformReturnBench.ts";
 
 /** Benches in the order in which they run. */
-const benches: Bench[] = [];
+const benches: Bench[] = [controlBench, platformReturnBench];
 
 for (const bench of benches) {
     for (const measure of await bench()) {
