Tell the membership of refused connections, and prove the start without the platform

The routing's calls know addresses, so a refused connection is reported by address; it makes the agent suspect at once and lets a restart under the same name in.

A process test starts an entry while the platform is down: it gets the configuration from a seed, or refuses with no-configuration.

--- a/packages/peer/src/membership/membershipTask.ts
+++ b/packages/peer/src/membership/membershipTask.ts
@@ -21,6 +21,8 @@
     members: Map<string, Member>;
     /** Name of the agent at each rack and slot. */
     positions: Map<string, string>;
+    /** Name of the agent that reported each address last. */
+    addresses: Map<string, string>;
     entries: string[];
     revision: number;
     racks: Map<string, Rack> | undefined;
@@ -40,6 +42,7 @@
         state: {
             members: new Map(),
             positions: new Map(),
+            addresses: new Map(),
             entries: [],
             revision: 0,
             racks: undefined,
@@ -90,8 +93,9 @@
         state.entries = message.addresses;
     },
     "connection-refused"(state, message, context) {
-        const member = state.members.get(message.agent);
-        if (member && member.report.incarnation === message.incarnation) {
+        const name = state.addresses.get(message.address);
+        const member = name === undefined ? undefined : state.members.get(name);
+        if (member?.report.address === message.address) {
             member.refused = true;
             changeState(state, member, stateByAge(member, context.clock.now()), context);
         }
@@ -136,6 +140,10 @@
     if (report.worker) {
         state.positions.set(positionKey(report), report.name);
     }
+    if (known && known.report.address !== report.address) {
+        state.addresses.delete(known.report.address);
+    }
+    state.addresses.set(report.address, report.name);
     const heardAt = context.clock.now();
     state.members.set(report.name, { report, heardAt, state: report.state, refused: false });
     state.options.reported?.(report);
@@ -190,6 +198,9 @@
     for (const [name, member] of state.members) {
         if (member.state === "gone" && now - member.heardAt > FORGET_AFTER_MS) {
             state.members.delete(name);
+            if (state.addresses.get(member.report.address) === name) {
+                state.addresses.delete(member.report.address);
+            }
             if (state.positions.get(positionKey(member.report)) === name) {
                 state.positions.delete(positionKey(member.report));
             }
--- a/packages/peer/src/membership/membershipTypes.ts
+++ b/packages/peer/src/membership/membershipTypes.ts
@@ -12,8 +12,8 @@
     | { kind: "publish" }
     | { kind: "configuration"; revision: number; racks: Rack[] }
     | { kind: "entries"; addresses: string[] }
-    /** A connection to the agent was refused; a call that timed out says nothing about it. */
-    | { kind: "connection-refused"; agent: string; incarnation: string }
+    /** A connection to an agent's address was refused; a call that timed out says nothing about the agent. */
+    | { kind: "connection-refused"; address: string }
     /** The agent has confirmed a drain, before its next report says so. */
     | { kind: "drained"; agent: string }
     /** Ends of gangs that are recorded; their anchors are told so. */
--- a/packages/tanagerdeck/src/entry/agentCalls.ts
+++ b/packages/tanagerdeck/src/entry/agentCalls.ts
@@ -1,21 +1,32 @@
 import type { AgentCalls } from "@tanagerdeck/caller/routing/routingTask";
 import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
-import { peerCall } from "@tanagerdeck/peer/link/peerCall";
+import { isRefusedConnection, peerCall } from "@tanagerdeck/peer/link/peerCall";
 
 /** A long poll of 1,500 ms plus 1,000 ms for the way; a connection silent for longer is given up. */
 const POLL_TIMEOUT_MS = 2_500;
 const SETTLE_TIMEOUT_MS = 1_000;
 
-/** The routing task's calls over trpc. `refresh` is called when an agent knows a newer configuration. */
-export function createAgentCalls(clients: PeerClients, refresh: () => void): AgentCalls {
+/** What the calls tell the entry's other tasks. */
+export interface AgentCallEvents {
+    /** An agent knows a newer configuration. */
+    stale(): void;
+    /** A connection to this address was refused. */
+    refused(address: string): void;
+}
+
+/** The routing task's calls over trpc. */
+export function createAgentCalls(clients: PeerClients, events: AgentCallEvents): AgentCalls {
     return {
         async submit(address, request, configurationRevision) {
             const result = await peerCall(POLL_TIMEOUT_MS, signal =>
                 clients.agent(address).submit.mutate({ request, configurationRevision }, { signal }),
             );
             if (result.isRight() && isStale(result.extract())) {
-                refresh();
+                events.stale();
+            }
+            if (result.isLeft() && isRefusedConnection(result.extract())) {
+                events.refused(address);
             }
             return result;
         },
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -40,7 +40,10 @@
         clock,
         log: log.part("routing"),
         random: Math.random,
-        calls: createAgentCalls(clients, () => started.control?.configuration.send({ kind: "refresh" })),
+        calls: createAgentCalls(clients, {
+            stale: () => started.control?.configuration.send({ kind: "refresh" }),
+            refused: address => started.control?.membership.send({ kind: "connection-refused", address }),
+        }),
     });
     const peerListener = await startPeerListener(
         settings.peerAddress,
--- /dev/null
+++ b/packages/tanagerdeck/src/entry/entryStart.spec.ts
@@ -0,0 +1,99 @@
+import { expect } from "chai";
+import { readFileSync } from "node:fs";
+import { callEntry } from "@tanagerdeck/operator/client/operatorClient";
+import type { EntryStatus } from "@tanagerdeck/operator/status/statusRoutes";
+import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
+import { startPlatformStandin, type PlatformStandin } from "@tanagerdeck/standins/platform/platformStandin";
+import { pollUntil } from "@tanagerdeck/standins/polling/pollUntil";
+import { entrySettingsSchema } from "../settings/settingsSchema.ts";
+import { startEntry } from "./entryProcess.ts";
+
+const TOKEN = "token-for-the-entry-start";
+const ANY_PORT = "127.0.0.1:0";
+/** The stated time in which a configuration is in force everywhere. */
+const IN_FORCE_MS = 17_000;
+
+describe("the start of an entry", () => {
+    let platform: PlatformStandin;
+    let first: RunningProcess;
+    const started: RunningProcess[] = [];
+
+    before(async () => {
+        platform = await startPlatformStandin(ANY_PORT);
+        first = await start("entry-1", []);
+        const change = {
+            text: readFileSync("examples/caroni.json", "utf8"),
+            expectedRevision: 0,
+            changeId: "c",
+        };
+        (await call(first, "POST", "/v1/configuration", change)).unsafeCoerce();
+        platform.faults.mode = "down";
+    });
+
+    after(async () => {
+        for (const entry of started) {
+            await entry.stop();
+        }
+        await platform.listener.close();
+    });
+
+    async function start(name: string, seeds: (string | undefined)[]): Promise<RunningProcess> {
+        const settings = entrySettingsSchema.parse({
+            name,
+            environment: "test",
+            region: "north",
+            availabilityZone: "arima",
+            callerAddress: ANY_PORT,
+            operatorAddress: ANY_PORT,
+            peerAddress: ANY_PORT,
+            metricsAddress: ANY_PORT,
+            platformAddress: platform.listener.address,
+            seeds,
+            peerToken: TOKEN,
+            operatorToken: TOKEN,
+            logLevel: "error",
+        });
+        const entry = await startEntry(settings);
+        started.push(entry);
+        return entry;
+    }
+
+    function call(entry: RunningProcess, method: "GET" | "POST", path: string, body?: object) {
+        const address = entry.addresses.operatorAddress!;
+        return callEntry({ address, token: TOKEN, method, path, body, timeoutMs: 5_000 });
+    }
+
+    async function configuration(entry: RunningProcess): Promise<EntryStatus["configuration"]> {
+        return ((await call(entry, "GET", "/v1/status")).unsafeCoerce().value as EntryStatus).configuration;
+    }
+
+    describe("while the platform is down", () => {
+        it("asks another entry for the configuration", async () => {
+            const second = await start("entry-2", [first.addresses.peerAddress]);
+            await pollUntil(async () => (await configuration(second)).revision === 1, IN_FORCE_MS);
+            expect(await configuration(second)).to.include({ platformReachable: false });
+        });
+
+        it("refuses new work when no other entry can be asked", async () => {
+            const lone = await start("entry-3", []);
+            const refused = { revision: 0, refusal: "no-configuration" };
+            expect(await configuration(lone)).to.include(refused);
+        });
+    });
+
+    describe("after the platform has come back", () => {
+        it("confirms the configuration with the platform and registers", async () => {
+            platform.faults.mode = "normal";
+            for (const entry of started) {
+                await pollUntil(async () => {
+                    const { platformReachable, revision } = await configuration(entry);
+                    return platformReachable && revision === 1;
+                }, IN_FORCE_MS);
+            }
+            await pollUntil(async () => {
+                const status = (await call(first, "GET", "/v1/status")).unsafeCoerce().value as EntryStatus;
+                return status.entries.length === 2;
+            }, IN_FORCE_MS);
+        });
+    });
+});
--- a/packages/tanagerdeck/src/entry/testing/controlWorld.ts
+++ b/packages/tanagerdeck/src/entry/testing/controlWorld.ts
@@ -1,73 +1,29 @@
 import { Left, Right, type Either } from "purify-ts/Either";
-import { startRunnerTask, type RunnerMessage } from "@tanagerdeck/backend/runner/runnerTask";
+import { startRunnerTask } from "@tanagerdeck/backend/runner/runnerTask";
 import type { Configuration, UnreachablePolicy } from "@tanagerdeck/decisions/document/documentTypes";
 import type { Registration } from "@tanagerdeck/decisions/fleet/entryPresence";
-import type { Report, ReportReply, ServingState } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { Report, ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
-import { failure, type Failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Failure, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { applyDocument, type AcceptedChange } from "@tanagerdeck/operator/document/applyDocument";
 import { drainAgent } from "@tanagerdeck/operator/drain/drainAgent";
 import {
     startAnnouncementTask,
     type AnnouncementMessage,
 } from "@tanagerdeck/peer/announcement/announcementTask";
-import {
-    startAgentConfigurationTask,
-    type AgentConfigurationMessage,
-} from "@tanagerdeck/peer/configuration/agentConfigurationTask";
-import type { ConfigurationStatus } from "@tanagerdeck/peer/link/entryRouter";
-import type { Store } from "@tanagerdeck/platform/store/storeTypes";
+import { startAgentConfigurationTask } from "@tanagerdeck/peer/configuration/agentConfigurationTask";
 import type { ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
 import { silentLog } from "@tanagerdeck/runtime/log/log";
-import type { Task } from "@tanagerdeck/runtime/task/task";
-import {
-    createMemoryPlatform,
-    type MemoryPlatform,
-    type PlatformConnection,
-} from "@tanagerdeck/standins/platform/memoryPlatform";
-import { createFreezableClock, type FreezableClock } from "@tanagerdeck/standins/polling/freezableClock";
-import { startEntryControl, type EntryControl } from "../entryControl.ts";
+import { createMemoryPlatform } from "@tanagerdeck/standins/platform/memoryPlatform";
+import { createFreezableClock } from "@tanagerdeck/standins/polling/freezableClock";
+import { startEntryControl } from "../entryControl.ts";
+import { callEntryNode, fetchFrom, gateStore, status, unreachable } from "./worldCalls.ts";
+import type { AgentNode, ControlWorld, EntryNode } from "./worldTypes.ts";
 
-const CALL_TIMEOUT_MS = 1_000;
 const ENVIRONMENT = "trial";
 
-type Result<T> = Promise<Either<Failure, T>>;
-
-/** One simulated entry; `adopted` lists the revisions in the order of their adoption. */
-export interface EntryNode {
-    name: string;
-    clock: FreezableClock;
-    connection: PlatformConnection;
-    adopted: number[];
-    control: EntryControl;
-}
-
-/** One simulated agent. */
-export interface AgentNode {
-    name: string;
-    clock: FreezableClock;
-    adopted: number[];
-    configuration: Task<AgentConfigurationMessage>;
-    announcement: Task<AnnouncementMessage>;
-    runner: Task<RunnerMessage>;
-    serving: { state: ServingState; sequence: number };
-}
-
-/** Entries and agents with a network and a platform, all on one manual clock. */
-export interface ControlWorld {
-    clock: ManualClock;
-    platform: MemoryPlatform;
-    /** Entries by address. */
-    entries: Map<string, EntryNode>;
-    agents: Map<string, AgentNode>;
-    /** Addresses that no call between processes reaches or leaves. */
-    cut: Set<string>;
-    /** Milliseconds added to the way back of configurations, by answering entry. */
-    fetchDelayMs: Map<string, number>;
-    random: () => number;
-    entriesGone: { at: string; gone: string }[];
-}
+export type { ControlWorld } from "./worldTypes.ts";
 
 /** Builds an empty world. `random` must be seeded. */
 export function createControlWorld(clock: ManualClock, random: () => number): ControlWorld {
@@ -97,8 +53,8 @@
         clock,
         log: silentLog,
         random: world.random,
-        askStatus: address => clock.deliver(call(world, name, address, node => status(node))),
-        fetch: (address, afterRevision) => clock.deliver(fetch(world, name, address, afterRevision)),
+        askStatus: address => clock.deliver(callEntryNode(world, name, address, node => status(node))),
+        fetch: (address, afterRevision) => clock.deliver(fetchFrom(world, name, address, afterRevision)),
         rebind: undefined,
         adopted: configuration => adopted.push(configuration.revision),
         fleetChanged: () => undefined,
@@ -118,7 +74,7 @@
     const configuration = startAgentConfigurationTask({
         clock,
         log: silentLog,
-        fetch: (entry, afterRevision) => clock.deliver(fetch(world, name, entry, afterRevision)),
+        fetch: (entry, afterRevision) => clock.deliver(fetchFrom(world, name, entry, afterRevision)),
         announce: () => announcement.send({ kind: "announce" }),
         adopted: ({ revision }) => adopted.push(revision),
     });
@@ -148,7 +104,9 @@
         random: world.random,
         report,
         send: (entry, message) =>
-            clock.deliver(call<ReportReply>(world, name, entry, node => node.control.announce(message))),
+            clock.deliver(
+                callEntryNode<ReportReply>(world, name, entry, node => node.control.announce(message)),
+            ),
         replied: (entry, reply, askedAt) =>
             configuration.send({
                 kind: "learned",
@@ -251,71 +209,3 @@
 export function viewOf(node: EntryNode, agent: string): Promise<AgentView | undefined> {
     return node.control.membership.ask(reply => ({ kind: "find", agent, reply }));
 }
-
-/** Holds replies and changes back while the process is frozen. */
-function gateStore(store: Store, clock: FreezableClock): Store {
-    return {
-        get: key => clock.deliver(store.get(key)),
-        list: prefix => clock.deliver(store.list(prefix)),
-        write: writes => clock.deliver(store.write(writes)),
-        grantLease: seconds => clock.deliver(store.grantLease(seconds)),
-        renewLease: lease => clock.deliver(store.renewLease(lease)),
-        revokeLease: lease => clock.deliver(store.revokeLease(lease)),
-        watch: (prefix, changed, ended) =>
-            store.watch(
-                prefix,
-                () => clock.run(changed),
-                () => clock.run(ended),
-            ),
-        close: () => store.close(),
-    };
-}
-
-function status(node: EntryNode): Promise<ConfigurationStatus> {
-    return node.control.configuration.ask(reply => ({ kind: "own-status", reply }));
-}
-
-async function fetch(
-    world: ControlWorld,
-    from: string,
-    to: string,
-    afterRevision: number,
-): Result<Configuration | undefined> {
-    const delayMs = world.fetchDelayMs.get(to) ?? 0;
-    const result = await call<Configuration | undefined>(world, from, to, async node => {
-        const held = await node.control.configuration.ask<Configuration | undefined>(reply => ({
-            kind: "get",
-            reply,
-        }));
-        return held && held.revision > afterRevision ? held : undefined;
-    });
-    if (delayMs > 0) {
-        await new Promise<void>(resolve => void world.clock.startTimer(delayMs, resolve));
-    }
-    return result;
-}
-
-/** Calls an entry; a cut connection or a frozen process is noticed by the time limit. */
-async function call<T>(
-    world: ControlWorld,
-    from: string,
-    to: string,
-    serve: (node: EntryNode) => Promise<T>,
-): Result<T> {
-    const node = world.entries.get(to);
-    if (!node) {
-        return Left(unreachable("not-run"));
-    }
-    const expired = new Promise<Either<Failure, T>>(resolve => {
-        world.clock.startTimer(CALL_TIMEOUT_MS, () => resolve(Left(unreachable("may-have-run"))));
-    });
-    if (world.cut.has(from) || world.cut.has(to)) {
-        return expired;
-    }
-    const arrived = node.clock.deliver(Promise.resolve());
-    return Promise.race([expired, arrived.then(() => serve(node)).then(value => Right<T, Failure>(value))]);
-}
-
-function unreachable(verdict: "not-run" | "may-have-run"): Failure {
-    return failure(verdict, "unreachable", "The call failed.");
-}
