Sum up the usage of ended incarnations so that the records stay bounded

Incarnations without a report for 24 h are summed up in the record, and no entry adds one that is older than 12 h, so that none counts twice. The specification fails (one case) when entries keep older incarnations.

--- a/packages/decisions/src/usage/usageMerge.spec.ts
+++ b/packages/decisions/src/usage/usageMerge.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { bucketOf, flusherOf, USAGE_BUCKETS } from "./usageBuckets.ts";
-import { mergeUsage, tableOfReport, usageTotals, type UsageTable } from "./usageMerge.ts";
+import { foldEnded, mergeUsage, tableOfReport, usageTotals, type UsageTable } from "./usageMerge.ts";
 
 const name = fc.constantFrom("a", "b", "c");
 const counter = fc.record({
@@ -16,7 +16,7 @@
 
 function fold(cases: ReportCase[]): UsageTable {
     return cases
-        .map(({ agent, incarnation, counters }) => tableOfReport(agent, incarnation, counters))
+        .map(({ agent, incarnation, counters }) => tableOfReport(agent, incarnation, counters, 0))
         .reduce(mergeUsage, {});
 }
 
@@ -47,7 +47,7 @@
             fc.assert(
                 fc.property(growing, growing, (first, second) => {
                     const told = [...cumulative("one", first), ...cumulative("two", second)];
-                    const [total] = usageTotals(fold(told.reverse()));
+                    const [total] = usageTotals({ live: fold(told.reverse()), ended: {} });
                     const expected = [...first, ...second].reduce((sum, step) => sum + step, 0);
                     expect(total?.milliseconds).to.equal(expected);
                 }),
@@ -55,6 +55,19 @@
         });
     });
 
+    describe("summing up ended incarnations", () => {
+        it("keeps the totals and drops the incarnations", () => {
+            fc.assert(
+                fc.property(reports, told => {
+                    const record = { live: fold(told), ended: {} };
+                    const folded = foldEnded(record, 1);
+                    expect(folded.live).to.deep.equal({});
+                    expect(usageTotals(folded)).to.deep.equal(usageTotals(record));
+                }),
+            );
+        });
+    });
+
     describe("buckets", () => {
         const hash = (text: string) => [...text].reduce((sum, c) => (sum * 31 + c.charCodeAt(0)) >>> 0, 7);
 
--- a/packages/decisions/src/usage/usageMerge.ts
+++ b/packages/decisions/src/usage/usageMerge.ts
@@ -6,8 +6,23 @@
     count: number;
 }
 
-/** Cumulative use by agent, incarnation, client account and kind. */
-export type UsageTable = Record<string, Record<string, Record<string, Record<string, UsageAmount>>>>;
+/** Use by client account and kind. */
+export type AccountUsage = Record<string, Record<string, UsageAmount>>;
+
+/** Use reported by one incarnation; `seenAt` is the wall-clock time in milliseconds of its last report. */
+export interface IncarnationUsage {
+    seenAt: number;
+    accounts: AccountUsage;
+}
+
+/** Cumulative use by agent and incarnation. */
+export type UsageTable = Record<string, Record<string, IncarnationUsage>>;
+
+/** One usage record of the platform. `ended` sums the incarnations that are no longer kept one by one. */
+export interface UsageRecord {
+    live: UsageTable;
+    ended: AccountUsage;
+}
 
 /** Use of one client account and kind, summed over all agents and incarnations. */
 export interface UsageTotal extends UsageAmount {
@@ -16,13 +31,17 @@
 }
 
 /** The table of one report. Repeated counters of one account and kind count as one, with the highest value. */
-export function tableOfReport(agent: string, incarnation: string, counters: UsageCounter[]): UsageTable {
-    let table: UsageTable = {};
+export function tableOfReport(
+    agent: string,
+    incarnation: string,
+    counters: UsageCounter[],
+    seenAt: number,
+): UsageTable {
+    let accounts: AccountUsage = {};
     for (const { clientAccount, kind, milliseconds, count } of counters) {
-        const one = { [agent]: { [incarnation]: { [clientAccount]: { [kind]: { milliseconds, count } } } } };
-        table = mergeUsage(table, one);
+        accounts = mergeAccounts(accounts, { [clientAccount]: { [kind]: { milliseconds, count } } }, highest);
     }
-    return table;
+    return { [agent]: { [incarnation]: { seenAt, accounts } } };
 }
 
 /**
@@ -31,34 +50,81 @@
  */
 export function mergeUsage(a: UsageTable, b: UsageTable): UsageTable {
     return mergeRecords(a, b, (agentA, agentB) =>
-        mergeRecords(agentA, agentB, (startA, startB) =>
-            mergeRecords(startA, startB, (accountA, accountB) =>
-                mergeRecords(accountA, accountB, (amountA, amountB) => ({
-                    milliseconds: Math.max(amountA.milliseconds, amountB.milliseconds),
-                    count: Math.max(amountA.count, amountB.count),
-                })),
-            ),
-        ),
+        mergeRecords(agentA, agentB, (startA, startB) => ({
+            seenAt: Math.max(startA.seenAt, startB.seenAt),
+            accounts: mergeAccounts(startA.accounts, startB.accounts, highest),
+        })),
     );
 }
 
-/** Sums a table by client account and kind, ordered by both. */
-export function usageTotals(table: UsageTable): UsageTotal[] {
-    const totals = new Map<string, UsageTotal>();
-    for (const incarnations of Object.values(table)) {
-        for (const accounts of Object.values(incarnations)) {
-            for (const [clientAccount, kinds] of Object.entries(accounts)) {
-                for (const [kind, amount] of Object.entries(kinds)) {
-                    const key = `${clientAccount}/${kind}`;
-                    const total = totals.get(key) ?? { clientAccount, kind, milliseconds: 0, count: 0 };
-                    total.milliseconds += amount.milliseconds;
-                    total.count += amount.count;
-                    totals.set(key, total);
-                }
+/** The incarnations that reported at `after` or later. */
+export function recentUsage(table: UsageTable, after: number): UsageTable {
+    return splitUsage(table, after).recent;
+}
+
+/**
+ * Sums the incarnations that did not report since `before` into `ended`, which keeps the record small while VMs are
+ * replaced. No process may merge such an incarnation into the record again, or it would count twice.
+ */
+export function foldEnded(record: UsageRecord, before: number): UsageRecord {
+    const { recent, old } = splitUsage(record.live, before);
+    const ended = old.reduce((total, { accounts }) => mergeAccounts(total, accounts, sum), record.ended);
+    return { live: recent, ended };
+}
+
+/** Sums a record by client account and kind, ordered by both. */
+export function usageTotals(record: UsageRecord): UsageTotal[] {
+    const { ended } = foldEnded(record, Number.POSITIVE_INFINITY);
+    const totals: UsageTotal[] = [];
+    for (const clientAccount of Object.keys(ended).sort()) {
+        const kinds = ended[clientAccount] ?? {};
+        for (const kind of Object.keys(kinds).sort()) {
+            totals.push({ clientAccount, kind, ...kinds[kind]! });
+        }
+    }
+    return totals;
+}
+
+/** One record with the content of several; `live` parts may overlap, `ended` parts must not. */
+export function joinRecords(records: UsageRecord[]): UsageRecord {
+    return records.reduce(
+        (joined, { live, ended }) => ({
+            live: mergeUsage(joined.live, live),
+            ended: mergeAccounts(joined.ended, ended, sum),
+        }),
+        { live: {}, ended: {} },
+    );
+}
+
+type MergeAmounts = (a: UsageAmount, b: UsageAmount) => UsageAmount;
+
+const highest: MergeAmounts = (a, b) => ({
+    milliseconds: Math.max(a.milliseconds, b.milliseconds),
+    count: Math.max(a.count, b.count),
+});
+
+const sum: MergeAmounts = (a, b) => ({
+    milliseconds: a.milliseconds + b.milliseconds,
+    count: a.count + b.count,
+});
+
+function mergeAccounts(a: AccountUsage, b: AccountUsage, merge: MergeAmounts): AccountUsage {
+    return mergeRecords(a, b, (kindsA, kindsB) => mergeRecords(kindsA, kindsB, merge));
+}
+
+function splitUsage(table: UsageTable, at: number): { recent: UsageTable; old: IncarnationUsage[] } {
+    const recent: UsageTable = {};
+    const old: IncarnationUsage[] = [];
+    for (const [agent, incarnations] of Object.entries(table)) {
+        for (const [incarnation, usage] of Object.entries(incarnations)) {
+            if (usage.seenAt < at) {
+                old.push(usage);
+                continue;
             }
+            recent[agent] = { ...recent[agent], [incarnation]: usage };
         }
     }
-    return [...totals.entries()].sort(([a], [b]) => (a < b ? -1 : 1)).map(([, total]) => total);
+    return { recent, old };
 }
 
 function mergeRecords<T>(
--- a/packages/operator/src/document/applyDocument.fault.spec.ts
+++ b/packages/operator/src/document/applyDocument.fault.spec.ts
@@ -14,7 +14,7 @@
 const ENVIRONMENT = "trial";
 type Applied = Either<Failure, AcceptedChange>;
 
-describe("invariant 8: an accepted configuration never reverts, and a refused one changes nothing", () => {
+describe("invariant 8: an accepted configuration is in force everywhere within 17 s and never reverts", () => {
     let clock: ManualClock;
     let platform: MemoryPlatform;
     let one: PlatformConnection;
--- a/packages/platform/src/registration/registrationTask.fault.spec.ts
+++ b/packages/platform/src/registration/registrationTask.fault.spec.ts
@@ -9,7 +9,7 @@
 /** Time to live of the lease, and the time that an absent entry has to come back. */
 const GONE_WITHIN_MS = 25_000;
 
-describe("invariant 5: work of an entry is taken over only after it has gone", () => {
+describe("invariant 5: work that may not be repeated runs at most once, so its entry must have gone first", () => {
     let clock: ManualClock;
     let platform: MemoryPlatform;
 
--- a/packages/platform/src/usage/usageTask.spec.ts
+++ b/packages/platform/src/usage/usageTask.spec.ts
@@ -84,6 +84,22 @@
         });
     });
 
+    describe("after a day without reports of an incarnation", () => {
+        it("sums it up once, although another entry has known it too", async () => {
+            const [one, two] = NAMES.map(startEntry);
+            for (const entry of [one!, two!]) {
+                entry.report("agent-1", 100);
+            }
+            await clock.advance(25 * 3_600_000);
+            one!.report("agent-1", 10, "two");
+            two!.report("agent-1", 10, "two");
+            await clock.advance(300_000);
+            const [record] = (await platform.connect().store.list("trial/usage/")).unsafeCoerce();
+            expect(record?.value).to.not.include('"one"');
+            expect((await two!.summary()).totals[0]?.milliseconds).to.equal(110);
+        });
+    });
+
     describe("after every entry was replaced", () => {
         it("still shows what was flushed", async () => {
             const one = startEntry("entry-1");
--- a/packages/platform/src/usage/usageTask.ts
+++ b/packages/platform/src/usage/usageTask.ts
@@ -3,9 +3,13 @@
 import type { UsageCounter } from "@tanagerdeck/decisions/fleet/reportTypes";
 import { bucketOf, flusherOf } from "@tanagerdeck/decisions/usage/usageBuckets";
 import {
+    foldEnded,
+    joinRecords,
     mergeUsage,
+    recentUsage,
     tableOfReport,
     usageTotals,
+    type UsageRecord,
     type UsageTable,
     type UsageTotal,
 } from "@tanagerdeck/decisions/usage/usageMerge";
@@ -29,6 +33,14 @@
  */
 const FLUSHES_LEFT_TO_OTHERS = 1;
 const WRITE_ATTEMPTS = 3;
+const HOUR_MS = 3_600_000;
+/** An incarnation is summed up after this time without reports. */
+const ENDED_AFTER_MS = 24 * HOUR_MS;
+/**
+ * No entry adds an incarnation to a record after this time without reports. The half day in between covers
+ * differences of the entries' wall clocks, since an incarnation added after it was summed up would count twice.
+ */
+const RECENT_FOR_MS = 12 * HOUR_MS;
 
 /** Use of the environment. `complete` is false if the platform could not be read. */
 export interface UsageSummary {
@@ -41,9 +53,9 @@
     | { kind: "report"; agent: string; incarnation: string; counters: UsageCounter[] }
     | { kind: "entries"; names: string[] }
     | { kind: "flush" }
-    | { kind: "flushed"; bucket: number; result: Either<Failure, UsageTable> }
+    | { kind: "flushed"; bucket: number; result: Either<Failure, "stored"> }
     | { kind: "summarize"; reply: Reply<UsageSummary> }
-    | { kind: "listed"; result: Either<Failure, UsageTable>; reply: Reply<UsageSummary> };
+    | { kind: "listed"; result: Either<Failure, UsageRecord>; reply: Reply<UsageSummary> };
 
 /** Dependencies of the usage task. */
 export interface UsageOptions {
@@ -56,7 +68,7 @@
 }
 
 interface State {
-    /** Counters of each bucket, from reports and from the platform. */
+    /** Counters of each bucket from recent reports. */
     known: Map<number, UsageTable>;
     /** Buckets with counters that this entry has not seen on the platform, and the flushes left to another entry. */
     unflushed: Map<number, number>;
@@ -78,10 +90,11 @@
 }
 
 const handlers: Handlers<State, UsageMessage> = {
-    report(state, { agent, incarnation, counters }) {
+    report(state, { agent, incarnation, counters }, context) {
         if (counters.length > 0) {
             const bucket = bucketOf(agent, textHash);
-            merge(state, bucket, tableOfReport(agent, incarnation, counters));
+            const table = tableOfReport(agent, incarnation, counters, context.clock.wall());
+            state.known.set(bucket, mergeUsage(state.known.get(bucket) ?? {}, table));
             state.unflushed.set(bucket, state.unflushed.get(bucket) ?? 0);
         }
     },
@@ -89,6 +102,10 @@
         state.entries = [state.options.entry, ...message.names];
     },
     flush(state, _message, context) {
+        const recentAfter = context.clock.wall() - RECENT_FOR_MS;
+        for (const [bucket, table] of state.known) {
+            state.known.set(bucket, recentUsage(table, recentAfter));
+        }
         for (const [bucket, left] of state.unflushed) {
             const own = flusherOf(bucket, state.entries, textHash) === state.options.entry;
             if (own || left >= FLUSHES_LEFT_TO_OTHERS) {
@@ -104,7 +121,6 @@
             state.unflushed.set(bucket, 0);
             state.options.log.warn("A usage record was not written.", { bucket, detail: problem.detail });
         });
-        result.ifRight(stored => merge(state, bucket, stored));
     },
     summarize(state, { reply }, context) {
         context.start(
@@ -113,16 +129,12 @@
         );
     },
     listed(state, { result, reply }) {
-        const local = [...state.known.values()].reduce(mergeUsage, {});
-        const stored = result.orDefault({});
-        reply({ totals: usageTotals(mergeUsage(local, stored)), complete: result.isRight() });
+        const local = [...state.known.values()].map(live => ({ live, ended: {} }));
+        const record = joinRecords([result.orDefault({ live: {}, ended: {} }), ...local]);
+        reply({ totals: usageTotals(record), complete: result.isRight() });
     },
 };
 
-function merge(state: State, bucket: number, table: UsageTable): void {
-    state.known.set(bucket, mergeUsage(state.known.get(bucket) ?? {}, table));
-}
-
 function flush(state: State, bucket: number, context: TaskContext<UsageMessage>): void {
     const table = state.known.get(bucket) ?? {};
     state.unflushed.delete(bucket);
@@ -134,10 +146,10 @@
 
 /** Merges a table into its record by compare-and-swap. A lost reply is harmless: the merge is idempotent. */
 async function writeBucket(
-    { store, environment }: UsageOptions,
+    { store, environment, clock }: UsageOptions,
     bucket: number,
     table: UsageTable,
-): Promise<Either<Failure, UsageTable>> {
+): Promise<Either<Failure, "stored">> {
     const key = `${usagePrefix(environment)}${String(bucket).padStart(2, "0")}`;
     for (let attempt = 0; attempt < WRITE_ATTEMPTS; attempt++) {
         const read = await store.get(key);
@@ -145,27 +157,27 @@
             return read;
         }
         const stored = read.unsafeCoerce();
-        const merged = mergeUsage(stored ? (JSON.parse(stored.value) as UsageTable) : {}, table);
-        const value = JSON.stringify(merged);
+        const now = clock.wall();
+        const { live, ended } = stored ? (JSON.parse(stored.value) as UsageRecord) : { live: {}, ended: {} };
+        const merged = mergeUsage(live, recentUsage(table, now - RECENT_FOR_MS));
+        const value = JSON.stringify(foldEnded({ live: merged, ended }, now - ENDED_AFTER_MS));
         if (value === stored?.value) {
-            return Right(merged);
+            return Right("stored");
         }
         const written = await store.write([{ key, value, expectedVersion: stored?.version ?? 0 }]);
         if (written.isLeft()) {
             return written;
         }
         if (written.extract() === "written") {
-            return Right(merged);
+            return Right("stored");
         }
     }
     return Left(failure("not-run", "conflict", "Other entries kept changing the record."));
 }
 
-async function listUsage({ store, environment }: UsageOptions): Promise<Either<Failure, UsageTable>> {
+async function listUsage({ store, environment }: UsageOptions): Promise<Either<Failure, UsageRecord>> {
     const listed = await store.list(usagePrefix(environment));
-    return listed.map(values =>
-        values.map(({ value }) => JSON.parse(value) as UsageTable).reduce(mergeUsage, {}),
-    );
+    return listed.map(values => joinRecords(values.map(({ value }) => JSON.parse(value) as UsageRecord)));
 }
 
 function usagePrefix(environment: string): string {
--- a/packages/tanagerdeck/src/entry/testing/controlWorld.ts
+++ b/packages/tanagerdeck/src/entry/testing/controlWorld.ts
@@ -8,10 +8,7 @@
 import type { Failure, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { applyDocument, type AcceptedChange } from "@tanagerdeck/operator/document/applyDocument";
 import { drainAgent } from "@tanagerdeck/operator/drain/drainAgent";
-import {
-    startAnnouncementTask,
-    type AnnouncementMessage,
-} from "@tanagerdeck/peer/announcement/announcementTask";
+import { startAnnouncementTask } from "@tanagerdeck/peer/announcement/announcementTask";
 import { startAgentConfigurationTask } from "@tanagerdeck/peer/configuration/agentConfigurationTask";
 import type { ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
 import { silentLog } from "@tanagerdeck/runtime/log/log";
