--- a/scripts/bench/bench.ts
+++ b/scripts/bench/bench.ts
@@ -1,8 +1,9 @@
 import { type Bench } from "./benchTypes.ts";
+import { controlBench } from "./controlBench.ts";
 import { placementBench } from "./placementBench.ts";
 
 /** Benches in the order in which they run. */
-const benches: Bench[] = [placementBench];
+const benches: Bench[] = [placementBench, controlBench];
 
 for (const bench of benches) {
     for (const measure of await bench()) {
