--- a/packages/backend/src/worker/partEnd.ts
+++ b/packages/backend/src/worker/partEnd.ts
@@ -1,5 +1,6 @@
 import { CHECKPOINT_GRACE_MS, type PartLoss } from "@tanagerdeck/decisions/gang/gangTypes";
 import { close, vacate } from "@tanagerdeck/decisions/ledger/ledger";
+import { TASK_CALL_TIMEOUT_MS } from "./workerClient.ts";
 import type { Part, WorkerContext, WorkerState } from "./workerTypes.ts";
 
 /** Interval of attempts to remove a task from a worker that does not answer. */
@@ -64,6 +65,11 @@
         context.after(REMOVE_RETRY_MS, { kind: "remove", id: part.id });
         return;
     }
+    if (part.removing && context.clock.now() >= part.endsBy) {
+        taskRemoved(state, part, false, context);
+        return;
+    }
+    part.removing = true;
     context.start(
         () => state.options.calls.remove(part.id),
         reply => ({ kind: "removed", id: part.id, reply }),
@@ -72,8 +78,10 @@
 
 /** Frees the accelerators once the task is gone or its last lease has run out. */
 export function taskRemoved(state: WorkerState, part: Part, gone: boolean, context: WorkerContext): void {
-    if (!gone && context.clock.now() < part.endsBy) {
-        const waitMs = Math.min(REMOVE_RETRY_MS, part.endsBy - context.clock.now());
+    const leftMs = part.endsBy - context.clock.now();
+    if (!gone && leftMs > 0) {
+        // A last call to a silent worker must not outlast the lease.
+        const waitMs = leftMs < REMOVE_RETRY_MS + TASK_CALL_TIMEOUT_MS ? leftMs : REMOVE_RETRY_MS;
         context.after(waitMs, { kind: "remove", id: part.id });
         return;
     }
--- a/packages/backend/src/worker/partOrders.ts
+++ b/packages/backend/src/worker/partOrders.ts
@@ -12,7 +12,8 @@
 import { confirmTask, openTask } from "@tanagerdeck/decisions/ledger/usageMeter";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
 import { stopPart } from "./partEnd.ts";
-import { checkLease, confirmation, TASK_LEASE_MS } from "./partLease.ts";
+import { checkLease, confirmation, renewTask, TASK_LEASE_MS, TASK_RENEW_INTERVAL_MS } from "./partLease.ts";
+import { TASK_CALL_TIMEOUT_MS } from "./workerClient.ts";
 import type { Part, WorkerContext, WorkerState } from "./workerTypes.ts";
 
 /** Loads a part on held accelerators without computing, or renews the permission to keep it loaded. */
@@ -94,6 +95,10 @@
         state.meter = confirmTask(state.meter, part.id, uncounted);
     }
     reply(confirmation(part, now));
+    // A task lease that was cut short by the run lease would end before the next regular renewal.
+    if (part.endsBy < now + TASK_RENEW_INTERVAL_MS + TASK_CALL_TIMEOUT_MS) {
+        renewTask(state, part, context);
+    }
 }
 
 /** Ends a part and refuses its attempt from then on. */
@@ -165,6 +170,7 @@
         reclaimAt: undefined,
         stopBy: 0,
         ending: false,
+        removing: false,
         startReplies: [],
     };
     state.parts.set(id, part);
--- a/packages/backend/src/worker/workerTypes.ts
+++ b/packages/backend/src/worker/workerTypes.ts
@@ -91,6 +91,8 @@
     reclaimAt: number | undefined;
     stopBy: number;
     ending: boolean;
+    /** True once the worker has been asked to remove the task. */
+    removing: boolean;
     startReplies: Reply<PartReply>[];
 }
 
--- a/packages/caller/src/job/jobAdmission.ts
+++ b/packages/caller/src/job/jobAdmission.ts
@@ -30,7 +30,6 @@
     }
     const created = createJob(state, record, 0);
     if (created) {
-        created.suppliedId = job.suppliedId;
         created.waiters.push(reply);
         state.jobs.set(created.key, created);
         awaitRecord(state, created, context);
--- a/packages/caller/src/job/jobRecording.ts
+++ b/packages/caller/src/job/jobRecording.ts
@@ -90,8 +90,8 @@
 /** Goes on without the platform where the job allows it; a slow platform must not delay urgent work. */
 export function recordOverdue(state: JobsState, job: Job, context: JobContext): void {
     answerWaiters(job, { kind: "status", status: jobStatus(job.record, false) });
-    const storedFirst = job.version > 0 || (!job.repeatable && job.suppliedId);
-    if (job.phase === "accepting" && !storedFirst) {
+    // A claimed job belongs to its former owner until the claim is stored.
+    if (job.phase === "accepting" && job.version === 0) {
         enterPhase(job, "queued");
     }
     if (job.phase === "recording" && job.repeatable) {
--- a/packages/caller/src/job/jobRoutes.ts
+++ b/packages/caller/src/job/jobRoutes.ts
@@ -51,9 +51,11 @@
             }
             const { id, ...rest } = parsed.data;
             const { clientAccount } = context;
-            const suppliedId = id !== undefined;
-            const job = { ...rest, clientAccount, suppliedId, id: id ?? nanoid() };
-            sendReply(response, ACCEPTED, await operations.submit(job));
+            sendReply(
+                response,
+                ACCEPTED,
+                await operations.submit({ ...rest, clientAccount, id: id ?? nanoid() }),
+            );
         },
         async "GET /v1/jobs"({ context, segments, response }) {
             const reference = { clientAccount: context.clientAccount, id: segments[0] ?? "" };
--- a/packages/caller/src/job/jobState.ts
+++ b/packages/caller/src/job/jobState.ts
@@ -32,7 +32,6 @@
         priority: kind.priority,
         repeatable: kind.repeatable,
         limitMs: kind.limits.seconds * 1_000,
-        suppliedId: true,
         claimed: version > 0,
         phase: "accepting",
         turn: 0,
@@ -74,7 +73,19 @@
     job.backoffMs = Math.min(MAX_BACKOFF_MS, job.backoffMs * 2);
     if (job.cancelled) {
         endCancelled(state, job, context);
+        return;
     }
+    if (state.handOver) {
+        giveUp(state, job, context);
+    }
+}
+
+/** Leaves a waiting job to whichever entry claims it. */
+export function giveUp(state: JobsState, job: Job, context: JobContext): void {
+    enterPhase(job, "queued");
+    job.record = { ...job.record, owner: undefined };
+    job.nextTryAt = Number.POSITIVE_INFINITY;
+    saveJob(state, job, context);
 }
 
 /** Ends a job on behalf of its caller. */
--- a/packages/caller/src/job/jobTask.spec.ts
+++ b/packages/caller/src/job/jobTask.spec.ts
@@ -59,6 +59,23 @@
             expect((await lookUp(1)).state).to.equal("finished");
         });
 
+        it("does not commit a job that must not run twice, as an entry that claims it would run it again", async () => {
+            fixture.platform.mode = "normal";
+            fixture.network.choose = ({ step }) => {
+                fixture.platform.mode = step === "reserve" ? "down" : fixture.platform.mode;
+                return "none";
+            };
+            await submit(0, { ...JOB, kind: ONCE_KIND });
+            await fixture.clock.advance(3_000);
+            fixture.network.choose = () => "none";
+            fixture.platform.mode = "normal";
+            fixture.entries[0]!.process.kill();
+            fixture.entries[1]!.jobs.send({ kind: "claim", owner: "entry-0" });
+            await fixture.clock.advance(10_000);
+            expect((await lookUp(1)).state).to.equal("finished");
+            expect(new Set(tasks()).size, "attempts").to.equal(1);
+        });
+
         it("does not promise not run for a cancelled job before its end is stored", async () => {
             await submit(0, { ...JOB, accelerators: 8, kind: ONCE_KIND });
             const reply = fixture.cancel(0, JOB.id, JOB.clientAccount);
--- a/packages/caller/src/job/jobTask.ts
+++ b/packages/caller/src/job/jobTask.ts
@@ -8,10 +8,12 @@
 import { recordOverdue, recordWritten, saveJob } from "./jobRecording.ts";
 import { remoteCancel, remoteStatus } from "./jobRemote.ts";
 import { attemptEnded, beginSettle, jobSettled, settle } from "./jobSettle.ts";
-import { endCancelled, jobKey, jobStatus } from "./jobState.ts";
-import type { Job, JobContext, JobMessage, JobOptions, JobsState } from "./jobTaskTypes.ts";
+import { endCancelled, giveUp, jobKey, jobStatus } from "./jobState.ts";
+import type { Job, JobContext, JobMessage, JobOptions, JobPhase, JobsState } from "./jobTaskTypes.ts";
 
 const TICK_MS = 100;
+/** Phases that a hand-over waits for. */
+const OPEN_PHASES = new Set<JobPhase>(["accepting", "reserving", "recording", "committing"]);
 /** Ended jobs are answered from memory for this time, then from their records. */
 const ENDED_RETENTION_MS = 600_000;
 
@@ -162,10 +164,7 @@
         state.handOver = message.reply;
         for (const job of state.jobs.values()) {
             if (job.phase === "queued") {
-                job.record = { ...job.record, owner: undefined };
-                job.turn++;
-                job.nextTryAt = Number.POSITIVE_INFINITY;
-                saveJob(state, job, context);
+                giveUp(state, job, context);
             }
         }
         finishHandOver(state);
@@ -206,10 +205,10 @@
     }
 }
 
-/** Answers a hand-over once every waiting job's record is stored. */
+/** Answers a hand-over once no attempt is open and every other job's record is stored. */
 function finishHandOver(state: JobsState): void {
     for (const job of state.jobs.values()) {
-        if (job.phase === "queued" && !job.recorded) {
+        if (OPEN_PHASES.has(job.phase) || !job.recorded) {
             return;
         }
     }
--- a/packages/caller/src/job/jobTaskTypes.ts
+++ b/packages/caller/src/job/jobTaskTypes.ts
@@ -19,10 +19,9 @@
 import type { Log } from "@tanagerdeck/runtime/log/log";
 import type { Reply, TaskContext } from "@tanagerdeck/runtime/task/task";
 
-/** A caller's job after authentication. `suppliedId` is false if this entry made the id. */
+/** A caller's job after authentication. */
 export interface CallerJob {
     id: string;
-    suppliedId: boolean;
     clientAccount: string;
     kind: string;
     shape: Shape;
@@ -107,7 +106,6 @@
     priority: Priority;
     repeatable: boolean;
     limitMs: number;
-    suppliedId: boolean;
     /** True until the first attempt after the job was claimed from another entry. */
     claimed: boolean;
     phase: JobPhase;
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -121,6 +121,7 @@
         },
         async stop() {
             await callerListener.close();
+            await jobs.handOver();
             await operatorListener.close();
             await peerListener.close();
             await configuration.stop();
--- a/packages/tanagerdeck/src/entry/jobWiring.ts
+++ b/packages/tanagerdeck/src/entry/jobWiring.ts
@@ -14,6 +14,9 @@
 import type { Log } from "@tanagerdeck/runtime/log/log";
 import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
 
+/** Longest wait for the platform when an entry stops. */
+const HAND_OVER_LIMIT_MS = 3_000;
+
 /** What the jobs task of an entry depends on. */
 export interface JobWiringOptions {
     entry: string;
@@ -35,7 +38,7 @@
     acknowledge(report: Report, reply: ReportReply): Promise<ReportReply>;
     /** Claims the jobs of an entry whose registration has ended, and those that were handed over. */
     claim(owner: string): void;
-    /** Resolves when the waiting jobs have no owner. */
+    /** Leaves the waiting jobs to other entries; gives up after a time limit if the platform is down. */
     handOver(): Promise<void>;
 }
 
@@ -78,6 +81,10 @@
         claim(owner) {
             jobs.send({ kind: "claim", owner });
         },
-        handOver: () => jobs.ask((reply: Reply<void>) => ({ kind: "hand-over", reply })),
+        handOver: () =>
+            Promise.race([
+                jobs.ask((reply: Reply<void>) => ({ kind: "hand-over", reply })),
+                new Promise<void>(resolve => clock.startTimer(HAND_OVER_LIMIT_MS, resolve)),
+            ]),
     };
 }
--- a/standins/src/gang/gangFixture.ts
+++ b/standins/src/gang/gangFixture.ts
@@ -258,7 +258,7 @@
         submit(entry, { id, clientAccount, kind, accelerators, ms }) {
             const shape = { span: "neighbouring-racks" as const, accelerators };
             const body = JSON.stringify({ ms });
-            const job = { id, suppliedId: true, clientAccount, kind, shape, seconds: 1, body };
+            const job = { id, clientAccount, kind, shape, seconds: 1, body };
             return askEntry(entry, reply => ({ kind: "submit", job, reply }));
         },
         cancel: (entry, id, clientAccount) =>
--- /dev/null
+++ b/standins/src/gang/jobScenario.ts
@@ -0,0 +1,106 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { WorkerStatus } from "@tanagerdeck/backend/worker/workerTypes";
+import { isEnded, type JobStatus } from "@tanagerdeck/decisions/gang/jobTypes";
+import { gangConfiguration } from "./gangConfiguration.ts";
+import { injectFaults, type Injection } from "./gangFaults.ts";
+import { startGangFixture, type GangFixture } from "./gangFixture.ts";
+import { doubleUses, longestPartialMs } from "./gangMeasures.ts";
+
+const JOB = { id: "job", clientAccount: "vans", accelerators: 6, ms: 6_000 };
+const CANCEL_AT_MS = 4_000;
+/** Each of three faults can cost 6 s of suspicion and the 64 s after which an anchor counts as lost. */
+const RUN_LIMIT_MS = 300_000;
+/** Longer than every lease, hold and delayed message. */
+const AFTERMATH_MS = 12_000;
+
+/** What became of a job and its parts. */
+export interface JobScenarioResult {
+    status: JobStatus | undefined;
+    partialMs: number;
+    doubleUses: string[];
+    /** Attempts of which a part computed. */
+    computed: Set<string>;
+    open: number;
+    /** Accelerators that living agents do not show as free after all leases have ended. */
+    notFree: number;
+}
+
+/** Runs one job of three parts while faults occur, on the manual clock. */
+export async function runJobWithFaults(
+    kind: string,
+    injections: Injection[],
+    cancels: boolean,
+    seed: number,
+): Promise<JobScenarioResult> {
+    const fixture = await startGangFixture({
+        workers: 6,
+        accelerators: 2,
+        entries: 2,
+        configuration: gangConfiguration(),
+        random: uniformRandom(seed),
+    });
+    const commitments = injectFaults(fixture, injections);
+    void fixture.submit(0, { ...JOB, kind });
+    if (cancels) {
+        fixture.clock.startTimer(CANCEL_AT_MS, () => {
+            const entry = fixture.entries[0]!.process.isAlive() ? 0 : 1;
+            void fixture.cancel(entry, JOB.id, JOB.clientAccount);
+        });
+    }
+    const status = await awaitEnd(fixture);
+    await fixture.clock.advance(AFTERMATH_MS);
+    const models = fixture.agents.map(agent => agent.model);
+    const now = fixture.clock.now();
+    const intervals = models.flatMap(model => model.intervals);
+    const result = {
+        status,
+        partialMs: longestPartialMs(models, commitments, now),
+        doubleUses: doubleUses(models, now),
+        computed: new Set(intervals.map(({ id }) => id)),
+        open: intervals.filter(({ end }) => end === undefined).length,
+        notFree: await countNotFree(fixture),
+    };
+    await fixture.stop();
+    return result;
+}
+
+/** Advances until an entry that lives reports the end; undefined if none does in time. */
+async function awaitEnd(fixture: GangFixture): Promise<JobStatus | undefined> {
+    let last: JobStatus | undefined;
+    while (fixture.clock.now() < RUN_LIMIT_MS) {
+        await fixture.clock.advance(1_000);
+        for (const [position, entry] of fixture.entries.entries()) {
+            if (!entry.process.isAlive()) {
+                continue;
+            }
+            const reply = fixture.status(position, JOB.id, JOB.clientAccount);
+            await fixture.clock.advance(600);
+            const settled = await Promise.race([reply, undefined]);
+            if (settled?.kind === "status") {
+                last = settled.status;
+                if (isEnded(last.state) && last.recorded) {
+                    return last;
+                }
+            }
+        }
+    }
+    return last;
+}
+
+async function countNotFree(fixture: GangFixture): Promise<number> {
+    let count = 0;
+    for (const { process, model, worker } of fixture.agents) {
+        if (process.isAlive() && !model.faults.silent) {
+            const { load } = await worker.ask<WorkerStatus>(reply => ({ kind: "status", reply }));
+            count += load.accelerators.filter(({ kind }) => kind !== "free").length;
+        }
+    }
+    return count;
+}
+
+/** Numbers in [0, 1) that depend on the seed only. */
+function uniformRandom(seed: number): () => number {
+    const generator = xoroshiro128plus(seed);
+    return () => uniformInt(generator, 0, 999_999) / 1_000_000;
+}
