--- a/scripts/bench/bench.ts
+++ b/scripts/bench/bench.ts
@@ -1,9 +1,11 @@
 import { type Bench } from "./benchTypes.ts";
 import { controlBench } from "./controlBench.ts";
+import { gangBench } from "./gangBench.ts";
 import { placementBench } from "./placementBench.ts";
+import { platformReturnBench } from "./platformReturnBench.ts";
 
 /** Benches in the order in which they run. */
-const benches: Bench[] = [placementBench, controlBench];
+const benches: Bench[] = [placementBench, gangBench, controlBench, platformReturnBench];
 
 for (const bench of benches) {
     for (const measure of await bench()) {
