--- /dev/null
+++ b/packages/tanagerdeck/src/start.ts
@@ -0,0 +1,4 @@
+import { applyHeapFlags } from "@tanagerdeck/runtime/memory/heapFlags";
+
+applyHeapFlags();
+void import("./main.ts");
--- /dev/null
+++ b/scripts/build/bundle.ts
@@ -0,0 +1,3 @@
+import { bundlePrograms } from "@tanagerdeck/standins/processes/programBundle";
+
+await bundlePrograms("dist");
