Add metrics, traces and health, and real processes for tests

Spans are passed on as a W3C trace parent in messages and in the trpc header, not in async-local storage, because a task's mailbox breaks the asynchronous context. Labels are string unions.

Proof: with the traceparent header removed from the peer client, the trace test fails (no span of the agent appears). The agent's own spans and the caller's context are checked as one chain across two processes.

--- a/packages/caller/src/listener/callerListener.ts
+++ b/packages/caller/src/listener/callerListener.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
-import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { bearerToken, matchesDigest } from "@tanagerdeck/runtime/access/token";
 import { startListener, type Listener } from "@tanagerdeck/runtime/http/listener";
 import { findRoute, type Routes } from "@tanagerdeck/runtime/http/routes";
+import type { Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import { sendFailure } from "./outcomeResponse.ts";
 
 /** The authenticated caller of one call. */
@@ -17,6 +18,7 @@
     address: string;
     configuration: () => Promise<Configuration | undefined>;
     routes: Routes<CallerContext>;
+    metrics: Metrics;
 }
 
 /** Serves callers over HTTP: authenticates each call and passes it to its route. */
@@ -33,23 +35,34 @@
 ): Promise<void> {
     const found = findRoute(options.routes, request);
     if (!found) {
-        sendFailure(response, 404, failure("not-run", "not-found", "There is no such resource."));
+        refuse(options, response, 404, failure("not-run", "not-found", "There is no such resource."));
         return;
     }
     const configuration = await options.configuration();
     if (!configuration) {
-        sendFailure(response, 503, failure("not-run", "no-configuration", "No configuration is known yet."));
+        const problem = failure("not-run", "no-configuration", "No configuration is known yet.");
+        refuse(options, response, 503, problem);
         return;
     }
     const clientAccount = authenticate(configuration, bearerToken(request));
     if (!clientAccount) {
-        sendFailure(response, 401, failure("not-run", "access-denied", "The bearer token is not known."));
+        refuse(options, response, 401, failure("not-run", "access-denied", "The bearer token is not known."));
         return;
     }
     const context = { clientAccount, configuration };
     await found.route({ context, segments: found.segments, request, response });
 }
 
+function refuse(
+    options: CallerListenerOptions,
+    response: ServerResponse,
+    status: number,
+    problem: Failure,
+): void {
+    options.metrics.refused(problem.reason);
+    sendFailure(response, status, problem);
+}
+
 /** The client account of a token; all digests are compared, so that the time tells nothing. */
 function authenticate(configuration: Configuration, token: string | undefined): string | undefined {
     if (token === undefined) {
--- a/packages/caller/src/routing/requestRoutes.ts
+++ b/packages/caller/src/routing/requestRoutes.ts
@@ -3,6 +3,7 @@
 import { failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { readBody } from "@tanagerdeck/runtime/http/listener";
 import { parseJson, type Routes } from "@tanagerdeck/runtime/http/routes";
+import { startSilentSpan, type StartSpan } from "@tanagerdeck/runtime/trace/traceTypes";
 import type { CallerContext } from "../listener/callerListener.ts";
 import { sendFailure, sendOutcome } from "../listener/outcomeResponse.ts";
 import type { CallerRequest } from "./routingTask.ts";
@@ -20,6 +21,7 @@
 /** Routes of requests that a runner answers. */
 export function createRequestRoutes(
     submit: (request: CallerRequest) => Promise<Outcome>,
+    startRoot: StartSpan = startSilentSpan,
 ): Routes<CallerContext> {
     return {
         async "POST /v1/requests"({ context, request, response }) {
@@ -31,7 +33,13 @@
             }
             const { id, ...rest } = parsed.data;
             const { clientAccount } = context;
-            sendOutcome(response, await submit({ ...rest, clientAccount, id: id ?? nanoid() }));
+            const incoming = request.headers.traceparent;
+            const span = startRoot("POST /v1/requests", typeof incoming === "string" ? incoming : undefined);
+            const { traceparent } = span;
+            const outcome = await submit({ ...rest, clientAccount, id: id ?? nanoid(), traceparent });
+            sendOutcome(response, outcome);
+            span.set({ verdict: outcome.verdict });
+            span.end(outcome.kind === "failure" ? outcome.reason : undefined);
         },
     };
 }
--- a/packages/caller/src/routing/routingTask.ts
+++ b/packages/caller/src/routing/routingTask.ts
@@ -5,6 +5,7 @@
 import { failure, type Failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import {
     startTask,
     type Handlers,
@@ -12,6 +13,7 @@
     type Task,
     type TaskContext,
 } from "@tanagerdeck/runtime/task/task";
+import type { Span, StartSpan } from "@tanagerdeck/runtime/trace/traceTypes";
 
 /** A caller's request after authentication. */
 export interface CallerRequest {
@@ -20,6 +22,8 @@
     kind: string;
     deadlineMs: number;
     body: string;
+    /** W3C trace context of the caller listener's span. */
+    traceparent?: string | undefined;
 }
 
 /** Calls to agents, supplied by the peer package. */
@@ -46,10 +50,13 @@
     log: Log;
     random: () => number;
     calls: AgentCalls;
+    metrics: Metrics;
+    startSpan: StartSpan;
 }
 
 interface Flight {
     request: Request;
+    span: Span;
     agent: AgentView;
     replies: Reply<Outcome>[];
 }
@@ -99,6 +106,10 @@
             reply(failure("not-run", "no-backend-server", "No backend server is serving."));
             return;
         }
+        const span = state.options.startSpan("route request", request.traceparent, {
+            kind: kind.name,
+            agent: agent.report.name,
+        });
         const sent: Request = {
             id: request.id,
             clientAccount: request.clientAccount,
@@ -107,8 +118,10 @@
             repeatable: kind.repeatable,
             remainingMs: request.deadlineMs,
             body: request.body,
+            traceparent: span.traceparent,
         };
-        state.flights.set(flightKey, { request: sent, agent, replies: [reply] });
+        state.flights.set(flightKey, { request: sent, span, agent, replies: [reply] });
+        reportLoad(state);
         call(state, flightKey, "submit", context);
     },
     progress(state, message, context) {
@@ -174,7 +187,13 @@
         return;
     }
     state.flights.delete(key);
+    flight.span.end(outcome.kind === "failure" ? outcome.reason : undefined);
+    reportLoad(state);
     for (const reply of flight.replies) {
         reply(outcome);
     }
 }
+
+function reportLoad(state: State): void {
+    state.options.metrics.load("request", { waiting: 0, running: state.flights.size });
+}
--- a/packages/decisions/src/request/requestTypes.ts
+++ b/packages/decisions/src/request/requestTypes.ts
@@ -11,6 +11,8 @@
     /** Milliseconds left until the caller's deadline when the request was sent. */
     remainingMs: number;
     body: string;
+    /** W3C trace context of the hop that holds the request; undefined if the trace is not recorded. */
+    traceparent?: string | undefined;
 }
 
 /** Reply of an agent to a long poll. */
--- a/packages/peer/src/link/agentRouter.ts
+++ b/packages/peer/src/link/agentRouter.ts
@@ -31,9 +31,12 @@
 /** Maps the agent's operations to trpc procedures. */
 export function createAgentRouter(handlers: AgentHandlers) {
     return router({
-        submit: authorizedProcedure
-            .input(passThrough<Submission>)
-            .mutation(({ input }) => handlers.requests.submit(input)),
+        submit: authorizedProcedure.input(passThrough<Submission>).mutation(({ input, ctx }) =>
+            handlers.requests.submit({
+                ...input,
+                request: { ...input.request, traceparent: ctx.traceparent },
+            }),
+        ),
         result: authorizedProcedure
             .input(passThrough<RequestReference>)
             .mutation(({ input }) => handlers.requests.result(input)),
--- a/packages/peer/src/link/peerClient.ts
+++ b/packages/peer/src/link/peerClient.ts
@@ -9,6 +9,11 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
 
+/** Context of a call: the trace context that is sent as `traceparent`. */
+export interface CallTrace {
+    traceparent?: string | undefined;
+}
+
 /** Clients of the other processes, by `ip:port`. Owns the connection pool. */
 export interface PeerClients {
     agent(address: string): TRPCClient<AgentRouter>;
@@ -31,7 +36,10 @@
     function link(address: string) {
         return httpLink({
             url: `http://${address}`,
-            headers: { authorization: `Bearer ${token}` },
+            headers: ({ op }) => {
+                const { traceparent } = op.context as CallTrace;
+                return { authorization: `Bearer ${token}`, ...(traceparent ? { traceparent } : {}) };
+            },
             fetch: (url, options) =>
                 undiciFetch(url as string, {
                     ...(options as object),
--- a/packages/platform/src/store/etcdStore.ts
+++ b/packages/platform/src/store/etcdStore.ts
@@ -1,6 +1,7 @@
 import { Either, Left, Right } from "purify-ts/Either";
 import { Pool } from "undici";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { PlatformOperation } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import type { Store, StoredValue, Write } from "./storeTypes.ts";
 
 /** Time limit of one call; the service answers in milliseconds. */
@@ -16,13 +17,17 @@
 }
 
 /** Client of the etcd v3 JSON gateway at `ip:port`. `countCall` is told of each call and each open watch. */
-export function createEtcdStore(address: string, countCall: (operation: string) => void): Store {
+export function createEtcdStore(address: string, countCall: (operation: PlatformOperation) => void): Store {
     const pool = new Pool(`http://${address}`, {
         connections: CONNECTIONS,
         connect: { timeout: CONNECT_TIMEOUT_MS },
     });
 
-    async function call<T>(operation: string, path: string, body: unknown): Promise<Either<Failure, T>> {
+    async function call<T>(
+        operation: PlatformOperation,
+        path: string,
+        body: unknown,
+    ): Promise<Either<Failure, T>> {
         countCall(operation);
         try {
             const response = await pool.request({
--- /dev/null
+++ b/packages/runtime/src/metrics/metricsListener.ts
@@ -0,0 +1,37 @@
+import { sendJson, startListener, type Listener } from "../http/listener.ts";
+import { findRoute, type Routes } from "../http/routes.ts";
+
+/** Health of a process as the load balancer asks for it. */
+export type Health = "serving" | "stopping";
+
+/** Dependencies of the metrics listener. */
+export interface MetricsListenerOptions {
+    address: string;
+    contentType: string;
+    text: () => Promise<string>;
+    health: () => Health;
+}
+
+/** Serves `GET /metrics` and `GET /health`; the latter answers 503 once a graceful stop has begun. */
+export function startMetricsListener(options: MetricsListenerOptions): Promise<Listener> {
+    const routes: Routes<undefined> = {
+        async "GET /metrics"({ response }) {
+            const text = await options.text();
+            response.writeHead(200, { "content-type": options.contentType });
+            response.end(text);
+        },
+        async "GET /health"({ response }) {
+            const health = options.health();
+            sendJson(response, health === "serving" ? 200 : 503, { health });
+        },
+    };
+    return startListener(options.address, (request, response) => {
+        const found = findRoute(routes, request);
+        if (!found) {
+            sendJson(response, 404, {});
+            return;
+        }
+        const call = { context: undefined, segments: found.segments, request, response };
+        found.route(call).catch(() => request.socket.destroy());
+    });
+}
--- /dev/null
+++ b/packages/runtime/src/trace/lineExporter.ts
@@ -0,0 +1,63 @@
+import { appendFile } from "node:fs";
+import type { ReadableSpan, SpanExporter } from "@opentelemetry/sdk-trace-base";
+import type { Log } from "../log/log.ts";
+
+const NANOSECONDS_PER_MILLISECOND = 1_000_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+const EXPORT_SUCCEEDED = 0;
+const EXPORT_FAILED = 1;
+
+/** One span as a line of a trace file. Times are wall-clock milliseconds. */
+export interface SpanLine {
+    traceId: string;
+    spanId: string;
+    parentSpanId: string | undefined;
+    name: string;
+    startMs: number;
+    durationMs: number;
+    failed: boolean;
+    attributes: Record<string, unknown>;
+}
+
+/** Appends one JSON line for each span to a file. */
+export function createFileExporter(path: string): SpanExporter {
+    return {
+        export(spans, done) {
+            const text = spans.map(span => `${JSON.stringify(spanLine(span))}\n`).join("");
+            appendFile(path, text, error => done({ code: error ? EXPORT_FAILED : EXPORT_SUCCEEDED }));
+        },
+        shutdown: async () => undefined,
+    };
+}
+
+/** Writes each span as a log record of level debug. */
+export function createLogExporter(log: Log): SpanExporter {
+    return {
+        export(spans, done) {
+            for (const span of spans) {
+                const { attributes, ...fields } = spanLine(span);
+                log.debug("A span ended.", { ...fields, attributes: JSON.stringify(attributes) });
+            }
+            done({ code: EXPORT_SUCCEEDED });
+        },
+        shutdown: async () => undefined,
+    };
+}
+
+function spanLine(span: ReadableSpan): SpanLine {
+    const { traceId, spanId } = span.spanContext();
+    return {
+        traceId,
+        spanId,
+        parentSpanId: span.parentSpanContext?.spanId,
+        name: span.name,
+        startMs: milliseconds(span.startTime),
+        durationMs: milliseconds(span.duration),
+        failed: span.status.code === 2,
+        attributes: span.attributes,
+    };
+}
+
+function milliseconds([seconds, nanoseconds]: [number, number]): number {
+    return seconds * MILLISECONDS_PER_SECOND + nanoseconds / NANOSECONDS_PER_MILLISECOND;
+}
--- /dev/null
+++ b/packages/runtime/src/trace/spanRecorder.ts
@@ -0,0 +1,80 @@
+import { ROOT_CONTEXT, SpanStatusCode, TraceFlags, trace, type Context } from "@opentelemetry/api";
+import { resourceFromAttributes } from "@opentelemetry/resources";
+import {
+    AlwaysOnSampler,
+    BasicTracerProvider,
+    BatchSpanProcessor,
+    type SpanExporter,
+} from "@opentelemetry/sdk-trace-base";
+import { createFileExporter, createLogExporter } from "./lineExporter.ts";
+import type { TraceOptions } from "./traces.ts";
+import type { StartSpan } from "./traceTypes.ts";
+
+/** Time that a span waits for others, so that one export carries many. */
+const EXPORT_DELAY_MS = 1_000;
+const TRACEPARENT = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/;
+
+/** Records every span that it starts. */
+export interface SpanRecorder {
+    start: StartSpan;
+    close(): Promise<void>;
+}
+
+/** Starts a recorder with the exporter that the options name. */
+export async function startSpanRecorder(options: TraceOptions): Promise<SpanRecorder> {
+    const processor = new BatchSpanProcessor(await createExporter(options), {
+        scheduledDelayMillis: EXPORT_DELAY_MS,
+    });
+    const provider = new BasicTracerProvider({
+        resource: resourceFromAttributes({
+            "service.name": "tanagerdeck",
+            "service.instance.id": options.processName,
+        }),
+        sampler: new AlwaysOnSampler(),
+        spanProcessors: [processor],
+    });
+    const tracer = provider.getTracer("tanagerdeck");
+    return {
+        start(name, parent, attributes = {}) {
+            const span = tracer.startSpan(
+                name,
+                { attributes: { ...attributes, process: options.processName } },
+                parentContext(parent),
+            );
+            const { traceId, spanId } = span.spanContext();
+            return {
+                traceparent: `00-${traceId}-${spanId}-01`,
+                set: values => void span.setAttributes(values),
+                end(problem) {
+                    if (problem !== undefined) {
+                        span.setStatus({ code: SpanStatusCode.ERROR, message: problem });
+                    }
+                    span.end();
+                },
+            };
+        },
+        close: () => provider.shutdown(),
+    };
+}
+
+async function createExporter(options: TraceOptions): Promise<SpanExporter> {
+    if (options.collector !== undefined) {
+        const { OTLPTraceExporter } = await import("@opentelemetry/exporter-trace-otlp-http");
+        return new OTLPTraceExporter({ url: options.collector });
+    }
+    return options.file === undefined ? createLogExporter(options.log) : createFileExporter(options.file);
+}
+
+/** The context of a W3C trace parent; a malformed one starts a new trace. */
+function parentContext(parent: string | undefined): Context {
+    const [, traceId, spanId] = TRACEPARENT.exec(parent ?? "") ?? [];
+    if (!traceId || !spanId) {
+        return ROOT_CONTEXT;
+    }
+    return trace.setSpanContext(ROOT_CONTEXT, {
+        traceId,
+        spanId,
+        traceFlags: TraceFlags.SAMPLED,
+        isRemote: true,
+    });
+}
--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -9,9 +9,14 @@
 import { createPeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
+import { startMetricsListener, type Health } from "@tanagerdeck/runtime/metrics/metricsListener";
+import { createPromMetrics } from "@tanagerdeck/runtime/metrics/promMetrics";
 import { createLog } from "@tanagerdeck/runtime/log/log";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
+import { startTraces } from "@tanagerdeck/runtime/trace/traces";
+import { withSpan } from "@tanagerdeck/runtime/trace/traceTypes";
+import { traceOptions } from "../settings/traceSettings.ts";
 import type { AgentSettings } from "../settings/settingsSchema.ts";
 
 const REPORT_INTERVAL_MS = 2_000;
@@ -21,6 +26,9 @@
 export async function startAgent(settings: AgentSettings): Promise<RunningProcess> {
     const log = createLog(settings.name, settings.logLevel);
     const clock = systemClock;
+    const metrics = createPromMetrics(clock);
+    const traces = await startTraces(traceOptions(settings, log));
+    let health: Health = "serving";
     const clients = createPeerClients(settings.peerToken);
     const incarnation = nanoid(10);
     if (settings.server.kind !== "runner") {
@@ -31,7 +39,12 @@
         slots: settings.server.slots,
         clock,
         log: log.part("runner"),
-        run: runnerClient.run,
+        run: (request, signal) =>
+            withSpan(traces.startSpan, "POST /run", request.traceparent, async () => {
+                const outcome = await runnerClient.run(request, signal);
+                metrics.ended("request", outcome);
+                return outcome;
+            }),
     });
     let sequence = 0;
     let draining = false;
@@ -55,9 +68,18 @@
                 return { draining: true };
             },
         }),
+        traces.startSpan,
     );
+    const metricsListener = await startMetricsListener({
+        address: settings.metricsAddress,
+        contentType: metrics.contentType,
+        text: metrics.text,
+        health: () => health,
+    });
 
     async function report(): Promise<Report> {
+        const load = await runner.ask((reply: Reply<RunnerLoad>) => ({ kind: "load", reply }));
+        metrics.load("request", load);
         return {
             name: settings.name,
             incarnation,
@@ -67,7 +89,7 @@
             server: "runner",
             state: draining ? "draining" : "serving",
             configurationRevision: 0,
-            runner: await runner.ask((reply: Reply<RunnerLoad>) => ({ kind: "load", reply })),
+            runner: load,
             gangs: [],
             usage: [],
         };
@@ -85,16 +107,19 @@
             peerCall(REPORT_TIMEOUT_MS, signal =>
                 clients.entry(entry).configuration.mutate({ afterRevision }, { signal }),
             ),
-        adopted: configuration =>
-            log
-                .part("configuration")
-                .info("A configuration was adopted.", { revision: configuration.revision }),
+        adopted: configuration => {
+            metrics.configurationRevision(configuration.revision);
+            log.part("configuration").info("A configuration was adopted.", {
+                revision: configuration.revision,
+            });
+        },
     });
     log.info("The agent is serving.", { peerAddress: peerListener.address });
 
     return {
-        addresses: { peerAddress: peerListener.address },
+        addresses: { peerAddress: peerListener.address, metricsAddress: metricsListener.address },
         async stop() {
+            health = "stopping";
             draining = true;
             runner.send({ kind: "drain" });
             await announcement.stop();
@@ -102,6 +127,9 @@
             await runner.stop();
             await runnerClient.close();
             await clients.close();
+            await traces.close();
+            metrics.stop();
+            await metricsListener.close();
             log.info("The agent has stopped.");
         },
     };
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -14,10 +14,14 @@
 import { startConfigurationTask } from "@tanagerdeck/platform/configuration/configurationTask";
 import { createEtcdStore } from "@tanagerdeck/platform/store/etcdStore";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
+import { startMetricsListener, type Health } from "@tanagerdeck/runtime/metrics/metricsListener";
+import { createPromMetrics } from "@tanagerdeck/runtime/metrics/promMetrics";
 import { createLog } from "@tanagerdeck/runtime/log/log";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
+import { startTraces } from "@tanagerdeck/runtime/trace/traces";
 import type { EntrySettings } from "../settings/settingsSchema.ts";
+import { traceOptions } from "../settings/traceSettings.ts";
 import { createAgentCalls } from "./agentCalls.ts";
 
 const REPORT_INTERVAL_MS = 2_000;
@@ -26,7 +30,10 @@
 export async function startEntry(settings: EntrySettings): Promise<RunningProcess> {
     const log = createLog(settings.name, settings.logLevel);
     const clock = systemClock;
-    const store = createEtcdStore(settings.platformAddress, () => undefined);
+    const metrics = createPromMetrics(clock);
+    const traces = await startTraces(traceOptions(settings, log));
+    let health: Health = "serving";
+    const store = createEtcdStore(settings.platformAddress, metrics.platformCalled);
     const clients = createPeerClients(settings.peerToken);
 
     const routing = startRoutingTask({
@@ -34,13 +41,18 @@
         clock,
         log: log.part("routing"),
         random: Math.random,
-        calls: createAgentCalls(clients),
+        calls: createAgentCalls(clients, traces.startSpan),
+        metrics,
+        startSpan: traces.startSpan,
     });
     const membership = startMembershipTask({
         clock,
         log: log.part("membership"),
         reportIntervalMs: REPORT_INTERVAL_MS,
-        changed: agents => routing.send({ kind: "fleet", agents }),
+        changed: agents => {
+            metrics.agents(agents);
+            routing.send({ kind: "fleet", agents });
+        },
     });
     const configuration = startConfigurationTask({
         environment: settings.environment,
@@ -48,6 +60,7 @@
         clock,
         log: log.part("configuration"),
         adopted: adopted => {
+            metrics.configurationRevision(adopted.revision);
             routing.send({ kind: "configuration", configuration: adopted });
             membership.send({ kind: "configuration", revision: adopted.revision });
         },
@@ -70,6 +83,7 @@
                 return current && current.revision > afterRevision ? current : undefined;
             },
         }),
+        traces.startSpan,
     );
     const operatorListener = await startOperatorListener({
         address: settings.operatorAddress,
@@ -83,9 +97,22 @@
     const callerListener = await startCallerListener({
         address: settings.callerAddress,
         configuration: currentConfiguration,
-        routes: createRequestRoutes(request =>
-            routing.ask((reply: Reply<Outcome>) => ({ kind: "request", request, reply })),
-        ),
+        routes: createRequestRoutes(async request => {
+            const outcome = await routing.ask((reply: Reply<Outcome>) => ({
+                kind: "request",
+                request,
+                reply,
+            }));
+            metrics.ended("request", outcome);
+            return outcome;
+        }, traces.startRoot),
+        metrics,
+    });
+    const metricsListener = await startMetricsListener({
+        address: settings.metricsAddress,
+        contentType: metrics.contentType,
+        text: metrics.text,
+        health: () => health,
     });
     log.info("The entry is serving.", { callerAddress: callerListener.address });
 
@@ -94,8 +121,10 @@
             callerAddress: callerListener.address,
             operatorAddress: operatorListener.address,
             peerAddress: peerListener.address,
+            metricsAddress: metricsListener.address,
         },
         async stop() {
+            health = "stopping";
             await callerListener.close();
             await operatorListener.close();
             await peerListener.close();
@@ -104,6 +133,9 @@
             await routing.stop();
             await clients.close();
             await store.close();
+            await traces.close();
+            metrics.stop();
+            await metricsListener.close();
             log.info("The entry has stopped.");
         },
     };
--- /dev/null
+++ b/packages/tanagerdeck/src/entry/requestTrace.spec.ts
@@ -0,0 +1,141 @@
+import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect } from "chai";
+import { tokenDigest } from "@tanagerdeck/runtime/access/token";
+import type { SpanLine } from "@tanagerdeck/runtime/trace/lineExporter";
+import { pollUntil } from "@tanagerdeck/standins/processes/polling";
+import { createProcessGroup, type ProcessGroup } from "@tanagerdeck/standins/processes/processGroup";
+import { agentSettings, entrySettings } from "@tanagerdeck/standins/processes/processSettings";
+import { bundlePrograms } from "@tanagerdeck/standins/processes/programBundle";
+
+const ANY_PORT = "127.0.0.1:0";
+const CALLER_TOKEN = "caller-token-for-traces";
+const LIMIT_MS = 10_000;
+const CALLER_TRACE = "0af7651916cd43dd8448eb211c80319c";
+const HOPS = ["POST /v1/requests", "route request", "call agent", "serve submit", "POST /run"];
+
+const DOCUMENT = {
+    environment: "test",
+    clientAccounts: [
+        {
+            name: "counter",
+            tokenDigests: [tokenDigest(CALLER_TOKEN)],
+            guarantees: [],
+            quota: { accelerators: 0, requestsPerSecond: 100, waiting: 100 },
+            weight: 1,
+        },
+    ],
+    kinds: [
+        {
+            name: "quote",
+            clientAccounts: ["counter"],
+            repeatable: true,
+            form: "request",
+            limits: { seconds: 10, bytes: 10_000, accelerators: 0 },
+            priority: "urgent",
+        },
+    ],
+    racks: [],
+    weights: { completionTime: 3, fragmentation: 1 },
+};
+
+describe("the trace of a request", () => {
+    const programs = mkdtempSync(join(tmpdir(), "tanagerdeck-programs-"));
+    let group: ProcessGroup;
+    let callerAddress: string;
+    let metricsAddress: string;
+
+    before(async () => {
+        await bundlePrograms(programs);
+        group = createProcessGroup({ programs });
+        const standin = { address: ANY_PORT, controlAddress: ANY_PORT };
+        const platform = await group.start("platform", { name: "platform", ...standin });
+        const runner = await group.start("runner", { name: "runner", ...standin });
+        const environment = {
+            environment: "test",
+            region: "khomas",
+            peerToken: "peer-token-for-tests",
+            operatorToken: "operator-token-for-tests",
+            logLevel: "error" as const,
+            traceSampleRatio: 1,
+            traceFile: join(group.folder, "spans.jsonl"),
+        };
+        const availabilityZone = "windhoek";
+        const platformAddress = platform.addresses.address!;
+        const entry = await group.start(
+            "tanagerdeck",
+            entrySettings(environment, { name: "entry-1", availabilityZone, platformAddress, lingerMs: 0 }),
+            "entry",
+        );
+        const server = {
+            kind: "runner" as const,
+            address: runner.addresses.address!,
+            slots: 8,
+            connections: 64,
+        };
+        const seeds = [entry.addresses.peerAddress!];
+        await group.start(
+            "tanagerdeck",
+            agentSettings(environment, { name: "agent-1", availabilityZone, seeds, server }),
+            "agent",
+        );
+        callerAddress = entry.addresses.callerAddress!;
+        metricsAddress = entry.addresses.metricsAddress!;
+        const change = { text: JSON.stringify(DOCUMENT), expectedRevision: 0, changeId: "first" };
+        await fetch(`http://${entry.addresses.operatorAddress}/v1/configuration`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${environment.operatorToken}` },
+            body: JSON.stringify(change),
+        });
+    });
+    after(async () => {
+        await group.stopAll();
+        rmSync(programs, { recursive: true, force: true });
+    });
+
+    async function submit(headers: Record<string, string>): Promise<boolean> {
+        const response = await fetch(`http://${callerAddress}/v1/requests`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${CALLER_TOKEN}`, ...headers },
+            body: JSON.stringify({ kind: "quote", deadlineMs: 5_000, body: '{"ms":1}' }),
+        });
+        await response.text();
+        return response.ok;
+    }
+
+    function spans(traceId: string): SpanLine[] {
+        const lines = readFileSync(join(group.folder, "spans.jsonl"), "utf8").trim().split("\n");
+        return lines.map(line => JSON.parse(line) as SpanLine).filter(span => span.traceId === traceId);
+    }
+
+    describe("when entry and agent record it", () => {
+        it("is one chain from the caller's context to the runner, across processes", async () => {
+            await pollUntil(() => submit({}), LIMIT_MS, "an answered request");
+            await submit({ traceparent: `00-${CALLER_TRACE}-b7ad6b7169203331-01` });
+            await pollUntil(
+                () => spans(CALLER_TRACE).length === HOPS.length,
+                LIMIT_MS,
+                "a span for each hop",
+            );
+            let parent = "b7ad6b7169203331";
+            for (const hop of HOPS) {
+                const span = spans(CALLER_TRACE).find(candidate => candidate.name === hop);
+                expect(span?.parentSpanId, hop).to.equal(parent);
+                parent = span!.spanId;
+            }
+        });
+
+        it("carries no token", () => {
+            expect(readFileSync(join(group.folder, "spans.jsonl"), "utf8")).not.to.contain(CALLER_TOKEN);
+        });
+    });
+
+    describe("in the metrics", () => {
+        it("counts the request by verdict", async () => {
+            const text = await (await fetch(`http://${metricsAddress}/metrics`)).text();
+            expect(text).to.match(/tanagerdeck_ended_total\{form="request",verdict="ran"\} [1-9]/);
+            expect(text).not.to.contain(CALLER_TOKEN);
+        });
+    });
+});
--- a/packages/tanagerdeck/src/settings/settingsSchema.ts
+++ b/packages/tanagerdeck/src/settings/settingsSchema.ts
@@ -4,6 +4,11 @@
     .string()
     .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, "must be an IPv4 number and a port, such as 10.0.0.1:7000");
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "must be lower-case letters, digits and hyphens");
+const traceSettings = {
+    traceCollector: z.string().url().optional(),
+    traceFile: z.string().min(1).optional(),
+    traceSampleRatio: z.number().min(0).max(1).default(0),
+};
 const level = z.enum(["debug", "info", "warn", "error"]).default("info");
 
 /** Settings of an entry process. */
@@ -21,7 +26,7 @@
     operatorToken: z.string().min(16),
     lingerMs: z.number().int().nonnegative().default(3_000),
     logLevel: level,
-    traceCollector: z.string().url().optional(),
+    ...traceSettings,
 });
 
 /** Settings of an agent process. */
@@ -51,7 +56,7 @@
     ]),
     drainGraceMs: z.number().int().nonnegative().default(30_000),
     logLevel: level,
-    traceCollector: z.string().url().optional(),
+    ...traceSettings,
 });
 
 /** Settings of an entry process. */
--- /dev/null
+++ b/standins/src/processes/childProcess.ts
@@ -0,0 +1,100 @@
+import { spawn, type ChildProcess as NodeChild } from "node:child_process";
+
+/** Signals that tests send. */
+export type ProcessSignal = "SIGTERM" | "SIGKILL" | "SIGSTOP" | "SIGCONT";
+
+/** How to start a process. `program` is a file that this Node runs, or an executable with `program` undefined. */
+export interface ProcessCommand {
+    name: string;
+    executable?: string;
+    program?: string;
+    nodeFlags?: string[];
+    arguments: string[];
+}
+
+/** The line that a process prints when it is ready. */
+interface ReadyLine {
+    ready: boolean;
+    addresses: Record<string, string>;
+}
+
+/** A real process that the tests started. */
+export interface ChildProcess {
+    name: string;
+    pid: number;
+    /** Bound `ip:port` by settings key, from the ready line. */
+    addresses: Record<string, string>;
+    /** All that it printed on standard output and standard error, in order of arrival. */
+    output(): string;
+    signal(signal: ProcessSignal): void;
+    /** Resolves with the exit code, or undefined if a signal ended the process. */
+    ended: Promise<number | undefined>;
+    running(): boolean;
+}
+
+const READY_PREFIX = '{"ready":true';
+const READY_TIMEOUT_MS = 20_000;
+const OUTPUT_LIMIT_CHARACTERS = 4 * 1024 * 1024;
+
+/** Starts a process and waits for its ready line. Rejects with its output if it exits or stays silent. */
+export async function startChildProcess(command: ProcessCommand): Promise<ChildProcess> {
+    const programArguments = command.program === undefined ? [] : [command.program];
+    const child = spawn(
+        command.executable ?? process.execPath,
+        [...(command.nodeFlags ?? []), ...programArguments, ...command.arguments],
+        { stdio: ["ignore", "pipe", "pipe"] },
+    );
+    let output = "";
+    const collect = (chunk: Buffer) => {
+        output = (output + chunk.toString("utf8")).slice(-OUTPUT_LIMIT_CHARACTERS);
+    };
+    child.stdout.on("data", collect);
+    child.stderr.on("data", collect);
+    let open = true;
+    const ended = new Promise<number | undefined>(resolve => {
+        child.once("exit", code => {
+            open = false;
+            resolve(code ?? undefined);
+        });
+    });
+    const ready = await readyLine(child, command.name, () => output);
+    return {
+        name: command.name,
+        pid: child.pid!,
+        addresses: ready.addresses,
+        output: () => output,
+        signal: signal => void (open && child.kill(signal)),
+        ended,
+        running: () => open,
+    };
+}
+
+function readyLine(child: NodeChild, name: string, output: () => string): Promise<ReadyLine> {
+    return new Promise((resolve, reject) => {
+        let text = "";
+        const settled = () => {
+            clearTimeout(timer);
+            child.off("error", fail);
+            child.off("exit", exited);
+            child.stdout!.off("data", read);
+        };
+        const fail = (reason: unknown) => {
+            settled();
+            child.kill("SIGKILL");
+            reject(new Error(`${name}: ${reason}; output:\n${output()}`));
+        };
+        const exited = (code: number | undefined) => fail(`exited with ${code} before the ready line`);
+        const read = (chunk: Buffer) => {
+            text += chunk.toString("utf8");
+            const line = text.split("\n").find(candidate => candidate.startsWith(READY_PREFIX));
+            if (line?.endsWith("}")) {
+                settled();
+                resolve(JSON.parse(line) as ReadyLine);
+            }
+        };
+        const timer = setTimeout(fail, READY_TIMEOUT_MS, "no ready line in time");
+        child.once("error", fail);
+        child.once("exit", exited);
+        child.stdout!.on("data", read);
+    });
+}
--- /dev/null
+++ b/standins/src/processes/polling.ts
@@ -0,0 +1,25 @@
+import { setTimeout as delay } from "node:timers/promises";
+
+const POLL_INTERVAL_MS = 20;
+
+/** Asks again and again until `condition` holds. Rejects after `limitMs` with the last error, if there was one. */
+export async function pollUntil(
+    condition: () => boolean | Promise<boolean>,
+    limitMs: number,
+    what = "the condition",
+): Promise<void> {
+    const end = performance.now() + limitMs;
+    let problem: unknown;
+    while (performance.now() < end) {
+        try {
+            if (await condition()) {
+                return;
+            }
+            problem = undefined;
+        } catch (error) {
+            problem = error;
+        }
+        await delay(POLL_INTERVAL_MS);
+    }
+    throw new Error(`${what} did not hold within ${limitMs} ms${problem ? `: ${String(problem)}` : ""}`);
+}
