Add the quickstart with both firms' environments

Each answer is checked for its digest and for belonging to its own request, and each runner's executions are read back for repeats. Workers and gang jobs are not part of it yet.

--- /dev/null
+++ b/scripts/quickstart.ts
@@ -0,0 +1,75 @@
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createProcessGroup } from "@tanagerdeck/standins/processes/processGroup";
+import { bundlePrograms } from "@tanagerdeck/standins/processes/programBundle";
+import { applyDocument, startEntries, startRunners, waitUntilServing } from "./quickstart/environment.ts";
+import { FIRMS } from "./quickstart/firms.ts";
+import { sendRequests } from "./quickstart/requests.ts";
+
+const REQUESTS_PER_FIRM = 60;
+const ANY_PORT = "127.0.0.1:0";
+
+/** The last line of the quickstart's output. */
+interface QuickstartResult {
+    processes: number;
+    requests: number;
+    answered: number;
+    duplicated: number;
+    gangs: number;
+    gangsWhole: number;
+    gangsPartial: number;
+}
+
+const programs = mkdtempSync(join(tmpdir(), "tanagerdeck-programs-"));
+await bundlePrograms(programs);
+const group = createProcessGroup({ programs });
+const result: QuickstartResult = {
+    processes: 0,
+    requests: 0,
+    answered: 0,
+    duplicated: 0,
+    gangs: 0,
+    gangsWhole: 0,
+    gangsPartial: 0,
+};
+try {
+    const platform = await group.start("platform", {
+        name: "platform",
+        address: ANY_PORT,
+        controlAddress: ANY_PORT,
+    });
+    for (const firm of FIRMS) {
+        say(`Starting the environment ${firm.document.environment}.`);
+        const environment = await startEntries(group, firm, platform.addresses.address!);
+        await startRunners(group, environment);
+        await applyDocument(environment);
+        await waitUntilServing(environment);
+        const requests = await sendRequests(environment, REQUESTS_PER_FIRM);
+        result.requests += requests.requests;
+        result.answered += requests.answered;
+        result.duplicated += requests.duplicated;
+        for (const problem of requests.problems) {
+            say(problem);
+        }
+        say(`${requests.answered} of ${requests.requests} requests were answered.`);
+    }
+    result.processes = group.processes().length;
+} catch (error) {
+    say(String(error));
+    process.exitCode = 1;
+} finally {
+    await group.stopAll();
+    rmSync(programs, { recursive: true, force: true });
+}
+if (result.requests === 0 || result.answered !== result.requests || result.duplicated > 0) {
+    process.exitCode = 1;
+}
+if (result.gangsWhole !== result.gangs || result.gangsPartial > 0) {
+    process.exitCode = 1;
+}
+process.stdout.write(`${JSON.stringify(result)}\n`);
+
+function say(sentence: string): void {
+    process.stdout.write(`${sentence}\n`);
+}
--- /dev/null
+++ b/scripts/quickstart/environment.ts
@@ -0,0 +1,112 @@
+import { randomBytes } from "node:crypto";
+import type { ChildProcess } from "@tanagerdeck/standins/processes/childProcess";
+import { pollUntil } from "@tanagerdeck/standins/processes/polling";
+import type { ProcessGroup } from "@tanagerdeck/standins/processes/processGroup";
+import {
+    agentSettings,
+    entrySettings,
+    type EnvironmentSettings,
+    type ServerSettings,
+} from "@tanagerdeck/standins/processes/processSettings";
+import type { Firm } from "./firms.ts";
+
+const ANY_PORT = "127.0.0.1:0";
+const SLOTS = 8;
+const CONNECTIONS = 64;
+const READY_LIMIT_MS = 20_000;
+
+/** The processes of one firm. */
+export interface Environment {
+    firm: Firm;
+    settings: EnvironmentSettings;
+    entries: ChildProcess[];
+    runners: ChildProcess[];
+}
+
+/** Starts a firm's entries, one in each of its availability zones. */
+export async function startEntries(
+    group: ProcessGroup,
+    firm: Firm,
+    platformAddress: string,
+): Promise<Environment> {
+    const { environment } = firm.document;
+    const settings: EnvironmentSettings = {
+        environment,
+        region: firm.region,
+        peerToken: randomBytes(16).toString("hex"),
+        operatorToken: randomBytes(16).toString("hex"),
+        logLevel: "warn",
+    };
+    const entries = await Promise.all(
+        firm.availabilityZones.map((availabilityZone, index) => {
+            const name = `${environment}-entry-${index + 1}`;
+            const entry = { name, availabilityZone, platformAddress, lingerMs: 0 };
+            return group.start("tanagerdeck", entrySettings(settings, entry), "entry");
+        }),
+    );
+    return { firm, settings, entries, runners: [] };
+}
+
+/** Starts a runner with its agent in each availability zone. */
+export async function startRunners(group: ProcessGroup, environment: Environment): Promise<void> {
+    const { firm, runners } = environment;
+    await Promise.all(
+        firm.availabilityZones.map(async (availabilityZone, index) => {
+            const name = `${firm.document.environment}-runner-${index + 1}`;
+            const runner = await group.start("runner", {
+                name,
+                address: ANY_PORT,
+                controlAddress: ANY_PORT,
+            });
+            runners.push(runner);
+            const address = runner.addresses.address!;
+            const server = { kind: "runner" as const, address, slots: SLOTS, connections: CONNECTIONS };
+            await startAgent(group, environment, `${name}-agent`, availabilityZone, server);
+        }),
+    );
+}
+
+/** Starts the agent of a backend server. */
+export function startAgent(
+    group: ProcessGroup,
+    environment: Environment,
+    name: string,
+    availabilityZone: string,
+    server: ServerSettings,
+): Promise<ChildProcess> {
+    const seeds = environment.entries.map(entry => entry.addresses.peerAddress!);
+    const agent = { name, availabilityZone, seeds, server };
+    return group.start("tanagerdeck", agentSettings(environment.settings, agent), "agent");
+}
+
+/** Applies the firm's document as its first revision. */
+export async function applyDocument(environment: Environment): Promise<void> {
+    const { firm, settings, entries } = environment;
+    const change = { text: JSON.stringify(firm.document), expectedRevision: 0, changeId: "quickstart" };
+    const response = await fetch(`http://${entries[0]!.addresses.operatorAddress}/v1/configuration`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${settings.operatorToken}` },
+        body: JSON.stringify(change),
+    });
+    if (!response.ok) {
+        throw new Error(`The document of ${firm.document.environment} was refused: ${await response.text()}`);
+    }
+}
+
+/** Waits until every entry has the configuration and sees the agents of all runners. */
+export async function waitUntilServing(environment: Environment): Promise<void> {
+    for (const entry of environment.entries) {
+        await pollUntil(
+            async () => {
+                const metrics = await (
+                    await fetch(`http://${entry.addresses.metricsAddress}/metrics`)
+                ).text();
+                const agents = Number(/tanagerdeck_agents\{state="serving"\} (\d+)/.exec(metrics)?.[1]);
+                const revision = Number(/tanagerdeck_configuration_revision (\d+)/.exec(metrics)?.[1]);
+                return revision >= 1 && agents >= environment.runners.length;
+            },
+            READY_LIMIT_MS,
+            `${entry.name} serving`,
+        );
+    }
+}
