--- /dev/null
+++ b/scripts/capacity/capacity.ts
@@ -0,0 +1,60 @@
+import { existsSync, mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { parseArgs } from "node:util";
+import { bundle, bundlePrograms } from "@tanagerdeck/standins/processes/programBundle";
+import { memoryTable, replaceTables, slopeTable } from "./capacityTable.ts";
+import { measureBareRuntime, measureMemory, type MemoryRow } from "./memory.ts";
+import { series, type SeriesOptions, type Slope } from "./series.ts";
+
+const PAGE = "docs/CAPACITY.md";
+const DECISION_SLOPE = new URL("./decisionSlope.ts", import.meta.url);
+const FULL = { seconds: 60, settleSeconds: 10 };
+const QUICK = { seconds: 8, settleSeconds: 2 };
+
+const { values } = parseArgs({
+    options: { quick: { type: "boolean", default: false }, seed: { type: "string", default: "1" } },
+});
+const folder = mkdtempSync(join(tmpdir(), "tanagerdeck-programs-"));
+const flagged = join(folder, "flagged");
+const plain = join(folder, "plain");
+await bundlePrograms(flagged);
+await bundlePrograms(plain);
+await bundle({ entryPoints: { tanagerdeck: "packages/tanagerdeck/src/main.ts" }, outdir: plain });
+
+const seed = Number(values.seed);
+const options: SeriesOptions = { programs: flagged, seed, ...(values.quick ? QUICK : FULL) };
+/** The series run at the same time on deployments of their own; processor time is counted by process. */
+const [slopes, memory, decisions] = await Promise.all([measureSlopes(), measureMemories(), decisionSlopes()]);
+rmSync(folder, { recursive: true, force: true });
+
+const command = `npm run capacity -- --seed ${seed}${values.quick ? " --quick" : ""}`;
+const conditions = `Command \`${command}\`, ${new Date().toISOString().slice(0, 10)}, ${options.seconds} s for each point.`;
+const text = [conditions, slopeTable([...slopes, ...decisions]), memoryTable(memory)].join("\n\n");
+process.stdout.write(`${text}\n`);
+if (!values.quick) {
+    replaceTables(PAGE, text);
+}
+
+async function measureSlopes(): Promise<Slope[]> {
+    const results = await Promise.all(Object.values(series).map(measure => measure(options)));
+    return results.flat();
+}
+
+async function measureMemories(): Promise<MemoryRow[]> {
+    const [bare, withFlags, withoutFlags] = await Promise.all([
+        measureBareRuntime(),
+        measureMemory("heap flags", flagged, options.seconds, seed),
+        measureMemory("no heap flags", plain, options.seconds, seed),
+    ]);
+    return [bare, ...withFlags, ...withoutFlags];
+}
+
+/** The slope of the decision functions, if their measure is part of the tree. */
+async function decisionSlopes(): Promise<Slope[]> {
+    if (!existsSync(DECISION_SLOPE)) {
+        return [];
+    }
+    const module = (await import(DECISION_SLOPE.href)) as { decisionSlope: () => Slope };
+    return [module.decisionSlope()];
+}
--- /dev/null
+++ b/scripts/capacity/deployment.ts
@@ -0,0 +1,60 @@
+import { setTimeout as delay } from "node:timers/promises";
+import type { ChildProcess } from "@tanagerdeck/standins/processes/childProcess";
+import { createProcessGroup } from "@tanagerdeck/standins/processes/processGroup";
+import { applyDocument, startAgent, startEntries, type Environment } from "../quickstart/environment.ts";
+import { FIRMS, type Firm } from "../quickstart/firms.ts";
+import { meanUse, sampleProcess, useBetween, type ProcessUse } from "./processSample.ts";
+
+const ANY_PORT = "127.0.0.1:0";
+
+/** One entry with a platform stand-in, one runner and a number of agents, all real processes. */
+export interface Deployment {
+    environment: Environment;
+    platform: ChildProcess;
+    entry: ChildProcess;
+    agents: ChildProcess[];
+    /** Starts agents until there are `count`. */
+    growTo(count: number): Promise<void>;
+    /** Use of the entry and the mean use of the agents over a time. */
+    measure(seconds: number): Promise<{ entry: ProcessUse; agent: ProcessUse }>;
+    stop(): Promise<void>;
+}
+
+/** Starts a deployment from the bundles in a folder. */
+export async function startDeployment(programs: string, agentCount: number): Promise<Deployment> {
+    const group = createProcessGroup({ programs });
+    const firm: Firm = { ...FIRMS[0]!, availabilityZones: ["windhoek"] };
+    const standin = { address: ANY_PORT, controlAddress: ANY_PORT };
+    const platform = await group.start("platform", { name: "platform", ...standin });
+    const runner = await group.start("runner", { name: "runner", ...standin });
+    const environment = await startEntries(group, firm, platform.addresses.address!);
+    const entry = environment.entries[0]!;
+    const agents: ChildProcess[] = [];
+    await applyDocument(environment);
+
+    async function growTo(count: number): Promise<void> {
+        const address = runner.addresses.address!;
+        const server = { kind: "runner" as const, address, slots: 8, connections: 64 };
+        while (agents.length < count) {
+            const name = `agent-${agents.length + 1}`;
+            agents.push(await startAgent(group, environment, name, "windhoek", server));
+        }
+    }
+
+    await growTo(agentCount);
+    return {
+        environment,
+        platform,
+        entry,
+        agents,
+        growTo,
+        async measure(seconds) {
+            const measured = [entry, ...agents];
+            const before = measured.map(({ pid }) => sampleProcess(pid));
+            await delay(seconds * 1_000);
+            const uses = measured.map(({ pid }, index) => useBetween(before[index]!, sampleProcess(pid)));
+            return { entry: uses[0]!, agent: meanUse(uses.slice(1)) };
+        },
+        stop: () => group.stopAll(),
+    };
+}
--- /dev/null
+++ b/scripts/capacity/processSample.ts
@@ -0,0 +1,67 @@
+import { readFileSync } from "node:fs";
+
+/** Processor ticks a second in /proc; fixed at 100 on Linux for user space. */
+const TICKS_PER_SECOND = 100;
+const MICROSECONDS = 1_000_000;
+
+/** What one process has used since its start, and its memory now. */
+export interface ProcessSample {
+    atSeconds: number;
+    processorSeconds: number;
+    /** Bytes read and written by system calls; nearly all of them are socket traffic. */
+    transferredBytes: number;
+    residentKilobytes: number;
+    privateDirtyKilobytes: number;
+}
+
+/** Use of a process between two samples. */
+export interface ProcessUse {
+    /** Microseconds of processor time for each second. */
+    processorMicroseconds: number;
+    /** Bytes a second, in both directions together. */
+    bytesPerSecond: number;
+    residentKilobytes: number;
+    privateDirtyKilobytes: number;
+}
+
+/** Reads /proc of a process. */
+export function sampleProcess(pid: number): ProcessSample {
+    const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+    const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+    const io = readFileSync(`/proc/${pid}/io`, "utf8");
+    const memory = readFileSync(`/proc/${pid}/smaps_rollup`, "utf8");
+    return {
+        atSeconds: performance.now() / 1_000,
+        processorSeconds: (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND,
+        transferredBytes: field(io, "rchar") + field(io, "wchar"),
+        residentKilobytes: field(memory, "Rss"),
+        privateDirtyKilobytes: field(memory, "Private_Dirty"),
+    };
+}
+
+/** The use between two samples; the memory is that of the later one. */
+export function useBetween(before: ProcessSample, after: ProcessSample): ProcessUse {
+    const seconds = after.atSeconds - before.atSeconds;
+    return {
+        processorMicroseconds: ((after.processorSeconds - before.processorSeconds) / seconds) * MICROSECONDS,
+        bytesPerSecond: (after.transferredBytes - before.transferredBytes) / seconds,
+        residentKilobytes: after.residentKilobytes,
+        privateDirtyKilobytes: after.privateDirtyKilobytes,
+    };
+}
+
+/** The mean use of several processes. */
+export function meanUse(uses: ProcessUse[]): ProcessUse {
+    const mean = (read: (use: ProcessUse) => number) =>
+        uses.reduce((total, use) => total + read(use), 0) / uses.length;
+    return {
+        processorMicroseconds: mean(use => use.processorMicroseconds),
+        bytesPerSecond: mean(use => use.bytesPerSecond),
+        residentKilobytes: mean(use => use.residentKilobytes),
+        privateDirtyKilobytes: mean(use => use.privateDirtyKilobytes),
+    };
+}
+
+function field(text: string, name: string): number {
+    return Number(new RegExp(`^${name}:\\s+(\\d+)`, "m").exec(text)?.[1] ?? 0);
+}
--- /dev/null
+++ b/scripts/capacity/series.ts
@@ -0,0 +1,146 @@
+import { setTimeout as delay } from "node:timers/promises";
+import type { ClientAccount } from "@tanagerdeck/decisions/document/documentTypes";
+import { tokenDigest } from "@tanagerdeck/runtime/access/token";
+import { replaceDocument } from "../quickstart/environment.ts";
+import { startDeployment, type Deployment } from "./deployment.ts";
+import { startLoad } from "./load.ts";
+import type { Point } from "./leastSquares.ts";
+import type { ProcessUse } from "./processSample.ts";
+
+/** Points of one measure over one size. */
+export interface Slope {
+    name: string;
+    unit: string;
+    /** What the size counts. */
+    x: string;
+    points: Point[];
+}
+
+/** Conditions of one run. */
+export interface SeriesOptions {
+    programs: string;
+    /** Time of each point. */
+    seconds: number;
+    /** Time before each point, so that starts and just-in-time compilation are not measured. */
+    settleSeconds: number;
+    seed: number;
+}
+
+/** Measures one series. */
+export type Series = (options: SeriesOptions) => Promise<Slope[]>;
+
+type Measured = { size: number; entry: ProcessUse; agent: ProcessUse };
+
+const AGENT_COUNTS = [4, 8, 16, 32, 64];
+const REQUEST_RATES = [0, 10, 20, 40, 80];
+const ACCOUNT_COUNTS = [4, 25, 50, 100, 200];
+const CHANGES_PER_MINUTE = [0, 6, 12, 24, 48];
+const SMALL_FLEET = 4;
+const BASE_RATE = 5;
+const ACCOUNT_RATE = 20;
+const MILLISECONDS_PER_MINUTE = 60_000;
+
+/** Series by name. */
+export const series: Record<string, Series> = {
+    async agents(options) {
+        const deployment = await startDeployment(options.programs, SMALL_FLEET);
+        const load = startLoad(deployment, BASE_RATE, options.seed);
+        const measured: Measured[] = [];
+        for (const size of AGENT_COUNTS) {
+            await deployment.growTo(size);
+            measured.push(await measurePoint(deployment, size, options));
+        }
+        await load.stop();
+        await deployment.stop();
+        return slopes("agents", "agents", measured);
+    },
+    async requests(options) {
+        const deployment = await startDeployment(options.programs, SMALL_FLEET);
+        const measured: Measured[] = [];
+        for (const size of REQUEST_RATES) {
+            const load = startLoad(deployment, size, options.seed);
+            measured.push(await measurePoint(deployment, size, options));
+            await load.stop();
+        }
+        await deployment.stop();
+        return slopes("requests", "requests/s at the entry, a quarter of them at each agent", measured);
+    },
+    async accounts(options) {
+        const deployment = await startDeployment(options.programs, SMALL_FLEET);
+        const load = startLoad(deployment, ACCOUNT_RATE, options.seed);
+        const { document } = deployment.environment.firm;
+        const measured: Measured[] = [];
+        for (const [index, size] of ACCOUNT_COUNTS.entries()) {
+            const clientAccounts = [...document.clientAccounts, ...createAccounts(size - 1)];
+            await replaceDocument(deployment.environment, { ...document, clientAccounts }, index + 1);
+            measured.push(await measurePoint(deployment, size, options));
+        }
+        await load.stop();
+        await deployment.stop();
+        return slopes("accounts", `client accounts, ${ACCOUNT_RATE} requests/s`, measured);
+    },
+    async changes(options) {
+        const deployment = await startDeployment(options.programs, SMALL_FLEET);
+        const load = startLoad(deployment, BASE_RATE, options.seed);
+        const { document } = deployment.environment.firm;
+        const large = { ...document, clientAccounts: [...document.clientAccounts, ...createAccounts(199)] };
+        const measured: Measured[] = [];
+        let revision = 1;
+        for (const size of CHANGES_PER_MINUTE) {
+            const timer = setInterval(
+                () => void replaceDocument(deployment.environment, large, revision++),
+                size > 0 ? MILLISECONDS_PER_MINUTE / size : 2 ** 30,
+            );
+            measured.push(await measurePoint(deployment, size, options));
+            clearInterval(timer);
+        }
+        await load.stop();
+        await deployment.stop();
+        return slopes("changes", "configuration changes/min, 200 accounts", measured);
+    },
+};
+
+async function measurePoint(deployment: Deployment, size: number, options: SeriesOptions): Promise<Measured> {
+    await delay(options.settleSeconds * 1_000);
+    return { size, ...(await deployment.measure(options.seconds)) };
+}
+
+function slopes(name: string, x: string, measured: Measured[]): Slope[] {
+    const found: Slope[] = [];
+    for (const role of ["entry", "agent"] as const) {
+        const points = (read: (use: ProcessUse) => number): Point[] =>
+            measured.map(point => [point.size, read(point[role])]);
+        found.push(
+            {
+                name: `${name}: ${role} processor`,
+                unit: "µs/s",
+                x,
+                points: points(use => use.processorMicroseconds),
+            },
+            { name: `${name}: ${role} traffic`, unit: "B/s", x, points: points(use => use.bytesPerSecond) },
+            {
+                name: `${name}: ${role} private dirty`,
+                unit: "KB",
+                x,
+                points: points(use => use.privateDirtyKilobytes),
+            },
+            {
+                name: `${name}: ${role} resident`,
+                unit: "KB",
+                x,
+                points: points(use => use.residentKilobytes),
+            },
+        );
+    }
+    return found;
+}
+
+function createAccounts(count: number): ClientAccount[] {
+    return Array.from({ length: count }, (_value, index) => ({
+        name: `account-${index}`,
+        tokenDigests: [tokenDigest(`account-token-${index}`)],
+        guarantees: [],
+        quota: { accelerators: 8, requestsPerSecond: 100, waiting: 100 },
+        weight: 1,
+    }));
+}
--- a/scripts/quickstart/environment.ts
+++ b/scripts/quickstart/environment.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from "node:crypto";
+import type { Document } from "@tanagerdeck/decisions/document/documentTypes";
 import type { ChildProcess } from "@tanagerdeck/standins/processes/childProcess";
 import { pollUntil } from "@tanagerdeck/standins/processes/polling";
 import type { ProcessGroup } from "@tanagerdeck/standins/processes/processGroup";
@@ -80,9 +81,22 @@
 }
 
 /** Applies the firm's document as its first revision. */
-export async function applyDocument(environment: Environment): Promise<void> {
+export function applyDocument(environment: Environment): Promise<void> {
+    return replaceDocument(environment, environment.firm.document, 0);
+}
+
+/** Replaces the revision in force by a document. Rejects with the refusal. */
+export async function replaceDocument(
+    environment: Environment,
+    document: Document,
+    expectedRevision: number,
+): Promise<void> {
     const { firm, settings, entries } = environment;
-    const change = { text: JSON.stringify(firm.document), expectedRevision: 0, changeId: "quickstart" };
+    const change = {
+        text: JSON.stringify(document),
+        expectedRevision,
+        changeId: `quickstart-${expectedRevision}`,
+    };
     const response = await fetch(`http://${entries[0]!.addresses.operatorAddress}/v1/configuration`, {
         method: "POST",
         headers: { authorization: `Bearer ${settings.operatorToken}` },
--- a/scripts/quickstart/firms.ts
+++ b/scripts/quickstart/firms.ts
@@ -4,7 +4,7 @@
 /** One firm's environment in the quickstart. */
 export interface Firm {
     region: string;
-    availabilityZones: [string, string];
+    availabilityZones: string[];
     callerToken: string;
     /** Kind of the requests that the quickstart sends. */
     requestKind: string;
@@ -26,7 +26,7 @@
 function createFirm(
     environment: string,
     region: string,
-    availabilityZones: [string, string],
+    availabilityZones: string[],
     requestKind: string,
     weights: Document["weights"],
 ): Firm {
@@ -53,8 +53,8 @@
             },
         ],
         racks: [
-            { name: "rack-a", availabilityZone: availabilityZones[0], workers: 3, acceleratorsPerWorker: 8 },
-            { name: "rack-b", availabilityZone: availabilityZones[0], workers: 3, acceleratorsPerWorker: 8 },
+            { name: "rack-a", availabilityZone: availabilityZones[0]!, workers: 3, acceleratorsPerWorker: 8 },
+            { name: "rack-b", availabilityZone: availabilityZones[0]!, workers: 3, acceleratorsPerWorker: 8 },
         ],
         weights,
         whenPlatformUnreachable: "serve-while-peers-agree",
