Hash a caller's token once for all accounts

Every digest is still compared in constant time. The load of the capacity run now uses ids that are unique in a deployment; a repeated id was answered from the agent's ledger.

--- a/packages/caller/src/listener/callerListener.ts
+++ b/packages/caller/src/listener/callerListener.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import { bearerToken, matchesDigest } from "@tanagerdeck/runtime/access/token";
+import { bearerToken, digestMatcher } from "@tanagerdeck/runtime/access/token";
 import { startListener, type Listener } from "@tanagerdeck/runtime/http/listener";
 import { findRoute, type Routes } from "@tanagerdeck/runtime/http/routes";
 import type { Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
@@ -68,10 +68,11 @@
     if (token === undefined) {
         return undefined;
     }
+    const matches = digestMatcher(token);
     let found: string | undefined;
     for (const account of configuration.document.clientAccounts) {
         for (const digest of account.tokenDigests) {
-            if (matchesDigest(token, digest)) {
+            if (matches(digest)) {
                 found = account.name;
             }
         }
--- a/packages/runtime/src/access/token.ts
+++ b/packages/runtime/src/access/token.ts
@@ -19,7 +19,14 @@
 
 /** Compares a token with a hex digest in constant time. */
 export function matchesDigest(token: string, digest: string): boolean {
-    const expected = Buffer.from(digest, "hex");
+    return digestMatcher(token)(digest);
+}
+
+/** Compares one token with many hex digests, each in constant time; the token is hashed once. */
+export function digestMatcher(token: string): (digest: string) => boolean {
     const actual = createHash("sha256").update(token).digest();
-    return expected.length === actual.length && timingSafeEqual(actual, expected);
+    return digest => {
+        const expected = Buffer.from(digest, "hex");
+        return expected.length === actual.length && timingSafeEqual(actual, expected);
+    };
 }
--- a/scripts/capacity/load.ts
+++ b/scripts/capacity/load.ts
@@ -32,7 +32,7 @@
             headers: { authorization: `Bearer ${firm.callerToken}` },
             body: JSON.stringify({
                 kind: firm.requestKind,
-                id: `load-${index}`,
+                id: `load-${requestsPerSecond}-${index}`,
                 deadlineMs: DEADLINE_MS,
                 body: JSON.stringify({ ms }),
             }),
