--- a/packages/caller/src/listener/callerListener.ts
+++ b/packages/caller/src/listener/callerListener.ts
@@ -2,9 +2,10 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import { bearerToken, matchesDigest } from "@tanagerdeck/runtime/access/token";
+import { bearerToken, digestMatcher } from "@tanagerdeck/runtime/access/token";
 import { startListener, type Listener } from "@tanagerdeck/runtime/http/listener";
 import { findRoute, type Routes } from "@tanagerdeck/runtime/http/routes";
+import type { Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import { sendFailure } from "./outcomeResponse.ts";
 
 /** The authenticated caller of one call. */
@@ -20,6 +21,7 @@
     /** The configuration for new work, or why new work is refused. */
     admit: () => Promise<Either<Failure, Configuration>>;
     routes: Routes<CallerContext>;
+    metrics: Metrics;
 }
 
 /** Serves callers over HTTP: authenticates each call and passes it to its route. */
@@ -36,18 +38,18 @@
 ): Promise<void> {
     const found = findRoute(options.routes, request);
     if (!found) {
-        sendFailure(response, 404, failure("not-run", "not-found", "There is no such resource."));
+        refuse(options, response, 404, failure("not-run", "not-found", "There is no such resource."));
         return;
     }
     const admitted = request.method === "POST" ? await options.admit() : await held(options);
     if (admitted.isLeft()) {
-        sendFailure(response, 503, admitted.extract());
+        refuse(options, response, 503, admitted.extract());
         return;
     }
     const configuration = admitted.unsafeCoerce();
     const clientAccount = authenticate(configuration, bearerToken(request));
     if (!clientAccount) {
-        sendFailure(response, 401, failure("not-run", "access-denied", "The bearer token is not known."));
+        refuse(options, response, 401, failure("not-run", "access-denied", "The bearer token is not known."));
         return;
     }
     const context = { clientAccount, configuration };
@@ -61,15 +63,26 @@
     return configuration ? Right(configuration) : Left(unknown);
 }
 
+function refuse(
+    options: CallerListenerOptions,
+    response: ServerResponse,
+    status: number,
+    problem: Failure,
+): void {
+    options.metrics.refused(problem.reason);
+    sendFailure(response, status, problem);
+}
+
 /** The client account of a token; all digests are compared, so that the time tells nothing. */
 function authenticate(configuration: Configuration, token: string | undefined): string | undefined {
     if (token === undefined) {
         return undefined;
     }
+    const matches = digestMatcher(token);
     let found: string | undefined;
     for (const account of configuration.document.clientAccounts) {
         for (const digest of account.tokenDigests) {
-            if (matchesDigest(token, digest)) {
+            if (matches(digest)) {
                 found = account.name;
             }
         }
--- a/packages/peer/src/link/agentRouter.ts
+++ b/packages/peer/src/link/agentRouter.ts
@@ -34,9 +34,12 @@
 export function createAgentRouter(handlers: AgentHandlers) {
     return router({
         ...gangProcedures(handlers.gangs),
-        submit: authorizedProcedure
-            .input(passThrough<Submission>)
-            .mutation(({ input }) => handlers.requests.submit(input)),
+        submit: authorizedProcedure.input(passThrough<Submission>).mutation(({ input, ctx }) =>
+            handlers.requests.submit({
+                ...input,
+                request: { ...input.request, traceparent: ctx.traceparent },
+            }),
+        ),
         result: authorizedProcedure
             .input(passThrough<RequestReference>)
             .mutation(({ input }) => handlers.requests.result(input)),
--- a/packages/peer/src/link/peerClient.ts
+++ b/packages/peer/src/link/peerClient.ts
@@ -1,5 +1,5 @@
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
-import { Agent, fetch as undiciFetch } from "undici";
+import { Agent, type Dispatcher } from "undici";
 import type { AgentRouter } from "./agentRouter.ts";
 import type { EntryRouter } from "./entryRouter.ts";
 
@@ -9,6 +9,11 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
 
+/** Context of a call: the trace context that is sent as `traceparent`. */
+export interface CallTrace {
+    traceparent?: string | undefined;
+}
+
 /** Clients of the other processes, by `ip:port`. Owns the connection pool. */
 export interface PeerClients {
     agent(address: string): TRPCClient<AgentRouter>;
@@ -31,12 +36,11 @@
     function link(address: string) {
         return httpLink({
             url: `http://${address}`,
-            headers: { authorization: `Bearer ${token}` },
-            fetch: (url, options) =>
-                undiciFetch(url as string, {
-                    ...(options as object),
-                    dispatcher,
-                }) as unknown as Promise<Response>,
+            headers: ({ op }) => {
+                const { traceparent } = op.context as CallTrace;
+                return { authorization: `Bearer ${token}`, ...(traceparent ? { traceparent } : {}) };
+            },
+            fetch: (url, options) => send(dispatcher, String(url), options as CallOptions),
         });
     }
 
@@ -69,3 +73,19 @@
         close: () => dispatcher.destroy(),
     };
 }
+
+/** What trpc's link passes to its transport. */
+interface CallOptions {
+    method: "GET" | "POST";
+    headers: Record<string, string>;
+    body?: string;
+    signal?: AbortSignal;
+}
+
+/** Sends one call. undici's `fetch` would cost several megabytes and more processor time for each call. */
+async function send(dispatcher: Agent, url: string, options: CallOptions): Promise<Response> {
+    const { origin, pathname, search } = new URL(url);
+    const request: Dispatcher.RequestOptions = { origin, path: pathname + search, ...options };
+    const { statusCode, body } = await dispatcher.request(request);
+    return { status: statusCode, ok: statusCode < 400, json: () => body.json() } as Response;
+}
--- a/packages/tanagerdeck/src/agent/agentCore.ts
+++ b/packages/tanagerdeck/src/agent/agentCore.ts
@@ -10,7 +10,9 @@
 import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
+import type { Traces } from "@tanagerdeck/runtime/trace/traces";
 import type { AgentSettings } from "../settings/settingsSchema.ts";
 
 const REPORT_INTERVAL_MS = 2_000;
@@ -38,6 +40,8 @@
     clients: PeerClients;
     clock: Clock;
     log: Log;
+    metrics: Metrics;
+    traces: Traces;
     /** Builds the backend server's side; `require` gives the configuration unless the calling entry is behind. */
     connect: (require: RequireConfiguration) => BackendServer;
 }
@@ -53,7 +57,7 @@
 
 /** Starts the listener, the announcements and the configuration of an agent. */
 export async function startAgentCore(options: AgentCoreOptions): Promise<AgentCore> {
-    const { settings, incarnation, clients, clock, log } = options;
+    const { settings, incarnation, clients, clock, log, metrics, traces } = options;
     let sequence = 0;
     let servingState: ServingState = "serving";
     const configuration = startAgentConfigurationTask({
@@ -64,7 +68,10 @@
                 clients.entry(entry).configuration.mutate({ afterRevision }, { signal }),
             ),
         announce: () => announcement.send({ kind: "announce" }),
-        adopted: adopted => server.adopted(adopted),
+        adopted(adopted) {
+            metrics.configurationRevision(adopted.revision);
+            server.adopted(adopted);
+        },
     });
     const server = options.connect(revision =>
         configuration.ask((reply: Reply<Either<Failure, Configuration>>) => ({
@@ -90,6 +97,7 @@
                 return { draining: true };
             },
         }),
+        traces.startSpan,
     );
 
     async function report(): Promise<Report> {
--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -1,8 +1,12 @@
 import { nanoid } from "nanoid";
 import { createPeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
+import { startMetricsListener, type Health } from "@tanagerdeck/runtime/metrics/metricsListener";
+import { createPromMetrics } from "@tanagerdeck/runtime/metrics/promMetrics";
 import { createLog } from "@tanagerdeck/runtime/log/log";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
+import { startTraces } from "@tanagerdeck/runtime/trace/traces";
+import { traceOptions } from "../settings/traceSettings.ts";
 import type { AgentSettings } from "../settings/settingsSchema.ts";
 import { startAgentCore, type AgentCore } from "./agentCore.ts";
 import { startRunnerServer } from "./runnerServer.ts";
@@ -13,6 +17,9 @@
     const { server } = settings;
     const log = createLog(settings.name, settings.logLevel);
     const clock = systemClock;
+    const metrics = createPromMetrics(clock);
+    const traces = await startTraces(traceOptions(settings, log));
+    let health: Health = "serving";
     const clients = createPeerClients(settings.peerToken);
     const incarnation = nanoid(10);
     const started: { core?: AgentCore } = {};
@@ -22,9 +29,11 @@
         clients,
         clock,
         log,
+        metrics,
+        traces,
         connect(require) {
             if (server.kind === "runner") {
-                return startRunnerServer(server, clock, log, require);
+                return startRunnerServer({ settings: server, clock, log, metrics, traces, require });
             }
             return startWorkerServer({
                 settings: server,
@@ -38,12 +47,22 @@
         },
     });
     started.core = core;
+    const metricsListener = await startMetricsListener({
+        address: settings.metricsAddress,
+        contentType: metrics.contentType,
+        text: metrics.text,
+        health: () => health,
+    });
 
     return {
-        addresses: { peerAddress: core.peerAddress },
+        addresses: { peerAddress: core.peerAddress, metricsAddress: metricsListener.address },
         async stop() {
+            health = "stopping";
             await core.stop();
             await clients.close();
+            await traces.close();
+            metrics.stop();
+            await metricsListener.close();
         },
     };
 }
--- a/packages/tanagerdeck/src/agent/runnerServer.ts
+++ b/packages/tanagerdeck/src/agent/runnerServer.ts
@@ -6,7 +6,10 @@
 import type { RequestHandlers } from "@tanagerdeck/peer/link/agentRouter";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
+import type { Traces } from "@tanagerdeck/runtime/trace/traces";
+import { withSpan } from "@tanagerdeck/runtime/trace/traceTypes";
 import type { BackendServer, RequireConfiguration } from "./agentCore.ts";
 
 /** Address and capacity of the runner beside an agent. */
@@ -16,19 +19,30 @@
     connections: number;
 }
 
+/** Dependencies of the tasks of an agent beside a runner. */
+export interface RunnerServerOptions {
+    settings: RunnerSettings;
+    clock: Clock;
+    log: Log;
+    metrics: Metrics;
+    traces: Traces;
+    require: RequireConfiguration;
+}
+
 /** Starts the tasks of an agent beside a runner. */
-export function startRunnerServer(
-    settings: RunnerSettings,
-    clock: Clock,
-    log: Log,
-    require: RequireConfiguration,
-): BackendServer {
+export function startRunnerServer(options: RunnerServerOptions): BackendServer {
+    const { settings, clock, log, metrics, traces, require } = options;
     const client = createRunnerClient(settings.address, settings.connections);
     const runner = startRunnerTask({
         slots: settings.slots,
         clock,
         log: log.part("runner"),
-        run: client.run,
+        run: (request, signal) =>
+            withSpan(traces.startSpan, "POST /run", request.traceparent, async () => {
+                const outcome = await client.run(request, signal);
+                metrics.ended("request", outcome);
+                return outcome;
+            }),
     });
 
     /** The progress of a request that is known here, else the refusal: a repeat may belong to work that ran. */
@@ -63,6 +77,7 @@
         handlers: { requests, gangs: noGangHandlers },
         async report() {
             const load = await runner.ask((reply: Reply<RunnerLoad>) => ({ kind: "load", reply }));
+            metrics.load("request", load);
             return { runner: load, gangs: [], usage: [] };
         },
         adopted: () => undefined,
--- a/packages/tanagerdeck/src/entry/agentCalls.ts
+++ b/packages/tanagerdeck/src/entry/agentCalls.ts
@@ -2,6 +2,7 @@
 import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { isRefusedConnection, peerCall } from "@tanagerdeck/peer/link/peerCall";
+import { withSpan, type StartSpan } from "@tanagerdeck/runtime/trace/traceTypes";
 
 /** A long poll of 1,500 ms plus 1,000 ms for the way; a connection silent for longer is given up. */
 const POLL_TIMEOUT_MS = 2_500;
@@ -16,11 +17,22 @@
 }
 
 /** The routing task's calls over trpc. */
-export function createAgentCalls(clients: PeerClients, events: AgentCallEvents): AgentCalls {
+export function createAgentCalls(
+    clients: PeerClients,
+    events: AgentCallEvents,
+    startSpan: StartSpan,
+): AgentCalls {
     return {
-        async submit(address, request, configurationRevision) {
-            const result = await peerCall(POLL_TIMEOUT_MS, signal =>
-                clients.agent(address).submit.mutate({ request, configurationRevision }, { signal }),
+        async submit(address, { traceparent: parent, ...request }, configurationRevision) {
+            const result = await withSpan(startSpan, "call agent", parent, ({ traceparent }) =>
+                peerCall(POLL_TIMEOUT_MS, signal =>
+                    clients
+                        .agent(address)
+                        .submit.mutate(
+                            { request, configurationRevision },
+                            { signal, context: { traceparent } },
+                        ),
+                ),
             );
             if (result.isRight() && isStale(result.extract())) {
                 events.stale();
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -15,10 +15,14 @@
 import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
 import { createEtcdStore } from "@tanagerdeck/platform/store/etcdStore";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
+import { startMetricsListener, type Health } from "@tanagerdeck/runtime/metrics/metricsListener";
+import { createPromMetrics } from "@tanagerdeck/runtime/metrics/promMetrics";
 import { createLog } from "@tanagerdeck/runtime/log/log";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
+import { startTraces } from "@tanagerdeck/runtime/trace/traces";
 import type { EntrySettings } from "../settings/settingsSchema.ts";
+import { traceOptions } from "../settings/traceSettings.ts";
 import { createAgentCalls } from "./agentCalls.ts";
 import { startEntryControl, type EntryControl } from "./entryControl.ts";
 import { startJobWiring } from "./jobWiring.ts";
@@ -31,9 +35,13 @@
 export async function startEntry(settings: EntrySettings): Promise<RunningProcess> {
     const log = createLog(settings.name, settings.logLevel);
     const clock = systemClock;
+    const metrics = createPromMetrics(clock);
+    const traces = await startTraces(traceOptions(settings, log));
+    let health: Health = "serving";
     const platformCalls: Record<string, number> = {};
     const store = createEtcdStore(settings.platformAddress, operation => {
         platformCalls[operation] = (platformCalls[operation] ?? 0) + 1;
+        metrics.platformCalled(operation);
     });
     const clients = createPeerClients(settings.peerToken);
     const started: { control?: EntryControl } = {};
@@ -43,10 +51,16 @@
         clock,
         log: log.part("routing"),
         random: Math.random,
-        calls: createAgentCalls(clients, {
-            stale: () => started.control?.configuration.send({ kind: "refresh" }),
-            refused: address => started.control?.membership.send({ kind: "connection-refused", address }),
-        }),
+        calls: createAgentCalls(
+            clients,
+            {
+                stale: () => started.control?.configuration.send({ kind: "refresh" }),
+                refused: address => started.control?.membership.send({ kind: "connection-refused", address }),
+            },
+            traces.startSpan,
+        ),
+        metrics,
+        startSpan: traces.startSpan,
     });
     const jobs = startJobWiring({
         entry: settings.name,
@@ -75,6 +89,7 @@
                 return current && current.revision > afterRevision ? current : undefined;
             },
         }),
+        traces.startSpan,
     );
     const own: Registration = { name: settings.name, incarnation: nanoid(10), address: peerListener.address };
     const control = startEntryControl({
@@ -95,10 +110,12 @@
             ),
         rebind: undefined,
         adopted(adopted) {
+            metrics.configurationRevision(adopted.revision);
             routing.send({ kind: "configuration", configuration: adopted });
             jobs.jobs.send({ kind: "configuration", configuration: adopted });
         },
         fleetChanged(agents) {
+            metrics.agents(agents);
             routing.send({ kind: "fleet", agents });
             jobs.jobs.send({ kind: "fleet", agents });
         },
@@ -131,11 +148,24 @@
                 reply,
             })),
         routes: {
-            ...createRequestRoutes(request =>
-                routing.ask((reply: Reply<Outcome>) => ({ kind: "request", request, reply })),
-            ),
+            ...createRequestRoutes(async request => {
+                const outcome = await routing.ask((reply: Reply<Outcome>) => ({
+                    kind: "request",
+                    request,
+                    reply,
+                }));
+                metrics.ended("request", outcome);
+                return outcome;
+            }, traces.startRoot),
             ...jobs.routes,
         },
+        metrics,
+    });
+    const metricsListener = await startMetricsListener({
+        address: settings.metricsAddress,
+        contentType: metrics.contentType,
+        text: metrics.text,
+        health: () => health,
     });
     log.info("The entry is serving.", { callerAddress: callerListener.address });
 
@@ -144,8 +174,10 @@
             callerAddress: callerListener.address,
             operatorAddress: operatorListener.address,
             peerAddress: peerListener.address,
+            metricsAddress: metricsListener.address,
         },
         async stop() {
+            health = "stopping";
             await callerListener.close();
             await jobs.handOver();
             await operatorListener.close();
@@ -155,6 +187,9 @@
             await jobs.jobs.stop();
             await clients.close();
             await store.close();
+            await traces.close();
+            metrics.stop();
+            await metricsListener.close();
             log.info("The entry has stopped.");
         },
     };
