Limit the starts of one dispatch round

Cause: a burst of 1,000 jobs on 11,000 workers made one round of 5.8 s, longer than the 4.9 s within which urgent work has to start, and the starts were returned only at its end. A round now ends after 50 starts and says so; jobs that come first in the order are always among them.

The new test fails without the limit.

--- a/packages/decisions/src/queue/dispatchRound.ts
+++ b/packages/decisions/src/queue/dispatchRound.ts
@@ -26,12 +26,16 @@
     /** The plan that the previous round returned. */
     plan?: PlannedPlace;
     preference?: Stage[];
+    /** Starts after which the round ends, `MAX_STARTS` by default. */
+    maxStarts?: number;
 }
 
 /** What starts now, and the place that is kept for the first job that does not fit. */
 export interface RoundResult {
     starts: JobStart[];
     plan?: PlannedPlace;
+    /** False if the round ended at its limit of starts; the caller starts another one after its other messages. */
+    isComplete: boolean;
 }
 
 /** State of a round while it goes through the jobs. */
@@ -45,6 +49,9 @@
     blockedByQuota: Set<string>;
 }
 
+/** Bounds the time of one round, so that urgent jobs do not wait for the placement of a whole burst. */
+export const MAX_STARTS = 50;
+
 const OWN_STAGES: Stage[] = PREFERENCE.filter(stage => stage.includes("own-lent-out"));
 
 /**
@@ -67,9 +74,12 @@
     const { weights } = input.index;
     const shares = accountShares(round);
     for (const job of orderJobs(waiting, { ...round, weights, shares, plannedJob: round.plan?.job })) {
+        if (round.starts.length >= (input.maxStarts ?? MAX_STARTS)) {
+            return { starts: round.starts, plan: round.plan, isComplete: false };
+        }
         considerJob(round, job);
     }
-    return { starts: round.starts, plan: round.plan };
+    return { starts: round.starts, plan: round.plan, isComplete: true };
 }
 
 function considerJob(round: Round, job: WaitingJob): void {
--- a/packages/decisions/src/queue/queue.spec.ts
+++ b/packages/decisions/src/queue/queue.spec.ts
@@ -168,6 +168,16 @@
             expect(dispatchRound(input).starts).to.deep.equal([]);
         });
 
+        it("guards against a burst that holds up a round, and against jobs that a limited round forgets", () => {
+            const jobs = ["a", "b", "c"].map(id => jobOf(id));
+            const first = dispatchRound({ ...roundOf(jobs), maxStarts: 2 });
+            expect(first.starts.map(({ job }) => job.id)).to.deep.equal(["a", "b"]);
+            expect(first.isComplete).to.equal(false);
+            const second = dispatchRound({ ...roundOf([jobs[2]!]), maxStarts: 2 });
+            expect(second).to.include({ isComplete: true });
+            expect(second.starts.length).to.equal(1);
+        });
+
         it("guards against a job without quota that keeps a place from others", () => {
             const round = roundOf([large, jobOf("small", { limitMs: 1_000 * SECOND })]);
             round.workers[0] = workerOf(0, { kind: "used", clientAccount: "forecasts", reclaimable: true });
