Bench bursts of small jobs while large gangs wait

Cause: the fault cases prove the bound, but no figure showed the waits. Small jobs arrive in bursts of 50 at the same level as gangs of 40 to 48 accelerators, against first-come first-fit on adjacent accelerators.

--- a/scripts/bench/placementBench.ts
+++ b/scripts/bench/placementBench.ts
@@ -6,21 +6,43 @@
 import { dispatchRound } from "@tanagerdeck/decisions/queue/dispatchRound";
 import type { Measure } from "./benchTypes.ts";
 import { type LoopResult, type LoopStarts, type Policy, runLoop } from "./placementLoop.ts";
-import { type BenchJob, firmWorkloads, type Workload } from "./placementWorkload.ts";
+import { type BenchJob, burstWorkload, firmWorkloads, type Workload } from "./placementWorkload.ts";
 
 const PRIORITIES: Priority[] = ["urgent", "normal", "batch"];
 
 /** Fragmentation, completion time and reclaims against first-come first-fit, for both firms. */
 export async function placementBench(): Promise<Measure[]> {
-    return firmWorkloads().flatMap(workload => {
+    const ofFirms = firmWorkloads().flatMap(workload => {
         const ours = runLoop(workload, queuePolicy(workload));
-        const { document } = workload;
-        const adjacent = firstCome((job, workers) => choosePlacement(job, workers, firstWindow(document)));
+        const adjacent = firstComeAdjacent(workload);
         return [
             ...measuresOf(workload.firm, ours, runLoop(workload, firstCome(firstFitPlacement))),
             ...measuresOf(`${workload.firm}.adjacent`, ours, runLoop(workload, adjacent)),
         ];
     });
+    return [...ofFirms, ...burstMeasures()];
+}
+
+/** Waits of small jobs and large gangs under bursts, against first-come first-fit on adjacent accelerators. */
+function burstMeasures(): Measure[] {
+    const workload = burstWorkload();
+    const ours = runLoop(workload, queuePolicy(workload));
+    const baseline = runLoop(workload, firstComeAdjacent(workload));
+    const waitOf = ({ waitMs }: LoopResult, kind: string, percentile: number) =>
+        Number(((waitMs.get(kind)?.getValueAtPercentile(percentile) ?? 0) / 1_000).toFixed(1));
+    return ["small", "large"].flatMap(kind =>
+        [50, 99].map(percentile => ({
+            name: `placement.burst.wait.${kind}.p${percentile}`,
+            unit: "s",
+            value: waitOf(ours, kind, percentile),
+            baseline: waitOf(baseline, kind, percentile),
+        })),
+    );
+}
+
+function firstComeAdjacent({ document }: Workload): Policy {
+    const index = firstWindow(document);
+    return firstCome((job, workers) => choosePlacement(job, workers, index));
 }
 
 /** The policy of the decisions package. */
--- a/scripts/bench/placementLoop.ts
+++ b/scripts/bench/placementLoop.ts
@@ -43,6 +43,8 @@
     /** Largest adjacent gang that could start divided by the free accelerators, mean over time. */
     fragmentation: number;
     completionMs: Record<Priority, Histogram>;
+    /** Time from acceptance to each start, by kind. */
+    waitMs: Map<string, Histogram>;
     reclaims: number;
     /** Starts on accelerators that are not adjacent as the job asked. */
     scattered: number;
@@ -52,6 +54,7 @@
 interface Totals {
     weighted: number;
     milliseconds: number;
+    waitMs: Map<string, Histogram>;
     reclaims: number;
     scattered: number;
 }
@@ -73,7 +76,7 @@
         runTimes: {},
         index,
     };
-    const totals: Totals = { weighted: 0, milliseconds: 0, reclaims: 0, scattered: 0 };
+    const totals: Totals = { weighted: 0, milliseconds: 0, waitMs: new Map(), reclaims: 0, scattered: 0 };
     const completionMs = { urgent: build(), normal: build(), batch: build() };
     let arrived = 0;
     while (arrived < jobs.length || state.running.length > 0) {
@@ -142,6 +145,9 @@
     totals.scattered += isAdjacent(state.index, job, placement) ? 0 : 1;
     state.waiting.splice(state.waiting.indexOf(job), 1);
     const { id, kind, limitMs, clientAccount, runMs } = job;
+    const waits = totals.waitMs.get(kind) ?? build();
+    waits.recordValue(Math.round(state.nowMs - job.acceptedAtMs));
+    totals.waitMs.set(kind, waits);
     const endMs = state.nowMs + runMs + (displaced.length > 0 ? RECLAIM_MS : 0);
     const { members } = placement;
     state.running.push({ id, kind, limitMs, members, startedAtMs: state.nowMs, endMs, job });
--- a/scripts/bench/placementWorkload.ts
+++ b/scripts/bench/placementWorkload.ts
@@ -135,6 +135,32 @@
     },
 ];
 
+/** Bursts of small jobs of the same level as the large gangs that wait. */
+const BURST: Stream[] = [
+    {
+        kind: "small",
+        clientAccount: "stores",
+        priority: "normal",
+        span: "worker",
+        accelerators: [1, 4],
+        seconds: [120, 1_200],
+        jobs: 2_000,
+        hours: [0, 24],
+        burst: 50,
+    },
+    {
+        kind: "large",
+        clientAccount: "forecasts",
+        priority: "normal",
+        span: "neighbouring-racks",
+        accelerators: [40, 48],
+        seconds: [600, 1_800],
+        jobs: 20,
+        hours: [0, 24],
+        burst: 1,
+    },
+];
+
 /** The workloads of the two firms; equal in every run. */
 export function firmWorkloads(): Workload[] {
     return [
@@ -160,6 +186,11 @@
     ];
 }
 
+/** Bursts of small jobs while large gangs wait. */
+export function burstWorkload(): Workload {
+    return workloadOf("burst", BURST, { completionTime: 1, fragmentation: 1 }, {});
+}
+
 function workloadOf(
     firm: string,
     streams: Stream[],
