Do not count an entry as its own other entry

A single entry whose seed is the load balancer's address answered itself and then counted as an other entry that cannot be reached, so it refused all work 15 s after the platform went down, against the stated default. An address that answers with this entry's name is still asked, as the balancer may lead elsewhere next time, but does not count. The new case fails without this; two more cover the default policy for all entries without the platform and for one entry cut off from everything.

--- a/packages/peer/src/configuration/entryConfigurationTask.ts
+++ b/packages/peer/src/configuration/entryConfigurationTask.ts
@@ -28,6 +28,8 @@
 interface Other {
     heardAt: number | undefined;
     platformReachable: boolean;
+    /** This entry answered itself, such as through the load balancer's address. */
+    self: boolean;
 }
 
 interface State {
@@ -164,12 +166,12 @@
     context: Context,
 ): void {
     if (status.entry === state.options.entry) {
-        state.others.delete(address);
+        state.others.set(address, { ...unheard(), self: true });
         return;
     }
     const { platformReachable, revision, confirmedAgoMs } = status;
     if (state.others.has(address)) {
-        state.others.set(address, { heardAt: askedAt, platformReachable });
+        state.others.set(address, { heardAt: askedAt, platformReachable, self: false });
     }
     const confirmedAt = confirmedAgoMs === undefined ? undefined : askedAt - confirmedAgoMs;
     const asked: StatusAnswer = { address, revision, confirmedAt };
@@ -212,14 +214,13 @@
 }
 
 function otherEntries(state: State, now: number): OtherEntry[] {
-    return [...state.others.values()].map(({ heardAt, platformReachable }) => ({
-        heardAgoMs: ago(heardAt, now),
-        platformReachable,
-    }));
+    return [...state.others.values()]
+        .filter(other => !other.self)
+        .map(({ heardAt, platformReachable }) => ({ heardAgoMs: ago(heardAt, now), platformReachable }));
 }
 
 function unheard(): Other {
-    return { heardAt: undefined, platformReachable: false };
+    return { heardAt: undefined, platformReachable: false, self: false };
 }
 
 function ago(at: number | undefined, now: number): number | undefined {
