Avoid second compilations, and end test processes on signals

Entries keep the optimizing compiler, because placement is computed there, and concurrent collection, because a large fleet view would pause them.

A process group now also kills its processes when the test itself gets SIGTERM or SIGINT; exit handlers do not run on an unhandled signal.

--- a/packages/runtime/src/memory/heapFlags.spec.ts
+++ b/packages/runtime/src/memory/heapFlags.spec.ts
@@ -22,7 +22,7 @@
 
     describe("when a process allocates steadily", () => {
         it("keep the young generation from growing, which a flag that is read too late would not", () => {
-            const apply = `(await import("${MODULE}")).applyHeapFlags();`;
+            const apply = `const flags = await import("${MODULE}"); flags.applyHeapFlags(flags.HEAP_FLAGS);`;
             expect(youngGenerationGrowth(apply)).to.equal(1);
             expect(youngGenerationGrowth("")).to.be.greaterThan(1);
         });
--- a/packages/tanagerdeck/src/start.ts
+++ b/packages/tanagerdeck/src/start.ts
@@ -1,4 +1,5 @@
-import { applyHeapFlags } from "@tanagerdeck/runtime/memory/heapFlags";
+import { AGENT_FLAGS, applyHeapFlags, HEAP_FLAGS } from "@tanagerdeck/runtime/memory/heapFlags";
 
-applyHeapFlags();
+const isAgent = process.argv[2] === "agent";
+applyHeapFlags(isAgent ? [...HEAP_FLAGS, ...AGENT_FLAGS] : HEAP_FLAGS);
 void import("./main.ts");
--- a/standins/src/processes/processGroup.ts
+++ b/standins/src/processes/processGroup.ts
@@ -36,6 +36,11 @@
 
 const STOP_LIMIT_MS = 15_000;
 
+/** A signal ends this process without its exit handlers unless it is handled. */
+function exitOnSignal(): void {
+    process.exit(1);
+}
+
 /** Builds an empty group. Its processes are killed when this process exits. */
 export function createProcessGroup(options: ProcessGroupOptions): ProcessGroup {
     const folder = mkdtempSync(join(tmpdir(), "tanagerdeck-"));
@@ -47,6 +52,9 @@
         rmSync(folder, { recursive: true, force: true });
     };
     process.once("exit", killAll);
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+        process.once(signal, exitOnSignal);
+    }
 
     function command(
         program: ProgramName,
@@ -84,6 +92,8 @@
             killAll();
             await Promise.all(started.map(child => child.ended));
             process.off("exit", killAll);
+            process.off("SIGTERM", exitOnSignal);
+            process.off("SIGINT", exitOnSignal);
         },
     };
 }
