--- /dev/null
+++ b/packages/decisions/src/admission/runnerQueue.ts
@@ -0,0 +1,175 @@
+import type { Priority } from "../document/documentTypes.ts";
+
+/** Each millisecond of waiting counts as this many milliseconds less of expected time. */
+const AGEING = 0.5;
+/** Part of the slots that kinds of priority `batch` may hold, so that an urgent request finds a slot soon. */
+const BATCH_PART = 0.75;
+const PRIORITIES: Priority[] = ["urgent", "normal", "batch"];
+
+/** One request in the queue of a runner. Times are milliseconds. */
+export interface QueuedRequest {
+    key: string;
+    clientAccount: string;
+    priority: Priority;
+    enqueuedAt: number;
+    expectedMs: number;
+}
+
+/** One request that holds a slot. */
+export interface RunningRequest extends QueuedRequest {
+    startedAt: number;
+}
+
+/** Queue, slots and the service that each client account has had. */
+export interface RunnerQueue {
+    slots: number;
+    waiting: QueuedRequest[];
+    running: RunningRequest[];
+    /** Expected time served divided by the account's weight. */
+    served: Map<string, number>;
+    weightOf: (clientAccount: string) => number;
+}
+
+/** Chooses the request that gets a free slot now; undefined leaves the slot free. */
+export type QueueOrder = (queue: RunnerQueue, now: number) => QueuedRequest | undefined;
+
+/** Takes the oldest request. */
+export const firstComeFirstServed: QueueOrder = queue => queue.waiting[0];
+
+/**
+ * Urgent before normal before batch; among these the client account with the least service for its weight;
+ * of its requests the one with the shortest expected time, less what it has waited.
+ */
+export const fairShortestFirst: QueueOrder = (queue, now) => {
+    for (const priority of PRIORITIES) {
+        if (priority === "batch" && countRunning(queue, "batch") >= batchSlots(queue.slots)) {
+            continue;
+        }
+        const candidates = queue.waiting.filter(request => request.priority === priority);
+        const account = leastServed(queue, candidates);
+        const own = candidates.filter(request => request.clientAccount === account);
+        const next = shortest(own, now);
+        if (next) {
+            return next;
+        }
+    }
+    return undefined;
+};
+
+/** Slots that kinds of priority `batch` may hold. */
+export function batchSlots(slots: number): number {
+    return Math.max(1, Math.floor(slots * BATCH_PART));
+}
+
+/** Moves a request from the queue to a slot and charges its client account. */
+export function startQueued(queue: RunnerQueue, request: QueuedRequest, now: number): void {
+    const { clientAccount } = request;
+    queue.waiting.splice(queue.waiting.indexOf(request), 1);
+    queue.running.push({ ...request, startedAt: now });
+    const cost = Math.max(1, request.expectedMs) / queue.weightOf(clientAccount);
+    queue.served.set(clientAccount, serviceOf(queue, clientAccount) + cost);
+}
+
+/** Adds a request; an account that was idle starts level with the others and gains nothing from its absence. */
+export function enqueue(queue: RunnerQueue, request: QueuedRequest): void {
+    const { clientAccount } = request;
+    if (!isActive(queue, clientAccount)) {
+        queue.served.set(clientAccount, Math.max(serviceOf(queue, clientAccount), leastActiveService(queue)));
+    }
+    queue.waiting.push(request);
+}
+
+/** Milliseconds until a new request of this priority and account is expected to get a slot. */
+export function expectedWaitMs(
+    queue: RunnerQueue,
+    request: { priority: Priority; clientAccount?: string },
+    now: number,
+): number {
+    const rank = PRIORITIES.indexOf(request.priority);
+    const slots = request.priority === "batch" ? batchSlots(queue.slots) : queue.slots;
+    const holders = queue.running.filter(
+        running => request.priority !== "batch" || running.priority === "batch",
+    );
+    const ahead = queue.waiting.filter(waiting => PRIORITIES.indexOf(waiting.priority) <= rank);
+    if (ahead.length === 0 && holders.length < slots && queue.running.length < queue.slots) {
+        return 0;
+    }
+    let remaining = 0;
+    for (const running of holders) {
+        remaining += Math.max(0, running.expectedMs - (now - running.startedAt));
+    }
+    const all = remaining + workOf(ahead);
+    return Math.min(all, ownShare(queue, ahead, request.clientAccount, remaining)) / slots;
+}
+
+/** Work ahead of an account that is served at least by its weight: its own, and the others' in proportion. */
+function ownShare(
+    queue: RunnerQueue,
+    ahead: QueuedRequest[],
+    clientAccount: string | undefined,
+    remaining: number,
+): number {
+    if (clientAccount === undefined) {
+        return Number.POSITIVE_INFINITY;
+    }
+    const accounts = new Set(ahead.map(request => request.clientAccount)).add(clientAccount);
+    let weights = 0;
+    for (const account of accounts) {
+        weights += queue.weightOf(account);
+    }
+    const own = workOf(ahead.filter(request => request.clientAccount === clientAccount));
+    return remaining + (own * weights) / queue.weightOf(clientAccount);
+}
+
+function workOf(requests: QueuedRequest[]): number {
+    let sum = 0;
+    for (const request of requests) {
+        sum += request.expectedMs;
+    }
+    return sum;
+}
+
+function countRunning(queue: RunnerQueue, priority: Priority): number {
+    return queue.running.filter(running => running.priority === priority).length;
+}
+
+function leastServed(queue: RunnerQueue, candidates: QueuedRequest[]): string | undefined {
+    let best: string | undefined;
+    for (const { clientAccount } of candidates) {
+        if (best === undefined || serviceOf(queue, clientAccount) < serviceOf(queue, best)) {
+            best = clientAccount;
+        }
+    }
+    return best;
+}
+
+function shortest(requests: QueuedRequest[], now: number): QueuedRequest | undefined {
+    let best: QueuedRequest | undefined;
+    let bestScore = Number.POSITIVE_INFINITY;
+    for (const request of requests) {
+        const score = request.expectedMs - (now - request.enqueuedAt) * AGEING;
+        if (score < bestScore) {
+            best = request;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+function isActive(queue: RunnerQueue, clientAccount: string): boolean {
+    const isOwn = (request: QueuedRequest) => request.clientAccount === clientAccount;
+    return queue.waiting.some(isOwn) || queue.running.some(isOwn);
+}
+
+function leastActiveService(queue: RunnerQueue): number {
+    let least: number | undefined;
+    for (const { clientAccount } of [...queue.waiting, ...queue.running]) {
+        const service = serviceOf(queue, clientAccount);
+        least = least === undefined ? service : Math.min(least, service);
+    }
+    return least ?? 0;
+}
+
+function serviceOf(queue: RunnerQueue, clientAccount: string): number {
+    return queue.served.get(clientAccount) ?? 0;
+}
