--- /dev/null
+++ b/packages/decisions/src/routing/retryBudget.ts
@@ -0,0 +1,47 @@
+const WINDOW_MS = 10_000;
+const RETRY_PART = 0.1;
+const MINIMUM_RETRIES = 3;
+
+/** Requests and retries of one client account in the last 10 s, as counts by second. */
+export interface RetryBudget {
+    requests: Map<number, number>;
+    retries: Map<number, number>;
+}
+
+/** Builds an unused budget. */
+export function createRetryBudget(): RetryBudget {
+    return { requests: new Map(), retries: new Map() };
+}
+
+/** Counts a first attempt. */
+export function countRequest(budget: RetryBudget, now: number): void {
+    add(budget.requests, now);
+}
+
+/** Takes one retry if the budget allows it, so that retries cannot multiply an overload. */
+export function takeRetry(budget: RetryBudget, now: number): boolean {
+    const allowed = Math.max(MINIMUM_RETRIES, Math.floor(sum(budget.requests, now) * RETRY_PART));
+    if (sum(budget.retries, now) >= allowed) {
+        return false;
+    }
+    add(budget.retries, now);
+    return true;
+}
+
+function add(counts: Map<number, number>, now: number): void {
+    const second = Math.floor(now / 1_000);
+    counts.set(second, (counts.get(second) ?? 0) + 1);
+}
+
+function sum(counts: Map<number, number>, now: number): number {
+    const oldest = Math.floor((now - WINDOW_MS) / 1_000);
+    let total = 0;
+    for (const [second, count] of counts) {
+        if (second <= oldest) {
+            counts.delete(second);
+            continue;
+        }
+        total += count;
+    }
+    return total;
+}
