--- a/packages/backend/src/runner/runnerClient.ts
+++ b/packages/backend/src/runner/runnerClient.ts
@@ -1,5 +1,5 @@
-import { createHash } from "node:crypto";
 import { Pool } from "undici";
+import { bodyDigest } from "@tanagerdeck/runtime/access/bodyDigest";
 import type { Request } from "@tanagerdeck/decisions/request/requestTypes";
 import { failure, type Answer, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 
@@ -35,7 +35,10 @@
                 await response.body.dump();
                 return failure("not-run", "backend-error", "The runner did not start the request.");
             }
-            const reply = (await response.body.json()) as { body: string };
+            const reply = (await response.body.json()) as { id?: string; body?: string };
+            if (reply.id !== request.id || typeof reply.body !== "string") {
+                return failure("may-have-run", "backend-error", "The runner's reply is to another request.");
+            }
             if (response.statusCode !== 200) {
                 return failure("ran", "backend-error", `The runner answered status ${response.statusCode}.`);
             }
@@ -52,6 +55,5 @@
 
 /** Builds an answer with its length and digest. */
 export function createAnswer(body: string): Answer {
-    const bytes = Buffer.from(body, "utf8");
-    return { body, length: bytes.length, digest: createHash("sha256").update(bytes).digest("base64") };
+    return { body, length: Buffer.byteLength(body, "utf8"), digest: bodyDigest(body) };
 }
--- a/packages/backend/src/runner/runnerTask.ts
+++ b/packages/backend/src/runner/runnerTask.ts
@@ -1,165 +1,257 @@
+import type { ClientAccount } from "@tanagerdeck/decisions/document/documentTypes";
 import type { RunnerLoad } from "@tanagerdeck/decisions/fleet/reportTypes";
+import { enqueue, expectedWaitMs } from "@tanagerdeck/decisions/admission/runnerQueue";
+import { runEstimate, typicalRunMs } from "@tanagerdeck/decisions/admission/runTimes";
+import { sweepLedger } from "@tanagerdeck/decisions/request/ledgerMemory";
+import type { LedgerRecord, LedgerReference, Send } from "@tanagerdeck/decisions/request/ledgerTypes";
+import {
+    admitRequest,
+    advanceLedger,
+    closeRequest,
+    findRequest,
+    finishRecord,
+    type LedgerDecision,
+} from "@tanagerdeck/decisions/request/requestLedger";
 import type { Progress, Request } from "@tanagerdeck/decisions/request/requestTypes";
-import { failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { Clock } from "@tanagerdeck/runtime/clock/clock";
-import type { Log } from "@tanagerdeck/runtime/log/log";
+import { failure, type Failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { startTask, type Handlers, type Reply, type Task } from "@tanagerdeck/runtime/task/task";
 import {
-    startTask,
-    type Handlers,
-    type Reply,
-    type Task,
-    type TaskContext,
-} from "@tanagerdeck/runtime/task/task";
-import type { RunRequest } from "./runnerClient.ts";
+    answerIdle,
+    createRunnerState,
+    finish,
+    leaveQueue,
+    leaveSlot,
+    poll,
+    release,
+    RUN_GRACE_MS,
+    runTimeKey,
+    startWaiting,
+    type RunnerContext,
+    type RunnerOptions,
+    type RunnerState,
+} from "./runnerState.ts";
 
-/** A long poll is answered with `pending` after this time. */
-export const POLL_WINDOW_MS = 1_500;
+const SWEEP_INTERVAL_MS = 1_000;
+/** Bound on one account's waiting requests while the agent knows no quota. */
+const DEFAULT_WAITING = 100;
+const DID_NOT_ARRIVE = failure(
+    "not-run",
+    "unreachable",
+    "The request did not arrive and is refused from now on.",
+);
+const CANCELLED = failure("not-run", "cancelled", "The request was cancelled before it ran.");
+const CANCELLED_RUN = failure("may-have-run", "cancelled", "The request was cancelled while it ran.");
+const RUN_TOO_LONG = failure("may-have-run", "deadline-exceeded", "The run did not end by its deadline.");
 
 /** Messages of the runner task. */
 export type RunnerMessage =
-    | { kind: "submit"; request: Request; reply: Reply<Progress> }
-    | { kind: "result"; id: string; clientAccount: string; reply: Reply<Progress> }
-    | { kind: "settle"; id: string; clientAccount: string; reply: Reply<Progress> }
-    | { kind: "ran"; id: string; outcome: Outcome }
-    | { kind: "poll-end"; id: string; reply: Reply<Progress> }
+    | { kind: "accounts"; accounts: ClientAccount[] }
+    | { kind: "submit"; request: Request; send: Send; reply: Reply<Progress> }
+    | { kind: "result"; reference: LedgerReference; reply: Reply<Progress> }
+    | { kind: "settle"; reference: LedgerReference; reply: Reply<Progress> }
+    | { kind: "cancel"; reference: LedgerReference; reply: Reply<Progress> }
+    | { kind: "ran"; key: string; outcome: Outcome }
+    | { kind: "poll-end"; key: string; reply: Reply<Progress> }
+    | { kind: "deadline"; key: string }
+    | { kind: "run-end"; key: string }
+    | { kind: "sweep" }
     | { kind: "load"; reply: Reply<RunnerLoad> }
-    | { kind: "drain" };
-
-/** Dependencies of the runner task. */
-export interface RunnerOptions {
-    slots: number;
-    clock: Clock;
-    log: Log;
-    run: RunRequest;
-}
-
-interface Entry {
-    request: Request | undefined;
-    state: "waiting" | "running" | "done";
-    outcome: Outcome | undefined;
-    polls: Set<Reply<Progress>>;
-}
+    | { kind: "drain" }
+    /** Answered when no request waits, runs, or has an outcome that its entry can still ask for. */
+    | { kind: "idle"; reply: Reply<undefined> };
 
-interface State {
-    requests: Map<string, Entry>;
-    waiting: string[];
-    running: number;
-    draining: boolean;
-    options: RunnerOptions;
-}
-
-/** Starts the task that owns the request ledger and the slots of one runner. */
+/** Starts the task that owns the request ledger, the queue and the slots of one runner. */
 export function startRunnerTask(options: RunnerOptions): Task<RunnerMessage> {
-    return startTask<State, RunnerMessage>({
+    const task = startTask<RunnerState, RunnerMessage>({
         name: "runner",
-        state: { requests: new Map(), waiting: [], running: 0, draining: false, options },
+        state: createRunnerState(options),
         handlers,
         clock: options.clock,
         report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
     });
+    task.send({ kind: "sweep" });
+    return task;
 }
 
-const handlers: Handlers<State, RunnerMessage> = {
+const handlers: Handlers<RunnerState, RunnerMessage> = {
+    accounts(state, message) {
+        state.accounts.clear();
+        for (const account of message.accounts) {
+            state.accounts.set(account.name, account);
+        }
+    },
     submit(state, message, context) {
-        const { request, reply } = message;
-        const known = state.requests.get(request.id);
-        if (known) {
-            poll(known, request.id, reply, context);
+        const { request, send, reply } = message;
+        advance(state);
+        const decision = admitRequest(state.ledger, request, send, state.options.digestOf(request.body));
+        if (decision.kind !== "new") {
+            answer(state, request.id, decision, reply, context);
             return;
         }
-        if (state.draining) {
-            reply({
-                kind: "done",
-                outcome: failure("not-run", "draining", "The backend server is draining."),
-            });
-            return;
+        const problem = queueProblem(state, request);
+        if (problem) {
+            finishRecord(state.ledger, decision.record, problem);
+        } else {
+            addLive(state, request, decision.record, context);
         }
-        const entry: Entry = { request, state: "waiting", outcome: undefined, polls: new Set() };
-        state.requests.set(request.id, entry);
-        state.waiting.push(request.id);
-        poll(entry, request.id, reply, context);
+        poll(state, decision.record, reply, context);
         startWaiting(state, context);
     },
     result(state, message, context) {
-        const known = state.requests.get(message.id);
-        if (!known) {
-            const outcome = failure("may-have-run", "not-found", "The request is not known here.");
-            message.reply({ kind: "done", outcome });
+        const { reference, reply } = message;
+        advance(state);
+        answer(state, reference.id, findRequest(state.ledger, reference), reply, context);
+    },
+    settle(state, message, context) {
+        const { reference, reply } = message;
+        advance(state);
+        const decision = closeRequest(state.ledger, reference, DID_NOT_ARRIVE);
+        if (decision.kind === "known" && decision.record.state !== "done") {
+            reply({ kind: "pending" });
             return;
         }
-        poll(known, message.id, message.reply, context);
+        answer(state, reference.id, decision, reply, context);
     },
-    settle(state, message) {
-        const known = state.requests.get(message.id);
-        if (known) {
-            message.reply(known.outcome ? { kind: "done", outcome: known.outcome } : { kind: "pending" });
-            return;
+    cancel(state, message, context) {
+        const { reference, reply } = message;
+        advance(state);
+        const decision = closeRequest(state.ledger, reference, CANCELLED);
+        if (decision.kind === "known") {
+            giveUp(state, decision.record.key, CANCELLED, CANCELLED_RUN);
         }
-        const outcome = failure(
-            "not-run",
-            "unreachable",
-            "The request did not arrive and is refused from now on.",
-        );
-        state.requests.set(message.id, { request: undefined, state: "done", outcome, polls: new Set() });
-        message.reply({ kind: "done", outcome });
+        answer(state, reference.id, decision, reply, context);
+        startWaiting(state, context);
     },
     ran(state, message, context) {
-        const entry = state.requests.get(message.id);
-        state.running--;
-        if (entry) {
-            entry.state = "done";
-            entry.outcome = message.outcome;
-            entry.request = undefined;
-            for (const reply of entry.polls) {
-                reply({ kind: "done", outcome: message.outcome });
-            }
-            entry.polls.clear();
-        }
+        const { key } = message;
+        const givenUp = state.live.get(key)?.givenUp;
+        const uncertain = message.outcome.verdict === "may-have-run";
+        leaveSlot(state, key, message.outcome);
+        finish(state, key, givenUp && uncertain ? givenUp : message.outcome);
         startWaiting(state, context);
     },
     "poll-end"(state, message) {
-        if (state.requests.get(message.id)?.polls.delete(message.reply)) {
+        if (state.live.get(message.key)?.polls.delete(message.reply)) {
             message.reply({ kind: "pending" });
         }
     },
+    deadline(state, message, context) {
+        const { key } = message;
+        if (leaveQueue(state, key)) {
+            finish(state, key, failure("not-run", "deadline-exceeded", "The deadline passed in the queue."));
+        }
+        release(state, key);
+        const live = state.live.get(key);
+        if (live) {
+            live.stopTimer = context.after(RUN_GRACE_MS, { kind: "run-end", key });
+        }
+        startWaiting(state, context);
+    },
+    "run-end"(state, message) {
+        giveUp(state, message.key, RUN_TOO_LONG, RUN_TOO_LONG);
+        release(state, message.key);
+    },
+    sweep(state, _message, context) {
+        advance(state);
+        sweepLedger(state.ledger);
+        context.after(SWEEP_INTERVAL_MS, { kind: "sweep" });
+    },
     load(state, message) {
-        const busy = state.running + state.waiting.length;
-        message.reply({
-            slots: state.options.slots,
-            running: state.running,
-            waiting: state.waiting.length,
-            expectedWaitMs: busy >= state.options.slots ? busy : 0,
-            typicalRunMs: 0,
-        });
+        message.reply(describeLoad(state));
     },
     drain(state) {
         state.draining = true;
     },
+    idle(state, message) {
+        state.idle.push(message.reply);
+        answerIdle(state);
+    },
 };
 
-function poll(entry: Entry, id: string, reply: Reply<Progress>, context: TaskContext<RunnerMessage>): void {
-    if (entry.outcome) {
-        reply({ kind: "done", outcome: entry.outcome });
+function advance(state: RunnerState): void {
+    advanceLedger(state.ledger, state.ledgerStart + state.options.clock.now());
+}
+
+function answer(
+    state: RunnerState,
+    id: string,
+    decision: LedgerDecision,
+    reply: Reply<Progress>,
+    context: RunnerContext,
+): void {
+    if (decision.kind === "refused") {
+        reply({ kind: "done", id, outcome: decision.failure });
         return;
     }
-    entry.polls.add(reply);
-    context.after(POLL_WINDOW_MS, { kind: "poll-end", id, reply });
+    poll(state, decision.record, reply, context);
 }
 
-function startWaiting(state: State, context: TaskContext<RunnerMessage>): void {
-    while (state.running < state.options.slots) {
-        const id = state.waiting.shift();
-        const entry = id === undefined ? undefined : state.requests.get(id);
-        const request = entry?.request;
-        if (id === undefined || !entry || !request) {
-            return;
-        }
-        entry.state = "running";
-        state.running++;
-        const signal = new AbortController().signal;
-        context.start(
-            () => state.options.run(request, signal),
-            outcome => ({ kind: "ran", id, outcome }),
-        );
+function addLive(state: RunnerState, request: Request, record: LedgerRecord, context: RunnerContext): void {
+    const { key } = record;
+    const now = state.options.clock.now();
+    const { clientAccount, priority } = request;
+    const estimate = runEstimate(state.runTimes, runTimeKey(request), now);
+    state.live.get(key)?.stopTimer();
+    state.live.set(key, {
+        record,
+        request,
+        deadlineAt: now + request.remainingMs,
+        polls: new Map(),
+        abort: new AbortController(),
+        stopTimer: context.after(request.remainingMs, { kind: "deadline", key }),
+        givenUp: undefined,
+    });
+    const expectedMs = estimate?.expectedMs ?? typicalRunMs(state.runTimes, now);
+    enqueue(state.queue, { key, clientAccount, priority, enqueuedAt: now, expectedMs });
+}
+
+/** Why a new request is refused at once; undefined if it may wait. */
+function queueProblem(state: RunnerState, request: Request): Failure | undefined {
+    const { clientAccount } = request;
+    if (state.draining) {
+        return failure("not-run", "draining", "The backend server is draining.");
+    }
+    const waiting = state.queue.waiting.filter(queued => queued.clientAccount === clientAccount).length;
+    if (waiting >= (state.accounts.get(clientAccount)?.quota.waiting ?? DEFAULT_WAITING)) {
+        return failure("not-run", "limit-exceeded", "Too many requests of this client account are waiting.");
     }
+    const now = state.options.clock.now();
+    const shortMs = runEstimate(state.runTimes, runTimeKey(request), now)?.shortMs ?? 0;
+    if (expectedWaitMs(state.queue, request, now) + shortMs > request.remainingMs) {
+        return failure("not-run", "infeasible", "The request cannot finish before its deadline.");
+    }
+    return undefined;
+}
+
+/** Ends a waiting request, or aborts a running one, whose outcome is then known when the call returns. */
+function giveUp(state: RunnerState, key: string, waiting: Failure, running: Failure): void {
+    const live = state.live.get(key);
+    if (!live || live.record.state === "done") {
+        return;
+    }
+    if (leaveQueue(state, key)) {
+        finish(state, key, waiting);
+        return;
+    }
+    live.givenUp = running;
+    live.abort.abort();
+}
+
+function describeLoad(state: RunnerState): RunnerLoad {
+    const { queue, options } = state;
+    const now = options.clock.now();
+    advance(state);
+    return {
+        slots: queue.slots,
+        running: queue.running.length,
+        waiting: queue.waiting.length,
+        expectedWaitMs: expectedWaitMs(queue, { priority: "normal" }, now),
+        typicalRunMs: typicalRunMs(state.runTimes, now),
+        waitByPriority: {
+            urgent: expectedWaitMs(queue, { priority: "urgent" }, now),
+            normal: expectedWaitMs(queue, { priority: "normal" }, now),
+            batch: expectedWaitMs(queue, { priority: "batch" }, now),
+        },
+        ledgerTime: state.ledger.now,
+    };
 }
--- a/packages/caller/src/listener/callerListener.ts
+++ b/packages/caller/src/listener/callerListener.ts
@@ -33,17 +33,17 @@
 ): Promise<void> {
     const found = findRoute(options.routes, request);
     if (!found) {
-        sendFailure(response, 404, failure("not-run", "not-found", "There is no such resource."));
+        sendFailure(response, failure("not-run", "not-found", "There is no such resource."));
         return;
     }
     const configuration = await options.configuration();
     if (!configuration) {
-        sendFailure(response, 503, failure("not-run", "no-configuration", "No configuration is known yet."));
+        sendFailure(response, failure("not-run", "no-configuration", "No configuration is known yet."));
         return;
     }
     const clientAccount = authenticate(configuration, bearerToken(request));
     if (!clientAccount) {
-        sendFailure(response, 401, failure("not-run", "access-denied", "The bearer token is not known."));
+        sendFailure(response, failure("not-run", "access-denied", "The bearer token is not known."));
         return;
     }
     const context = { clientAccount, configuration };
--- a/packages/caller/src/listener/outcomeResponse.ts
+++ b/packages/caller/src/listener/outcomeResponse.ts
@@ -1,13 +1,21 @@
 import type { ServerResponse } from "node:http";
-import type { Failure, Outcome, Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Failure, FailureReason, Outcome, Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { sendJson } from "@tanagerdeck/runtime/http/listener";
 
 const STATUS_BY_VERDICT: Record<Verdict, number> = { "not-run": 503, ran: 502, "may-have-run": 504 };
+const STATUS_BY_REASON: Partial<Record<FailureReason, number>> = {
+    "access-denied": 401,
+    conflict: 409,
+    invalid: 400,
+    "limit-exceeded": 429,
+    "not-found": 404,
+    "too-large": 413,
+};
 
 /** Sends an outcome; an answer carries its length, digest and verdict in headers. */
 export function sendOutcome(response: ServerResponse, outcome: Outcome): void {
     if (outcome.kind === "failure") {
-        sendFailure(response, STATUS_BY_VERDICT[outcome.verdict], outcome);
+        sendFailure(response, outcome);
         return;
     }
     const { body, digest } = outcome.answer;
@@ -22,6 +30,7 @@
 }
 
 /** Sends a failure with its verdict in the body and in a header. */
-export function sendFailure(response: ServerResponse, status: number, problem: Failure): void {
+export function sendFailure(response: ServerResponse, problem: Failure): void {
+    const status = STATUS_BY_REASON[problem.reason] ?? STATUS_BY_VERDICT[problem.verdict];
     sendJson(response, status, problem, { "x-verdict": problem.verdict });
 }
--- /dev/null
+++ b/packages/caller/src/routing/routingState.ts
@@ -0,0 +1,148 @@
+import type { Either } from "purify-ts/Either";
+import type { TokenBucket } from "@tanagerdeck/decisions/admission/tokenBucket";
+import type { Configuration, Kind } from "@tanagerdeck/decisions/document/documentTypes";
+import type { ServerHealth } from "@tanagerdeck/decisions/health/serverHealth";
+import type { LedgerReference, Send } from "@tanagerdeck/decisions/request/ledgerTypes";
+import type { Progress, Request } from "@tanagerdeck/decisions/request/requestTypes";
+import type { AgentView, SentCount } from "@tanagerdeck/decisions/routing/agentChoice";
+import type { CallResult, CallStep } from "@tanagerdeck/decisions/routing/callStep";
+import type { RetryBudget } from "@tanagerdeck/decisions/routing/retryBudget";
+import type { Failure, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock, TimerStop } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Reply, TaskContext } from "@tanagerdeck/runtime/task/task";
+
+/** A caller's request after authentication. */
+export interface CallerRequest {
+    /** Undefined if the caller chose none. */
+    id: string | undefined;
+    /** True if the caller has not sent this id before, so that a refusal at the entry means `not-run`. */
+    firstSend: boolean;
+    clientAccount: string;
+    kind: string;
+    deadlineMs: number;
+    body: string;
+}
+
+/** Reply to a request: its end, or the ticket that it needs. */
+export type RoutingReply =
+    { kind: "outcome"; id: string; outcome: Outcome } | { kind: "ticket"; ticket: string };
+
+/** Calls to agents, supplied by the peer package. */
+export interface AgentCalls {
+    submit(
+        address: string,
+        request: Request,
+        send: Send,
+        revision: number,
+    ): Promise<Either<Failure, Progress>>;
+    result(address: string, reference: LedgerReference): Promise<Either<Failure, Progress>>;
+    settle(address: string, reference: LedgerReference): Promise<Either<Failure, Progress>>;
+    cancel(address: string, reference: LedgerReference): Promise<Either<Failure, Progress>>;
+}
+
+/** Messages of the routing task. */
+export type RoutingMessage =
+    | { kind: "fleet"; agents: AgentView[] }
+    | { kind: "configuration"; configuration: Configuration }
+    | { kind: "request"; request: CallerRequest; reply: Reply<RoutingReply> }
+    | { kind: "start"; key: string; attempt: string }
+    | { kind: "call"; key: string; attempt: string; step: CallStep }
+    | { kind: "progress"; key: string; attempt: string; step: CallStep; result: CallResult }
+    | { kind: "deadline"; key: string }
+    | { kind: "cancel"; id: string; clientAccount: string; reply: Reply<Outcome> }
+    | { kind: "cancelled"; key: string; target: Target; outcome: Outcome; reply: Reply<Outcome> }
+    | { kind: "sweep" }
+    /** Answered when no request is in flight. */
+    | { kind: "idle"; reply: Reply<undefined> };
+
+/** Dependencies of the routing task. */
+export interface RoutingOptions {
+    availabilityZone: string;
+    clock: Clock;
+    log: Log;
+    random: () => number;
+    /** A new random id. */
+    newId: () => string;
+    digestOf: (body: string) => string;
+    calls: AgentCalls;
+}
+
+/** The agent and the send that a request went to. */
+export interface Target extends LedgerReference {
+    agent: string;
+    address: string;
+}
+
+/** A request in flight. Times are milliseconds of the clock. */
+export interface Flight {
+    key: string;
+    id: string;
+    request: CallerRequest;
+    kind: Kind;
+    deadlineAt: number;
+    /** Id of the current attempt; replies to earlier ones are ignored. */
+    attempt: string;
+    target: Target | undefined;
+    excluded: Set<string>;
+    /** True if an earlier send of this id, or an earlier attempt, may have run. */
+    uncertain: boolean;
+    cancelled: boolean;
+    damaged: number;
+    /** Time until which a ticket's agent that is not in the fleet view is waited for. */
+    awaitAgentUntil: number;
+    replies: Reply<RoutingReply>[];
+    stopTimer: TimerStop;
+}
+
+/** Where a finished request was sent; a repeat of its id goes to the same agent, whose ledger knows it. */
+export interface RecentTarget {
+    target: Target;
+    uncertain: boolean;
+    keepUntil: number;
+}
+
+/** State of the routing task. */
+export interface RoutingState {
+    agents: AgentView[];
+    medianMs: number;
+    configuration: Configuration | undefined;
+    flights: Map<string, Flight>;
+    recent: Map<string, RecentTarget>;
+    health: Map<string, ServerHealth>;
+    sent: Map<string, SentCount>;
+    buckets: Map<string, TokenBucket>;
+    budgets: Map<string, RetryBudget>;
+    idle: Reply<undefined>[];
+    options: RoutingOptions;
+}
+
+/** Context of the routing task's handlers. */
+export type RoutingContext = TaskContext<RoutingMessage>;
+
+/** Builds the state of an entry that knows no agent yet. */
+export function createRoutingState(options: RoutingOptions): RoutingState {
+    return {
+        agents: [],
+        medianMs: 0,
+        configuration: undefined,
+        flights: new Map(),
+        recent: new Map(),
+        health: new Map(),
+        sent: new Map(),
+        buckets: new Map(),
+        budgets: new Map(),
+        idle: [],
+        options,
+    };
+}
+
+/** The value of a key, which is built on first use. */
+export function valueOf<T>(map: Map<string, T>, key: string, build: () => T): T {
+    let value = map.get(key);
+    if (value === undefined) {
+        value = build();
+        map.set(key, value);
+    }
+    return value;
+}
--- a/packages/caller/src/routing/routingTask.ts
+++ b/packages/caller/src/routing/routingTask.ts
@@ -1,180 +1,233 @@
-import type { Either } from "purify-ts/Either";
-import type { Configuration, Kind } from "@tanagerdeck/decisions/document/documentTypes";
-import type { Progress, Request } from "@tanagerdeck/decisions/request/requestTypes";
-import { chooseRunner, type AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
-import { failure, type Failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { Clock } from "@tanagerdeck/runtime/clock/clock";
-import type { Log } from "@tanagerdeck/runtime/log/log";
+import { admitAtEntry } from "@tanagerdeck/decisions/admission/entryAdmission";
+import { createTokenBucket } from "@tanagerdeck/decisions/admission/tokenBucket";
+import type { ClientAccount, Kind } from "@tanagerdeck/decisions/document/documentTypes";
+import { medianMs } from "@tanagerdeck/decisions/health/serverHealth";
+import { parseTicket } from "@tanagerdeck/decisions/request/requestTypes";
+import { countRequest, createRetryBudget } from "@tanagerdeck/decisions/routing/retryBudget";
+import { failure, type Failure, type FailureReason } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { startTask, type Handlers, type Reply, type Task } from "@tanagerdeck/runtime/task/task";
+import { cancelFlight, cancelSent } from "./cancelSteps.ts";
+import { call, finish, proceed, startFlight, worstVerdict } from "./flightSteps.ts";
 import {
-    startTask,
-    type Handlers,
-    type Reply,
-    type Task,
-    type TaskContext,
-} from "@tanagerdeck/runtime/task/task";
+    createRoutingState,
+    valueOf,
+    type CallerRequest,
+    type Flight,
+    type RoutingContext,
+    type RoutingMessage,
+    type RoutingOptions,
+    type RoutingReply,
+    type RoutingState,
+} from "./routingState.ts";
+import { issueTicket } from "./ticketIssue.ts";
 
-/** A caller's request after authentication. */
-export interface CallerRequest {
-    id: string;
-    clientAccount: string;
-    kind: string;
-    deadlineMs: number;
-    body: string;
-}
-
-/** Calls to agents, supplied by the peer package. */
-export interface AgentCalls {
-    submit(address: string, request: Request, revision: number): Promise<Either<Failure, Progress>>;
-    result(address: string, id: string, clientAccount: string): Promise<Either<Failure, Progress>>;
-    settle(address: string, id: string, clientAccount: string): Promise<Either<Failure, Progress>>;
-}
-
-/** Messages of the routing task. */
-export type RoutingMessage =
-    | { kind: "fleet"; agents: AgentView[] }
-    | { kind: "configuration"; configuration: Configuration }
-    | { kind: "request"; request: CallerRequest; reply: Reply<Outcome> }
-    | { kind: "progress"; id: string; step: CallStep; result: Either<Failure, Progress> };
-
-/** The call that a progress message answers. */
-export type CallStep = "submit" | "result" | "settle";
-
-/** Dependencies of the routing task. */
-export interface RoutingOptions {
-    availabilityZone: string;
-    clock: Clock;
-    log: Log;
-    random: () => number;
-    calls: AgentCalls;
-}
-
-interface Flight {
-    request: Request;
-    agent: AgentView;
-    replies: Reply<Outcome>[];
-}
-
-interface State {
-    agents: AgentView[];
-    configuration: Configuration | undefined;
-    flights: Map<string, Flight>;
-    options: RoutingOptions;
-}
+/** Time after the deadline for which the agent's word is waited for, since it can still be `not-run`. */
+const DEADLINE_GRACE_MS = 250;
+/** A new entry knows every agent after one report interval and a little more. */
+const AWAIT_AGENT_MS = 2_500;
+const SWEEP_INTERVAL_MS = 10_000;
 
 /** Starts the task that owns the requests in flight of one entry. */
 export function startRoutingTask(options: RoutingOptions): Task<RoutingMessage> {
-    return startTask<State, RoutingMessage>({
+    const task = startTask<RoutingState, RoutingMessage>({
         name: "routing",
-        state: { agents: [], configuration: undefined, flights: new Map(), options },
+        state: createRoutingState(options),
         handlers,
         clock: options.clock,
         report: (_task, error) => options.log.error("A handler failed.", { error: String(error) }),
     });
+    task.send({ kind: "sweep" });
+    return task;
 }
 
-const handlers: Handlers<State, RoutingMessage> = {
+const handlers: Handlers<RoutingState, RoutingMessage> = {
     fleet(state, message) {
         state.agents = message.agents;
+        const names = new Set(message.agents.map(({ report }) => report.name));
+        for (const known of [state.health, state.sent]) {
+            for (const name of known.keys()) {
+                if (!names.has(name)) {
+                    known.delete(name);
+                }
+            }
+        }
+        state.medianMs = medianMs(message.agents.map(({ report }) => report.runner?.typicalRunMs ?? 0));
     },
     configuration(state, message) {
         state.configuration = message.configuration;
     },
     request(state, message, context) {
         const { request, reply } = message;
-        const flightKey = `${request.clientAccount}/${request.id}`;
-        const known = state.flights.get(flightKey);
+        const id = request.id ?? state.options.newId();
+        const kind = findKind(state, request);
+        if (!kind) {
+            refuse(request, id, reply, "invalid", "The kind is not registered for this client account.");
+            return;
+        }
+        const key = `${request.clientAccount}/${id}`;
+        const known = state.flights.get(key);
         if (known) {
-            known.replies.push(reply);
+            joinFlight(known, request, reply);
             return;
         }
-        const kind = findKind(state.configuration, request);
-        if (!kind) {
-            reply(failure("not-run", "invalid", "The kind is not registered for this client account."));
+        if (!kind.repeatable && request.id === undefined) {
+            issueTicket(state, kind, request, reply);
             return;
         }
-        const excluded = new Set<string>();
-        const { availabilityZone, random } = state.options;
-        const agent = chooseRunner(state.agents, { availabilityZone, excluded, random });
-        if (!agent) {
-            reply(failure("not-run", "no-backend-server", "No backend server is serving."));
+        if (kind.repeatable === (parseTicket(id) !== undefined)) {
+            const detail = kind.repeatable
+                ? "An id with three ~ is reserved for tickets."
+                : "The id of this kind must be a ticket.";
+            refuse(request, id, reply, "invalid", detail);
             return;
         }
-        const sent: Request = {
-            id: request.id,
-            clientAccount: request.clientAccount,
-            kind: kind.name,
-            priority: kind.priority,
-            repeatable: kind.repeatable,
-            remainingMs: request.deadlineMs,
-            body: request.body,
-        };
-        state.flights.set(flightKey, { request: sent, agent, replies: [reply] });
-        call(state, flightKey, "submit", context);
+        admit(state, { key, id, kind, request, reply }, context);
+    },
+    start(state, message, context) {
+        const flight = currentFlight(state, message);
+        if (flight) {
+            startFlight(state, flight, context);
+        }
+    },
+    call(state, message, context) {
+        const flight = currentFlight(state, message);
+        if (flight?.target) {
+            call(state, flight, flight.target, message.step, context);
+        }
     },
     progress(state, message, context) {
-        message.result.caseOf({
-            Left: problem => callFailed(state, message.id, message.step, problem, context),
-            Right: progress => {
-                if (progress.kind === "done") {
-                    finish(state, message.id, progress.outcome);
-                    return;
-                }
-                call(state, message.id, "result", context);
-            },
-        });
+        const flight = currentFlight(state, message);
+        if (flight) {
+            proceed(state, flight, message.step, message.result, context);
+        }
+    },
+    deadline(state, message) {
+        const flight = state.flights.get(message.key);
+        if (!flight) {
+            return;
+        }
+        const verdict = flight.target ? "may-have-run" : "not-run";
+        const problem = failure(verdict, "deadline-exceeded", "The deadline passed.");
+        finish(state, flight, worstVerdict(flight, problem));
+    },
+    cancel(state, message, context) {
+        cancelFlight(state, message, context);
+    },
+    cancelled(state, message) {
+        cancelSent(state, message);
+    },
+    sweep(state, _message, context) {
+        const now = state.options.clock.now();
+        for (const [key, recent] of state.recent) {
+            if (recent.keepUntil <= now) {
+                state.recent.delete(key);
+            }
+        }
+        context.after(SWEEP_INTERVAL_MS, { kind: "sweep" });
+    },
+    idle(state, message) {
+        if (state.flights.size === 0) {
+            message.reply(undefined);
+            return;
+        }
+        state.idle.push(message.reply);
     },
 };
 
-function findKind(configuration: Configuration | undefined, request: CallerRequest): Kind | undefined {
-    for (const kind of configuration?.document.kinds ?? []) {
-        if (kind.name === request.kind && kind.clientAccounts.includes(request.clientAccount)) {
-            return kind;
-        }
-    }
-    return undefined;
+/** The flight that a message belongs to; messages of an earlier attempt are late and have none. */
+function currentFlight(state: RoutingState, message: { key: string; attempt: string }): Flight | undefined {
+    const flight = state.flights.get(message.key);
+    return flight?.attempt === message.attempt ? flight : undefined;
 }
 
-function call(state: State, key: string, step: CallStep, context: TaskContext<RoutingMessage>): void {
-    const flight = state.flights.get(key);
-    if (!flight) {
+/** A repeat of a request in flight gets the same outcome. */
+function joinFlight(known: Flight, request: CallerRequest, reply: Reply<RoutingReply>): void {
+    const { kind, body } = known.request;
+    if (kind !== request.kind || body !== request.body) {
+        const problem = failure("not-run", "conflict", "The id belongs to another request.");
+        reply({ kind: "outcome", id: known.id, outcome: problem });
         return;
     }
-    const { calls } = state.options;
-    const { request, agent } = flight;
-    const address = agent.report.address;
-    const steps: Record<CallStep, () => Promise<Either<Failure, Progress>>> = {
-        submit: () => calls.submit(address, request, state.configuration?.revision ?? 0),
-        result: () => calls.result(address, request.id, request.clientAccount),
-        settle: () => calls.settle(address, request.id, request.clientAccount),
-    };
-    context.start(steps[step], result => ({ kind: "progress", id: key, step, result }));
+    known.replies.push(reply);
 }
 
-function callFailed(
-    state: State,
-    key: string,
-    step: CallStep,
-    problem: Failure,
-    context: TaskContext<RoutingMessage>,
+function admit(
+    state: RoutingState,
+    arrival: {
+        key: string;
+        id: string;
+        kind: Kind;
+        request: CallerRequest;
+        reply: Reply<RoutingReply>;
+    },
+    context: RoutingContext,
 ): void {
-    if (step === "submit" && problem.verdict === "not-run") {
-        finish(state, key, problem);
+    const { key, id, kind, request, reply } = arrival;
+    const now = state.options.clock.now();
+    const deadlineAt = now + request.deadlineMs;
+    const account = findAccount(state, request.clientAccount);
+    if (!account) {
+        refuse(request, id, reply, "access-denied", "The client account is not known.");
         return;
     }
-    if (step === "settle") {
-        finish(state, key, failure("may-have-run", problem.reason, problem.detail));
+    const bucket = valueOf(state.buckets, account.name, createTokenBucket);
+    const bodyBytes = Buffer.byteLength(request.body);
+    const { quota } = account;
+    const admission = admitAtEntry(bucket, { bodyBytes, deadlineAt, limits: kind.limits, quota }, now);
+    if (admission.kind === "refused") {
+        refuse(request, id, reply, admission.failure.reason, admission.failure.detail);
         return;
     }
-    call(state, key, "settle", context);
-}
-
-function finish(state: State, key: string, outcome: Outcome): void {
-    const flight = state.flights.get(key);
-    if (!flight) {
+    countRequest(valueOf(state.budgets, account.name, createRetryBudget), now);
+    const flight: Flight = {
+        key,
+        id,
+        request,
+        kind,
+        deadlineAt,
+        attempt: state.options.newId(),
+        target: undefined,
+        excluded: new Set(),
+        uncertain: isRepeat(request) || (state.recent.get(key)?.uncertain ?? false),
+        cancelled: false,
+        damaged: 0,
+        awaitAgentUntil: now + AWAIT_AGENT_MS,
+        replies: [reply],
+        stopTimer: context.after(request.deadlineMs + DEADLINE_GRACE_MS, { kind: "deadline", key }),
+    };
+    state.flights.set(key, flight);
+    if (admission.startAt > now) {
+        context.after(admission.startAt - now, { kind: "start", key, attempt: flight.attempt });
         return;
     }
-    state.flights.delete(key);
-    for (const reply of flight.replies) {
-        reply(outcome);
-    }
+    startFlight(state, flight, context);
+}
+
+/** Refuses at the entry; an id that the caller may have sent before may have run. */
+function refuse(
+    request: CallerRequest,
+    id: string,
+    reply: Reply<RoutingReply>,
+    reason: FailureReason,
+    detail: string,
+): void {
+    const verdict: Failure["verdict"] = isRepeat(request) ? "may-have-run" : "not-run";
+    reply({ kind: "outcome", id, outcome: failure(verdict, reason, detail) });
+}
+
+function isRepeat(request: CallerRequest): boolean {
+    return request.id !== undefined && !request.firstSend;
+}
+
+function findKind(state: RoutingState, request: CallerRequest): Kind | undefined {
+    return state.configuration?.document.kinds.find(
+        kind =>
+            kind.name === request.kind &&
+            kind.form === "request" &&
+            kind.clientAccounts.includes(request.clientAccount),
+    );
+}
+
+function findAccount(state: RoutingState, name: string): ClientAccount | undefined {
+    return state.configuration?.document.clientAccounts.find(account => account.name === name);
 }
--- a/packages/decisions/src/fleet/reportTypes.ts
+++ b/packages/decisions/src/fleet/reportTypes.ts
@@ -1,3 +1,5 @@
+import type { Priority } from "../document/documentTypes.ts";
+
 /** The two kinds of backend server. */
 export type ServerKind = "runner" | "worker";
 
@@ -21,6 +23,10 @@
     expectedWaitMs: number;
     /** Typical run time of recent requests. */
     typicalRunMs: number;
+    /** Expected wait of a new request by its priority. */
+    waitByPriority: Record<Priority, number>;
+    /** The agent's ledger clock; tickets expire by it. */
+    ledgerTime: number;
 }
 
 /** A gang anchored at the reporting agent. */
--- /dev/null
+++ b/packages/decisions/src/request/ledgerMemory.ts
@@ -0,0 +1,63 @@
+import { failure } from "../verdict/verdictTypes.ts";
+import type { Ledger, LedgerRecord } from "./ledgerTypes.ts";
+
+/** A delivered body is kept for this time, since the reply that carried it can be lost. */
+export const DELIVERY_GRACE_MS = 30_000;
+
+/** Forgets expired records. */
+export function sweepLedger(ledger: Ledger): void {
+    for (const record of ledger.records.values()) {
+        if (record.state === "done" && record.expiresAt <= ledger.now) {
+            forget(ledger, record);
+        }
+    }
+}
+
+/** Releases delivered bodies, oldest first, and forgets finished records beyond the limit, first to expire first. */
+export function makeRoom(ledger: Ledger): void {
+    const { bytes, records } = ledger.limits;
+    for (const record of ledger.records.values()) {
+        if (ledger.retainedBytes <= bytes) {
+            break;
+        }
+        releaseBody(ledger, record);
+    }
+    if (ledger.records.size < records) {
+        return;
+    }
+    const finished = [...ledger.records.values()].filter(isForgettable);
+    finished.sort((a, b) => a.expiresAt - b.expiresAt);
+    for (const record of finished.slice(0, Math.ceil(records / 10))) {
+        forget(ledger, record);
+        if (!record.repeatable) {
+            ledger.closedUpTo = Math.max(ledger.closedUpTo, record.expiresAt);
+        }
+    }
+}
+
+function isForgettable(record: LedgerRecord): boolean {
+    const delivered = record.deliveredAt !== undefined;
+    return record.state === "done" && (delivered || record.outcome?.kind === "failure");
+}
+
+function releaseBody(ledger: Ledger, record: LedgerRecord): void {
+    const { deliveredAt, outcome } = record;
+    if (outcome?.kind !== "answer" || deliveredAt === undefined) {
+        return;
+    }
+    if (deliveredAt + DELIVERY_GRACE_MS > ledger.now) {
+        return;
+    }
+    ledger.retainedBytes -= bodyBytes(record);
+    record.outcome = failure("ran", "answer-released", "The request ran; its answer was delivered before.");
+}
+
+function forget(ledger: Ledger, record: LedgerRecord): void {
+    ledger.retainedBytes -= bodyBytes(record);
+    ledger.records.delete(record.key);
+}
+
+/** Bytes of the retained answer of a record. */
+export function bodyBytes(record: LedgerRecord): number {
+    return record.outcome?.kind === "answer" ? record.outcome.answer.length : 0;
+}
--- /dev/null
+++ b/packages/decisions/src/request/requestLedger.ts
@@ -0,0 +1,198 @@
+import { failure, type Failure, type Outcome } from "../verdict/verdictTypes.ts";
+import { bodyBytes, DELIVERY_GRACE_MS, makeRoom } from "./ledgerMemory.ts";
+import type { Ledger, LedgerRecord, LedgerReference, Send } from "./ledgerTypes.ts";
+import { parseTicket, type Request, type Ticket } from "./requestTypes.ts";
+
+/** Longest time between the issue and the expiry of a ticket. */
+export const TICKET_LIFETIME_CAP_MS = 3_600_000;
+/** Time for which a finished repeatable id is answered from memory. */
+const REPEATABLE_RETENTION_MS = 600_000;
+/** Time for which an attempt of a repeatable id that did not run is refused. */
+const REPEATABLE_TOMBSTONE_MS = 60_000;
+const KEPT_ATTEMPTS = 16;
+
+/** What the ledger says about an id. */
+export type LedgerDecision =
+    | { kind: "new"; record: LedgerRecord }
+    | { kind: "known"; record: LedgerRecord }
+    | { kind: "refused"; failure: Failure };
+
+/** Moves the ledger's time forward, never back. */
+export function advanceLedger(ledger: Ledger, now: number): void {
+    ledger.now = Math.max(ledger.now, now);
+    ledger.closedUpTo = Math.max(ledger.closedUpTo, now);
+}
+
+/** Takes a submitted request: new ids get a record, known ids are answered from it. */
+export function admitRequest(
+    ledger: Ledger,
+    request: Request,
+    send: Send,
+    bodyDigest: string,
+): LedgerDecision {
+    const known = ledger.records.get(ledgerKey(request));
+    if (known && !mayRunAgain(known, send)) {
+        return checkRepeat(known, request.clientAccount, bodyDigest);
+    }
+    const ticket = parseTicket(request.id);
+    if (!request.repeatable && !ticket) {
+        return refused("not-run", "ticket-required", "The id of this kind must be a ticket.");
+    }
+    const problem = ticket ? ticketProblem(ledger, ticket) : addressProblem(ledger, send, "not-run");
+    if (problem) {
+        return { kind: "refused", failure: problem };
+    }
+    makeRoom(ledger);
+    if (ledger.retainedBytes > ledger.limits.bytes || ledger.records.size >= ledger.limits.records) {
+        return refused("not-run", "limit-exceeded", "The agent holds too many answers.");
+    }
+    const record = addRecord(ledger, request, ticket, bodyDigest);
+    record.attempts = [...(known?.attempts ?? []), send.attempt].slice(-KEPT_ATTEMPTS);
+    return { kind: "new", record };
+}
+
+/**
+ * Looks up an id for settle or cancel. An id that did not arrive gets a tombstone with `closing`,
+ * so that a delayed submit is refused.
+ */
+export function closeRequest(ledger: Ledger, reference: LedgerReference, closing: Failure): LedgerDecision {
+    const known = findRecord(ledger, reference);
+    if (known) {
+        closeAttempt(known, reference);
+        return known;
+    }
+    const ticket = parseTicket(reference.id);
+    const problem = ticket
+        ? ticketProblem(ledger, ticket)
+        : addressProblem(ledger, reference, "may-have-run");
+    if (problem) {
+        return { kind: "refused", failure: problem };
+    }
+    const record = addRecord(ledger, { ...reference, repeatable: !ticket }, ticket, undefined);
+    record.attempts = [reference.attempt];
+    finishRecord(ledger, record, closing);
+    return { kind: "known", record };
+}
+
+/** Looks up an id whose submit was accepted. */
+export function findRequest(ledger: Ledger, reference: LedgerReference): LedgerDecision {
+    return (
+        findRecord(ledger, reference) ??
+        refused("may-have-run", "not-found", "The request is not known to this incarnation.")
+    );
+}
+
+/** Records the end of a request; the first end counts. */
+export function finishRecord(ledger: Ledger, record: LedgerRecord, outcome: Outcome): void {
+    if (record.state === "done") {
+        return;
+    }
+    record.state = "done";
+    record.outcome = outcome;
+    if (record.repeatable) {
+        const retention = outcome.verdict === "not-run" ? REPEATABLE_TOMBSTONE_MS : REPEATABLE_RETENTION_MS;
+        record.expiresAt = ledger.now + retention;
+    }
+    record.expiresAt = Math.max(record.expiresAt, ledger.now + DELIVERY_GRACE_MS);
+    ledger.retainedBytes += bodyBytes(record);
+}
+
+/** The outcome of a finished record, which counts as delivered from now on. */
+export function deliverRecord(ledger: Ledger, record: LedgerRecord): Outcome | undefined {
+    if (record.outcome) {
+        record.deliveredAt ??= ledger.now;
+    }
+    return record.outcome;
+}
+
+/** Tickets are unique, so another account's use is a conflict; other ids are private to an account. */
+function ledgerKey(reference: { id: string; clientAccount: string }): string {
+    return parseTicket(reference.id) ? reference.id : `${reference.clientAccount}/${reference.id}`;
+}
+
+function findRecord(ledger: Ledger, reference: LedgerReference): LedgerDecision | undefined {
+    const record = ledger.records.get(ledgerKey(reference));
+    if (!record) {
+        return undefined;
+    }
+    return checkRepeat(record, reference.clientAccount, undefined);
+}
+
+/** A repeatable id that did not run may run in a new send, but not in a delayed copy of a closed one. */
+function mayRunAgain(record: LedgerRecord, send: Send): boolean {
+    const notRun = record.outcome?.verdict === "not-run";
+    return record.repeatable && notRun && !record.attempts.includes(send.attempt);
+}
+
+/** Adds a settled send to a record of an earlier one that did not run. */
+function closeAttempt(known: LedgerDecision, send: Send): void {
+    if (known.kind === "known" && !known.record.attempts.includes(send.attempt)) {
+        known.record.attempts = [...known.record.attempts, send.attempt].slice(-KEPT_ATTEMPTS);
+    }
+}
+
+function checkRepeat(
+    record: LedgerRecord,
+    clientAccount: string,
+    bodyDigest: string | undefined,
+): LedgerDecision {
+    const otherBody =
+        bodyDigest !== undefined && record.bodyDigest !== undefined && record.bodyDigest !== bodyDigest;
+    if (record.clientAccount !== clientAccount || otherBody) {
+        return refused("not-run", "conflict", "The id belongs to another request.");
+    }
+    return { kind: "known", record };
+}
+
+function ticketProblem(ledger: Ledger, ticket: Ticket): Failure | undefined {
+    if (ticket.incarnation !== ledger.incarnation) {
+        return failure("may-have-run", "incarnation-gone", "The agent of the ticket has restarted.");
+    }
+    if (ticket.expiresAt <= ledger.closedUpTo) {
+        return failure("may-have-run", "ticket-expired", "The ticket has expired.");
+    }
+    if (ticket.expiresAt > ledger.now + TICKET_LIFETIME_CAP_MS) {
+        return failure("not-run", "invalid", "The ticket expires later than allowed.");
+    }
+    return undefined;
+}
+
+function addressProblem(ledger: Ledger, send: Send, verdict: Failure["verdict"]): Failure | undefined {
+    if (send.incarnation === ledger.incarnation) {
+        return undefined;
+    }
+    return failure(verdict, "incarnation-gone", "The agent has restarted.");
+}
+
+function addRecord(
+    ledger: Ledger,
+    request: { id: string; clientAccount: string; repeatable: boolean },
+    ticket: Ticket | undefined,
+    bodyDigest: string | undefined,
+): LedgerRecord {
+    const { id, clientAccount } = request;
+    const key = ledgerKey(request);
+    const expiresAt = ticket?.expiresAt ?? ledger.now + REPEATABLE_RETENTION_MS;
+    const record: LedgerRecord = {
+        key,
+        id,
+        clientAccount,
+        bodyDigest,
+        state: "waiting",
+        outcome: undefined,
+        repeatable: !ticket,
+        attempts: [],
+        expiresAt,
+        deliveredAt: undefined,
+    };
+    ledger.records.set(key, record);
+    return record;
+}
+
+function refused(
+    verdict: Failure["verdict"],
+    reason: Failure["reason"],
+    detail: string,
+): { kind: "refused"; failure: Failure } {
+    return { kind: "refused", failure: failure(verdict, reason, detail) };
+}
--- a/packages/decisions/src/request/requestTypes.ts
+++ b/packages/decisions/src/request/requestTypes.ts
@@ -13,12 +13,13 @@
     body: string;
 }
 
-/** Reply of an agent to a long poll. */
-export type Progress = { kind: "pending" } | { kind: "done"; outcome: Outcome };
+/** Reply of an agent to a long poll; `id` lets the entry detect a reply that belongs to another request. */
+export type Progress = { kind: "pending" } | { kind: "done"; id: string; outcome: Outcome };
 
 /**
  * Identifier of a request that runs at most once. It names the only agent incarnation that may run it.
- * `expiresAt` is wall-clock milliseconds on the agent.
+ * `expiresAt` is milliseconds on the agent's ledger clock: the wall clock at its start plus monotonic time,
+ * so a wall clock that is set back does not reopen an expired ticket.
  */
 export interface Ticket {
     agent: string;
--- a/packages/decisions/src/routing/agentChoice.ts
+++ b/packages/decisions/src/routing/agentChoice.ts
@@ -1,4 +1,13 @@
-import type { AgentState, Report } from "../fleet/reportTypes.ts";
+import type { Priority } from "../document/documentTypes.ts";
+import type { AgentState, Report, RunnerLoad } from "../fleet/reportTypes.ts";
+import {
+    costFactor,
+    isProbeDue,
+    isRefusing,
+    quarantined,
+    type ReportPosition,
+    type ServerHealth,
+} from "../health/serverHealth.ts";
 
 /** An agent as an entry sees it. */
 export interface AgentView {
@@ -6,27 +15,49 @@
     state: AgentState;
 }
 
+/** Requests that an entry sent to an agent since this report of it. */
+export interface SentCount extends ReportPosition {
+    count: number;
+}
+
 /** What a choice of agent depends on. `random` returns a number in [0, 1). */
 export interface ChoiceContext {
     availabilityZone: string;
     excluded: Set<string>;
     random: () => number;
+    priority: Priority;
+    /** True if the request may go to a server in quarantine as its probe. */
+    mayProbe: boolean;
+    now: number;
+    health: Map<string, ServerHealth>;
+    sent: Map<string, SentCount>;
+    /** Median of the agents' typical run times. */
+    medianMs: number;
 }
 
 /** Penalty for leaving the own availability zone. */
 const OTHER_ZONE_PENALTY_MS = 5;
 
 /** The serving runner with the least expected wait; undefined if none serves. */
-export function chooseRunner(agents: Iterable<AgentView>, context: ChoiceContext): AgentView | undefined {
+export function chooseRunner(agents: AgentView[], context: ChoiceContext): AgentView | undefined {
+    const serving = agents.filter(agent => isServing(agent, context));
+    const known = serving.flatMap(({ report }): [string, ServerHealth][] => {
+        const health = context.health.get(report.name);
+        return health ? [[report.name, health]] : [];
+    });
+    const avoided = quarantined(known, serving.length);
     let best: AgentView | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
-    for (const agent of agents) {
-        if (agent.state !== "serving" || !agent.report.runner || context.excluded.has(agent.report.name)) {
+    for (const agent of serving) {
+        const { name } = agent.report;
+        if (avoided.has(name)) {
+            const health = context.health.get(name);
+            if (context.mayProbe && health && isProbeDue(health, context.now)) {
+                return agent;
+            }
             continue;
         }
-        const penalty =
-            agent.report.availabilityZone === context.availabilityZone ? 0 : OTHER_ZONE_PENALTY_MS;
-        const cost = agent.report.runner.expectedWaitMs + penalty + context.random();
+        const cost = costOf(agent.report, context);
         if (cost < bestCost) {
             best = agent;
             bestCost = cost;
@@ -34,3 +65,43 @@
     }
     return best;
 }
+
+/** Counts a request towards an agent's load until its next report. */
+export function countSent(sent: Map<string, SentCount>, report: Report): void {
+    const { name, incarnation, sequence } = report;
+    const known = sent.get(name);
+    const count = known && isSameReport(known, report) ? known.count + 1 : 1;
+    sent.set(name, { incarnation, sequence, count });
+}
+
+function isSameReport(a: ReportPosition, b: ReportPosition): boolean {
+    return a.incarnation === b.incarnation && a.sequence === b.sequence;
+}
+
+function isServing(agent: AgentView, context: ChoiceContext): boolean {
+    const { report, state } = agent;
+    const health = context.health.get(report.name);
+    const refusing = health !== undefined && isRefusing(health, report);
+    return (
+        state === "serving" && report.runner !== undefined && !refusing && !context.excluded.has(report.name)
+    );
+}
+
+function costOf(report: Report, context: ChoiceContext): number {
+    const load = report.runner as RunnerLoad;
+    const sent = context.sent.get(report.name);
+    const sinceReport = sent && isSameReport(sent, report) ? sent.count : 0;
+    const beyondSlots = Math.max(0, load.running + load.waiting + sinceReport + 1 - load.slots);
+    const backlog = Math.min(beyondSlots, sinceReport) * (load.typicalRunMs / load.slots);
+    const factor = costFactor(
+        context.health.get(report.name),
+        load.typicalRunMs,
+        context.medianMs,
+        context.now,
+    );
+    const penalty = report.availabilityZone === context.availabilityZone ? 0 : OTHER_ZONE_PENALTY_MS;
+    const run = load.typicalRunMs * (factor - 1);
+    return (
+        (load.waitByPriority[context.priority] + backlog) * factor + run + factor + penalty + context.random()
+    );
+}
--- /dev/null
+++ b/packages/decisions/src/routing/callStep.ts
@@ -0,0 +1,88 @@
+import type { Progress } from "../request/requestTypes.ts";
+import { failure, type Failure, type FailureReason, type Outcome } from "../verdict/verdictTypes.ts";
+
+/** A call of the entry to an agent about one request. */
+export type CallStep = "submit" | "result" | "settle";
+
+/** How a call ended. `damaged` is an answer whose id, length or digest is wrong. */
+export type CallResult =
+    { kind: "progress"; progress: Progress } | { kind: "failed"; failure: Failure } | { kind: "damaged" };
+
+/** What the entry does next about a request. */
+export type NextStep =
+    | { kind: "finish"; outcome: Outcome }
+    | { kind: "call"; step: CallStep; delayMs: number }
+    /** Sends the request to another agent if budget and deadline allow it, else finishes with `failure`. */
+    | { kind: "retry"; failure: Failure };
+
+/** What the next step depends on. */
+export interface FlightFacts {
+    repeatable: boolean;
+    /** Answers of this request that arrived damaged. */
+    damaged: number;
+}
+
+/** Pause between two attempts to settle with an agent that does not answer. */
+const SETTLE_PAUSE_MS = 500;
+const DAMAGED_ANSWERS = 2;
+/** Failures that another agent may not have. */
+const ELSEWHERE_REASONS = new Set<FailureReason>([
+    "backend-error",
+    "draining",
+    "incarnation-gone",
+    "infeasible",
+    "limit-exceeded",
+    "not-found",
+    "quarantined",
+    "unreachable",
+]);
+
+/** Decides the step after a call, by the rules of section 4.1 of the design page. */
+export function nextStep(step: CallStep, result: CallResult, facts: FlightFacts): NextStep {
+    if (result.kind === "damaged") {
+        return afterDamage(facts);
+    }
+    if (result.kind === "failed") {
+        return afterFailure(step, result.failure, facts);
+    }
+    if (result.progress.kind === "pending") {
+        return { kind: "call", step: "result", delayMs: 0 };
+    }
+    const { outcome } = result.progress;
+    if (outcome.kind === "failure" && outcome.verdict !== "ran") {
+        return elsewhereOrFinish(outcome, facts);
+    }
+    return { kind: "finish", outcome };
+}
+
+function afterDamage(facts: FlightFacts): NextStep {
+    if (facts.damaged < DAMAGED_ANSWERS) {
+        return { kind: "call", step: "result", delayMs: 0 };
+    }
+    return {
+        kind: "finish",
+        outcome: failure("ran", "answer-damaged", "The answer arrived damaged."),
+    };
+}
+
+function afterFailure(step: CallStep, problem: Failure, facts: FlightFacts): NextStep {
+    if (step === "submit" && problem.verdict === "not-run") {
+        return elsewhereOrFinish(problem, facts);
+    }
+    if (step !== "settle") {
+        return { kind: "call", step: "settle", delayMs: 0 };
+    }
+    const unknown = failure("may-have-run", problem.reason, problem.detail);
+    const refused = problem.verdict === "not-run";
+    if (facts.repeatable || refused) {
+        return elsewhereOrFinish(unknown, facts);
+    }
+    return { kind: "call", step: "settle", delayMs: SETTLE_PAUSE_MS };
+}
+
+function elsewhereOrFinish(problem: Failure, facts: FlightFacts): NextStep {
+    if (facts.repeatable && ELSEWHERE_REASONS.has(problem.reason)) {
+        return { kind: "retry", failure: problem };
+    }
+    return { kind: "finish", outcome: problem };
+}
--- a/packages/decisions/src/verdict/verdictTypes.ts
+++ b/packages/decisions/src/verdict/verdictTypes.ts
@@ -9,6 +9,8 @@
 /** Why a request, job or call failed. */
 export type FailureReason =
     | "access-denied"
+    | "answer-damaged"
+    | "answer-released"
     | "backend-error"
     | "cancelled"
     | "conflict"
@@ -26,7 +28,9 @@
     | "quarantined"
     | "revision-conflict"
     | "stale-configuration"
+    | "ticket-expired"
     | "ticket-required"
+    | "too-large"
     | "unreachable"
     | "wrong-availability-zone";
 
--- a/packages/peer/src/link/agentRouter.ts
+++ b/packages/peer/src/link/agentRouter.ts
@@ -1,25 +1,20 @@
+import type { LedgerReference, Send } from "@tanagerdeck/decisions/request/ledgerTypes";
 import type { Request, Progress } from "@tanagerdeck/decisions/request/requestTypes";
-import type { Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { authorizedProcedure, passThrough, router } from "./trpcBase.ts";
 
-/** Reply to a call that names a request. */
-export interface RequestReference {
-    id: string;
-    clientAccount: string;
-}
-
 /** A request with the entry's configuration revision. */
 export interface Submission {
     request: Request;
+    send: Send;
     configurationRevision: number;
 }
 
 /** What an agent beside a runner does for entries; independent of the transport. */
 export interface RequestHandlers {
     submit(submission: Submission): Promise<Progress>;
-    result(reference: RequestReference): Promise<Progress>;
-    settle(reference: RequestReference): Promise<Progress>;
-    cancel(reference: RequestReference): Promise<Outcome | undefined>;
+    result(reference: LedgerReference): Promise<Progress>;
+    settle(reference: LedgerReference): Promise<Progress>;
+    cancel(reference: LedgerReference): Promise<Progress>;
 }
 
 /** Operations of every agent. */
@@ -35,13 +30,13 @@
             .input(passThrough<Submission>)
             .mutation(({ input }) => handlers.requests.submit(input)),
         result: authorizedProcedure
-            .input(passThrough<RequestReference>)
+            .input(passThrough<LedgerReference>)
             .mutation(({ input }) => handlers.requests.result(input)),
         settle: authorizedProcedure
-            .input(passThrough<RequestReference>)
+            .input(passThrough<LedgerReference>)
             .mutation(({ input }) => handlers.requests.settle(input)),
         cancel: authorizedProcedure
-            .input(passThrough<RequestReference>)
+            .input(passThrough<LedgerReference>)
             .mutation(({ input }) => handlers.requests.cancel(input)),
         drain: authorizedProcedure.mutation(() => handlers.drain()),
     });
--- a/packages/peer/src/link/peerClient.ts
+++ b/packages/peer/src/link/peerClient.ts
@@ -2,16 +2,25 @@
 import { Agent, fetch as undiciFetch } from "undici";
 import type { AgentRouter } from "./agentRouter.ts";
 import type { EntryRouter } from "./entryRouter.ts";
+import { createWatchedFetch, type LinkFetch } from "./watchedFetch.ts";
 
 /** Connections to one address; large answers then do not block small ones. */
 const CONNECTIONS_PER_ADDRESS = 16;
 /** A connection that is not open after this time counts as not sent. */
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
+/** A long poll of 1,500 ms plus 1,000 ms for the way; a connection silent for longer is given up. */
+const POLL_SILENT_MS = 2_500;
+/** A call on a new connection is answered at once or, for cancel, at the end of the poll window. */
+const FRESH_SILENT_MS = 2_500;
 
 /** Clients of the other processes, by `ip:port`. Owns the connection pool. */
 export interface PeerClients {
     agent(address: string): TRPCClient<AgentRouter>;
+    /** A client whose calls fail when their connection is silent, however long they take in all. */
+    pollingAgent(address: string): TRPCClient<AgentRouter>;
+    /** A client that opens a connection for each call, for use when an open connection may be silent. */
+    freshAgent(address: string): TRPCClient<AgentRouter>;
     entry(address: string): TRPCClient<EntryRouter>;
     /** Drops the clients whose address is not listed. */
     retain(addresses: Set<string>): void;
@@ -25,18 +34,20 @@
         connect: { timeout: CONNECT_TIMEOUT_MS },
         keepAliveTimeout: KEEP_ALIVE_MS,
     });
+    // Without pipelining undici sends one request on a connection and closes it.
+    const freshDispatcher = new Agent({ pipelining: 0, connect: { timeout: CONNECT_TIMEOUT_MS } });
+    const pooled: LinkFetch = (url, options) =>
+        undiciFetch(url as string, { ...(options as object), dispatcher }) as unknown as Promise<Response>;
+    const polling = createWatchedFetch(dispatcher, POLL_SILENT_MS);
+    const fresh = createWatchedFetch(freshDispatcher, FRESH_SILENT_MS);
     const agents = new Map<string, TRPCClient<AgentRouter>>();
     const entries = new Map<string, TRPCClient<EntryRouter>>();
 
-    function link(address: string) {
+    function link(address: string, fetchThrough: LinkFetch) {
         return httpLink({
             url: `http://${address}`,
             headers: { authorization: `Bearer ${token}` },
-            fetch: (url, options) =>
-                undiciFetch(url as string, {
-                    ...(options as object),
-                    dispatcher,
-                }) as unknown as Promise<Response>,
+            fetch: fetchThrough,
         });
     }
 
@@ -44,15 +55,17 @@
         agent(address) {
             let client = agents.get(address);
             if (!client) {
-                client = createTRPCClient<AgentRouter>({ links: [link(address)] });
+                client = createTRPCClient<AgentRouter>({ links: [link(address, pooled)] });
                 agents.set(address, client);
             }
             return client;
         },
+        pollingAgent: address => createTRPCClient<AgentRouter>({ links: [link(address, polling)] }),
+        freshAgent: address => createTRPCClient<AgentRouter>({ links: [link(address, fresh)] }),
         entry(address) {
             let client = entries.get(address);
             if (!client) {
-                client = createTRPCClient<EntryRouter>({ links: [link(address)] });
+                client = createTRPCClient<EntryRouter>({ links: [link(address, pooled)] });
                 entries.set(address, client);
             }
             return client;
@@ -66,6 +79,9 @@
                 }
             }
         },
-        close: () => dispatcher.destroy(),
+        async close() {
+            await dispatcher.destroy();
+            await freshDispatcher.destroy();
+        },
     };
 }
--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -1,4 +1,5 @@
 import { nanoid } from "nanoid";
+import { bodyDigest } from "@tanagerdeck/runtime/access/bodyDigest";
 import { createRunnerClient } from "@tanagerdeck/backend/runner/runnerClient";
 import { startRunnerTask } from "@tanagerdeck/backend/runner/runnerTask";
 import type { Report, RunnerLoad } from "@tanagerdeck/decisions/fleet/reportTypes";
@@ -28,6 +29,8 @@
     }
     const runnerClient = createRunnerClient(settings.server.address, settings.server.connections);
     const runner = startRunnerTask({
+        incarnation,
+        digestOf: bodyDigest,
         slots: settings.server.slots,
         clock,
         log: log.part("runner"),
@@ -41,13 +44,14 @@
         settings.peerToken,
         createAgentRouter({
             requests: {
-                submit: ({ request }) =>
-                    runner.ask((reply: Reply<Progress>) => ({ kind: "submit", request, reply })),
+                submit: ({ request, send }) =>
+                    runner.ask((reply: Reply<Progress>) => ({ kind: "submit", request, send, reply })),
                 result: reference =>
-                    runner.ask((reply: Reply<Progress>) => ({ kind: "result", ...reference, reply })),
+                    runner.ask((reply: Reply<Progress>) => ({ kind: "result", reference, reply })),
                 settle: reference =>
-                    runner.ask((reply: Reply<Progress>) => ({ kind: "settle", ...reference, reply })),
-                cancel: async () => undefined,
+                    runner.ask((reply: Reply<Progress>) => ({ kind: "settle", reference, reply })),
+                cancel: reference =>
+                    runner.ask((reply: Reply<Progress>) => ({ kind: "cancel", reference, reply })),
             },
             async drain() {
                 draining = true;
@@ -85,10 +89,12 @@
             peerCall(REPORT_TIMEOUT_MS, signal =>
                 clients.entry(entry).configuration.mutate({ afterRevision }, { signal }),
             ),
-        adopted: configuration =>
-            log
-                .part("configuration")
-                .info("A configuration was adopted.", { revision: configuration.revision }),
+        adopted: configuration => {
+            runner.send({ kind: "accounts", accounts: configuration.document.clientAccounts });
+            log.part("configuration").info("A configuration was adopted.", {
+                revision: configuration.revision,
+            });
+        },
     });
     log.info("The agent is serving.", { peerAddress: peerListener.address });
 
@@ -97,6 +103,7 @@
         async stop() {
             draining = true;
             runner.send({ kind: "drain" });
+            await runner.ask((reply: Reply<undefined>) => ({ kind: "idle", reply }));
             await announcement.stop();
             await peerListener.close();
             await runner.stop();
--- a/packages/tanagerdeck/src/entry/agentCalls.ts
+++ b/packages/tanagerdeck/src/entry/agentCalls.ts
@@ -1,25 +1,34 @@
-import type { AgentCalls } from "@tanagerdeck/caller/routing/routingTask";
+import type { AgentCalls } from "@tanagerdeck/caller/routing/routingState";
 import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { peerCall } from "@tanagerdeck/peer/link/peerCall";
 
-/** A long poll of 1,500 ms plus 1,000 ms for the way; a connection silent for longer is given up. */
-const POLL_TIMEOUT_MS = 2_500;
+/** Longest transfer of one answer; a silent connection is given up much earlier by the client. */
+const TRANSFER_TIMEOUT_MS = 60_000;
+/** Settle is answered at once; the time is for connecting and the way. */
 const SETTLE_TIMEOUT_MS = 1_000;
+/** Cancel waits for a run to end, at most for one poll window. */
+const CANCEL_TIMEOUT_MS = 2_500;
 
-/** The routing task's calls over trpc. */
+/** The routing task's calls over trpc. A call after a lost reply opens a new connection. */
 export function createAgentCalls(clients: PeerClients): AgentCalls {
     return {
-        submit: (address, request, configurationRevision) =>
-            peerCall(POLL_TIMEOUT_MS, signal =>
-                clients.agent(address).submit.mutate({ request, configurationRevision }, { signal }),
+        submit: (address, request, send, configurationRevision) =>
+            peerCall(TRANSFER_TIMEOUT_MS, signal =>
+                clients
+                    .pollingAgent(address)
+                    .submit.mutate({ request, send, configurationRevision }, { signal }),
             ),
-        result: (address, id, clientAccount) =>
-            peerCall(POLL_TIMEOUT_MS, signal =>
-                clients.agent(address).result.mutate({ id, clientAccount }, { signal }),
+        result: (address, reference) =>
+            peerCall(TRANSFER_TIMEOUT_MS, signal =>
+                clients.pollingAgent(address).result.mutate(reference, { signal }),
             ),
-        settle: (address, id, clientAccount) =>
+        settle: (address, reference) =>
             peerCall(SETTLE_TIMEOUT_MS, signal =>
-                clients.agent(address).settle.mutate({ id, clientAccount }, { signal }),
+                clients.freshAgent(address).settle.mutate(reference, { signal }),
+            ),
+        cancel: (address, reference) =>
+            peerCall(CANCEL_TIMEOUT_MS, signal =>
+                clients.freshAgent(address).cancel.mutate(reference, { signal }),
             ),
     };
 }
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -1,8 +1,10 @@
+import { nanoid } from "nanoid";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startCallerListener } from "@tanagerdeck/caller/listener/callerListener";
 import { createRequestRoutes } from "@tanagerdeck/caller/routing/requestRoutes";
+import type { RoutingReply } from "@tanagerdeck/caller/routing/routingState";
 import { startRoutingTask } from "@tanagerdeck/caller/routing/routingTask";
 import { applyDocument } from "@tanagerdeck/operator/document/applyDocument";
 import { createDocumentRoutes } from "@tanagerdeck/operator/document/documentRoutes";
@@ -13,6 +15,7 @@
 import { startMembershipTask } from "@tanagerdeck/peer/membership/membershipTask";
 import { startConfigurationTask } from "@tanagerdeck/platform/configuration/configurationTask";
 import { createEtcdStore } from "@tanagerdeck/platform/store/etcdStore";
+import { bodyDigest } from "@tanagerdeck/runtime/access/bodyDigest";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
 import { createLog } from "@tanagerdeck/runtime/log/log";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
@@ -34,6 +37,8 @@
         clock,
         log: log.part("routing"),
         random: Math.random,
+        newId: nanoid,
+        digestOf: bodyDigest,
         calls: createAgentCalls(clients),
     });
     const membership = startMembershipTask({
@@ -83,9 +88,12 @@
     const callerListener = await startCallerListener({
         address: settings.callerAddress,
         configuration: currentConfiguration,
-        routes: createRequestRoutes(request =>
-            routing.ask((reply: Reply<Outcome>) => ({ kind: "request", request, reply })),
-        ),
+        routes: createRequestRoutes({
+            submit: request =>
+                routing.ask((reply: Reply<RoutingReply>) => ({ kind: "request", request, reply })),
+            cancel: (id, clientAccount) =>
+                routing.ask((reply: Reply<Outcome>) => ({ kind: "cancel", id, clientAccount, reply })),
+        }),
     });
     log.info("The entry is serving.", { callerAddress: callerListener.address });
 
@@ -96,7 +104,10 @@
             peerAddress: peerListener.address,
         },
         async stop() {
+            // The load balancer needs time to see that this entry is stopping; until then it still sends requests.
+            await new Promise<void>(resolve => clock.startTimer(settings.lingerMs, resolve));
             await callerListener.close();
+            await routing.ask((reply: Reply<undefined>) => ({ kind: "idle", reply }));
             await operatorListener.close();
             await peerListener.close();
             await configuration.stop();
--- a/packages/tanagerdeck/src/entry/requestPath.spec.ts
+++ b/packages/tanagerdeck/src/entry/requestPath.spec.ts
@@ -64,6 +64,7 @@
                 peerToken: PEER_TOKEN,
                 operatorToken: OPERATOR_TOKEN,
                 logLevel: "error",
+                lingerMs: 0,
             }),
         );
         agent = await startAgent(
--- a/standins/src/runner/runnerStandin.ts
+++ b/standins/src/runner/runnerStandin.ts
@@ -34,7 +34,7 @@
             const { id, kind, body } = JSON.parse(text ?? "{}") as { id: string; kind: string; body: string };
             executed.push(id);
             const result = await behaviour(kind, body);
-            sendJson(response, result.status, { body: result.body });
+            sendJson(response, result.status, { id, body: result.body });
         })().catch(() => request.socket.destroy());
     });
     return { listener, executed };
