Close connections with the last response when a listener stops

A connection that was busy when its listener stopped stayed open until its keep-alive time ended, and the stop waited for it. Responses that are still to come now carry 'connection: close'.

Closing idle connections on a timer was ruled out: it can cut a connection on which the next request is already on its way.

--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -12,13 +12,22 @@
 /** Starts an HTTP listener on `ip:port`; port 0 takes any free port. Rejects if the address is in use. */
 export function startListener(address: string, handle: RequestListener): Promise<Listener> {
     const { host, port } = splitAddress(address);
-    const server = createServer(handle);
+    const responses = new Set<ServerResponse>();
+    const server = createServer((request, response) => {
+        responses.add(response);
+        response.once("close", () => responses.delete(response));
+        response.shouldKeepAlive &&= server.listening;
+        handle(request, response);
+    });
     return new Promise((resolve, reject) => {
         server.once("error", reject);
         server.listen(port, host, () => {
             server.off("error", reject);
             const bound = server.address() as AddressInfo;
-            resolve({ address: `${bound.address}:${bound.port}`, close: () => closeServer(server) });
+            resolve({
+                address: `${bound.address}:${bound.port}`,
+                close: () => closeServer(server, responses),
+            });
         });
     });
 }
@@ -59,7 +68,11 @@
     response.end(body);
 }
 
-function closeServer(server: ReturnType<typeof createServer>): Promise<void> {
+/** Responses that are still to come close their connection; else it stays open until the keep-alive time ends. */
+function closeServer(server: ReturnType<typeof createServer>, responses: Set<ServerResponse>): Promise<void> {
+    for (const response of responses) {
+        response.shouldKeepAlive = false;
+    }
     return new Promise(resolve => {
         server.close(() => resolve());
         server.closeIdleConnections();
