--- a/packages/backend/src/runner/runnerState.ts
+++ b/packages/backend/src/runner/runnerState.ts
@@ -40,6 +40,8 @@
     /** Order of the queue; by default the one of the design page. */
     order?: QueueOrder;
     limits?: LedgerLimits;
+    /** A long poll is answered with `pending` after this time; `POLL_WINDOW_MS` by default. */
+    pollWindowMs?: number;
 }
 
 /** A request that waits, runs, or has an outcome that was handed to nobody yet. */
@@ -108,7 +110,11 @@
         return;
     }
     const { key } = record;
-    const stop = context.after(POLL_WINDOW_MS, { kind: "poll-end", key, reply });
+    const stop = context.after(state.options.pollWindowMs ?? POLL_WINDOW_MS, {
+        kind: "poll-end",
+        key,
+        reply,
+    });
     state.live.get(key)?.polls.set(reply, stop);
 }
 
--- a/packages/decisions/src/routing/agentChoice.ts
+++ b/packages/decisions/src/routing/agentChoice.ts
@@ -35,6 +35,8 @@
     medianMs: number;
 }
 
+/** Run time that is assumed for an agent without a finished run. */
+const UNKNOWN_RUN_MS = 100;
 /** Penalty for leaving the own availability zone. */
 const OTHER_ZONE_PENALTY_MS = 5;
 
@@ -92,7 +94,7 @@
     const sent = context.sent.get(report.name);
     const sinceReport = sent && isSameReport(sent, report) ? sent.count : 0;
     const beyondSlots = Math.max(0, load.running + load.waiting + sinceReport + 1 - load.slots);
-    const backlog = Math.min(beyondSlots, sinceReport) * (load.typicalRunMs / load.slots);
+    const backlog = Math.min(beyondSlots, sinceReport) * ((load.typicalRunMs || UNKNOWN_RUN_MS) / load.slots);
     const factor = costFactor(
         context.health.get(report.name),
         load.typicalRunMs,
--- a/packages/peer/src/link/peerClient.ts
+++ b/packages/peer/src/link/peerClient.ts
@@ -9,8 +9,11 @@
 /** A connection that is not open after this time counts as not sent. */
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
-/** A long poll of 1,500 ms plus 1,000 ms for the way; a connection silent for longer is given up. */
-const POLL_SILENT_MS = 2_500;
+/**
+ * A long poll of 1,500 ms plus 900 ms for the way; a connection silent for longer is given up.
+ * The remaining 100 ms to the stated 2,500 ms are for late timers of a busy process.
+ */
+export const POLL_SILENT_MS = 2_400;
 /** A call on a new connection is answered at once or, for cancel, at the end of the poll window. */
 const FRESH_SILENT_MS = 2_500;
 
@@ -27,8 +30,8 @@
     close(): Promise<void>;
 }
 
-/** Builds clients that show the peers' token. */
-export function createPeerClients(token: string): PeerClients {
+/** Builds clients that show the peers' token; `silentMs` is the time after which a polled connection is given up. */
+export function createPeerClients(token: string, silentMs: number = POLL_SILENT_MS): PeerClients {
     const dispatcher = new Agent({
         connections: CONNECTIONS_PER_ADDRESS,
         connect: { timeout: CONNECT_TIMEOUT_MS },
@@ -38,7 +41,7 @@
     const freshDispatcher = new Agent({ pipelining: 0, connect: { timeout: CONNECT_TIMEOUT_MS } });
     const pooled: LinkFetch = (url, options) =>
         undiciFetch(url as string, { ...(options as object), dispatcher }) as unknown as Promise<Response>;
-    const polling = createWatchedFetch(dispatcher, POLL_SILENT_MS);
+    const polling = createWatchedFetch(dispatcher, silentMs);
     const fresh = createWatchedFetch(freshDispatcher, FRESH_SILENT_MS);
     const agents = new Map<string, TRPCClient<AgentRouter>>();
     const entries = new Map<string, TRPCClient<EntryRouter>>();
--- a/packages/tanagerdeck/src/entry/agentCalls.ts
+++ b/packages/tanagerdeck/src/entry/agentCalls.ts
@@ -10,7 +10,10 @@
 const CANCEL_TIMEOUT_MS = 2_500;
 
 /** The routing task's calls over trpc. A call after a lost reply opens a new connection. */
-export function createAgentCalls(clients: PeerClients): AgentCalls {
+export function createAgentCalls(
+    clients: PeerClients,
+    settleTimeoutMs: number = SETTLE_TIMEOUT_MS,
+): AgentCalls {
     return {
         submit: (address, request, send, configurationRevision) =>
             peerCall(TRANSFER_TIMEOUT_MS, signal =>
@@ -23,7 +26,7 @@
                 clients.pollingAgent(address).result.mutate(reference, { signal }),
             ),
         settle: (address, reference) =>
-            peerCall(SETTLE_TIMEOUT_MS, signal =>
+            peerCall(settleTimeoutMs, signal =>
                 clients.freshAgent(address).settle.mutate(reference, { signal }),
             ),
         cancel: (address, reference) =>
--- /dev/null
+++ b/packages/tanagerdeck/src/entry/requestHarness.spec.ts
@@ -0,0 +1,282 @@
+import type { Either } from "purify-ts/Either";
+import { expect } from "chai";
+import { nanoid } from "nanoid";
+import { createRunnerClient } from "@tanagerdeck/backend/runner/runnerClient";
+import { startRunnerTask, type RunnerMessage } from "@tanagerdeck/backend/runner/runnerTask";
+import type {
+    AgentCalls,
+    CallerRequest,
+    RoutingMessage,
+    RoutingReply,
+} from "@tanagerdeck/caller/routing/routingState";
+import { startRoutingTask } from "@tanagerdeck/caller/routing/routingTask";
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
+import type { AgentState, RunnerLoad } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
+import type { Failure, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { createAgentRouter } from "@tanagerdeck/peer/link/agentRouter";
+import { createPeerClients } from "@tanagerdeck/peer/link/peerClient";
+import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
+import { bodyDigest } from "@tanagerdeck/runtime/access/bodyDigest";
+import { systemClock } from "@tanagerdeck/runtime/clock/clock";
+import type { Listener } from "@tanagerdeck/runtime/http/listener";
+import { silentLog } from "@tanagerdeck/runtime/log/log";
+import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
+import { startProxyStandin, type ProxyStandin } from "@tanagerdeck/standins/network/proxyStandin";
+import {
+    echoBehaviour,
+    startRunnerStandin,
+    type RunnerStandin,
+} from "@tanagerdeck/standins/runner/runnerStandin";
+import { createAgentCalls } from "./agentCalls.ts";
+
+const PEER_TOKEN = "peer-token-for-tests";
+const ANY_PORT = "127.0.0.1:0";
+const POLL_WINDOW_MS = 100;
+/** Shorter than in production, so that a case with lost replies ends soon. */
+export const SILENT_MS = 400;
+/** Time after which a settle without a reply is repeated. */
+export const SETTLE_TIMEOUT_MS = 300;
+const DEADLINE_MS = 6_000;
+const WAIT_LIMIT_MS = 5_000;
+const QUOTA = { accelerators: 0, requestsPerSecond: 1_000, waiting: 100 };
+
+/** Configuration of the harness: `book` may not be repeated, `quote` may. */
+export const CONFIGURATION = {
+    revision: 1,
+    digest: "",
+    changeId: "",
+    bindings: [],
+    document: {
+        environment: "test",
+        clientAccounts: [{ name: "counter", tokenDigests: [], guarantees: [], quota: QUOTA, weight: 1 }],
+        kinds: ["book", "quote"].map(name => ({
+            name,
+            clientAccounts: ["counter"],
+            repeatable: name === "quote",
+            form: "request",
+            limits: { seconds: 10, bytes: 10_000, accelerators: 0 },
+            priority: "urgent",
+        })),
+        racks: [],
+        weights: { completionTime: 1, fragmentation: 1 },
+        whenPlatformUnreachable: "serve",
+    },
+} as Configuration;
+
+/** An agent in this process behind a proxy, with its runner. */
+export interface HarnessAgent {
+    name: string;
+    incarnation: string;
+    proxy: ProxyStandin;
+    runner: RunnerStandin;
+    task: Task<RunnerMessage>;
+    /** Replaces the agent by a new incarnation behind the same proxy. */
+    restart(): Promise<void>;
+    close(): Promise<void>;
+}
+
+/** One entry's routing task and its agents. */
+export interface Harness {
+    routing: Task<RoutingMessage>;
+    agents: HarnessAgent[];
+    /** Changes replies of agents before the entry sees them. */
+    tamper: (progress: Progress) => Progress;
+    publish(state?: AgentState): Promise<void>;
+    send(request: Partial<CallerRequest>): Promise<RoutingReply>;
+    /** Gets a ticket if the kind needs one, and sends. */
+    run(request: Partial<CallerRequest>): Promise<{ id: string; outcome: Outcome }>;
+    ticket(): Promise<string>;
+    cancel(id: string): Promise<Outcome>;
+    /** Executions of an id on all runners. */
+    runs(id: string): number;
+    close(): Promise<void>;
+}
+
+/** Starts a routing task with `count` agents; `silentMs` is the detection time of a silent connection. */
+export async function startHarness(count: number, silentMs = SILENT_MS): Promise<Harness> {
+    const clients = createPeerClients(PEER_TOKEN, silentMs);
+    const agents: HarnessAgent[] = [];
+    for (let index = 0; index < count; index++) {
+        agents.push(await startHarnessAgent(`agent-${index + 1}`));
+    }
+    const routing = startRoutingTask({
+        availabilityZone: "windhoek",
+        clock: systemClock,
+        log: silentLog,
+        random: Math.random,
+        newId: nanoid,
+        digestOf: bodyDigest,
+        calls: tampered(createAgentCalls(clients, SETTLE_TIMEOUT_MS), progress => harness.tamper(progress)),
+    });
+    let sequence = 0;
+    const harness: Harness = {
+        routing,
+        agents,
+        tamper: progress => progress,
+        async publish(state = "serving") {
+            sequence++;
+            const views = agents.map(async agent => ({ state, report: await reportOf(agent, sequence) }));
+            routing.send({ kind: "fleet", agents: await Promise.all(views) });
+        },
+        send(change) {
+            const request: CallerRequest = {
+                id: undefined,
+                firstSend: true,
+                clientAccount: "counter",
+                kind: "book",
+                deadlineMs: DEADLINE_MS,
+                body: "{}",
+                ...change,
+            };
+            return routing.ask((reply: Reply<RoutingReply>) => ({ kind: "request", request, reply }));
+        },
+        async run(change) {
+            const id = change.id ?? (change.kind === "quote" ? nanoid() : await harness.ticket());
+            const reply = await harness.send({ ...change, id });
+            if (reply.kind !== "outcome") {
+                throw new Error("A request with an id got a ticket.");
+            }
+            return { id, outcome: reply.outcome };
+        },
+        async ticket() {
+            const reply = await harness.send({});
+            return reply.kind === "ticket" ? reply.ticket : "";
+        },
+        cancel: id =>
+            routing.ask((reply: Reply<Outcome>) => ({ kind: "cancel", id, clientAccount: "counter", reply })),
+        runs: id => agents.flatMap(agent => agent.runner.executed).filter(each => each === id).length,
+        async close() {
+            await routing.stop();
+            await clients.close();
+            await Promise.all(agents.map(agent => agent.close()));
+        },
+    };
+    routing.send({ kind: "configuration", configuration: CONFIGURATION });
+    await harness.publish();
+    return harness;
+}
+
+/** Polls until a condition holds, at most for 5 s. */
+export async function waitFor(condition: () => boolean, what: string): Promise<void> {
+    const end = performance.now() + WAIT_LIMIT_MS;
+    while (!condition()) {
+        if (performance.now() > end) {
+            throw new Error(`Waited in vain until ${what}.`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+}
+
+/** Checks that a verdict agrees with what the runners did, and that an answer is the caller's own. */
+export function expectTruth(outcome: Outcome, runs: number, body: string, atMostOnce: boolean): void {
+    if (outcome.verdict === "not-run") {
+        expect(runs, "runs after not-run").to.equal(0);
+    }
+    if (outcome.verdict === "ran") {
+        expect(runs, "runs after ran").to.be.greaterThan(0);
+    }
+    if (atMostOnce) {
+        expect(runs, "runs of a ticket").to.be.lessThan(2);
+    }
+    if (outcome.kind === "answer") {
+        expect((JSON.parse(outcome.answer.body) as { echo: string }).echo).to.equal(body);
+    }
+}
+
+async function startHarnessAgent(name: string): Promise<HarnessAgent> {
+    const runner = await startRunnerStandin(ANY_PORT, echoBehaviour);
+    let part = await startAgentPart(runner);
+    const proxy = await startProxyStandin(part.listener.address);
+    const agent: HarnessAgent = {
+        name,
+        incarnation: part.incarnation,
+        proxy,
+        runner,
+        task: part.task,
+        async restart() {
+            proxy.cut();
+            await part.stop();
+            part = await startAgentPart(runner);
+            proxy.target = part.listener.address;
+            agent.task = part.task;
+            agent.incarnation = part.incarnation;
+        },
+        async close() {
+            await proxy.close();
+            await part.stop();
+            await runner.kill();
+        },
+    };
+    return agent;
+}
+
+interface AgentPart {
+    incarnation: string;
+    listener: Listener;
+    task: Task<RunnerMessage>;
+    stop(): Promise<void>;
+}
+
+async function startAgentPart(runner: RunnerStandin): Promise<AgentPart> {
+    const incarnation = nanoid(10);
+    const client = createRunnerClient(runner.listener.address, 64);
+    const task = startRunnerTask({
+        incarnation,
+        slots: 8,
+        clock: systemClock,
+        log: silentLog,
+        run: client.run,
+        digestOf: bodyDigest,
+        pollWindowMs: POLL_WINDOW_MS,
+    });
+    const ask = (build: (reply: Reply<Progress>) => RunnerMessage) => task.ask(build);
+    const router = createAgentRouter({
+        requests: {
+            submit: ({ request, send }) => ask(reply => ({ kind: "submit", request, send, reply })),
+            result: reference => ask(reply => ({ kind: "result", reference, reply })),
+            settle: reference => ask(reply => ({ kind: "settle", reference, reply })),
+            cancel: reference => ask(reply => ({ kind: "cancel", reference, reply })),
+        },
+        drain: async () => ({ draining: true as const }),
+    });
+    const listener = await startPeerListener(ANY_PORT, PEER_TOKEN, router);
+    return {
+        incarnation,
+        listener,
+        task,
+        async stop() {
+            await task.stop();
+            await client.close();
+            void listener.close();
+        },
+    };
+}
+
+async function reportOf(agent: HarnessAgent, sequence: number) {
+    const runner = await agent.task.ask((reply: Reply<RunnerLoad>) => ({ kind: "load", reply }));
+    return {
+        name: agent.name,
+        incarnation: agent.incarnation,
+        sequence,
+        address: agent.proxy.address,
+        // The first agent is in the entry's zone, so that it is the first choice.
+        availabilityZone: agent.name === "agent-1" ? "windhoek" : "swakop",
+        server: "runner" as const,
+        state: "serving" as const,
+        configurationRevision: 1,
+        runner,
+        gangs: [],
+        usage: [],
+    };
+}
+
+function tampered(calls: AgentCalls, tamper: (progress: Progress) => Progress): AgentCalls {
+    const apply = async (call: Promise<Either<Failure, Progress>>) => (await call).map(tamper);
+    return {
+        ...calls,
+        submit: (address, request, send, revision) => apply(calls.submit(address, request, send, revision)),
+        result: (address, reference) => apply(calls.result(address, reference)),
+        settle: (address, reference) => apply(calls.settle(address, reference)),
+    };
+}
--- /dev/null
+++ b/standins/src/network/proxyStandin.ts
@@ -0,0 +1,217 @@
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/**
+ * What happens to one HTTP request on its way.
+ * - `cut-before`, `cut-after`: the connection is cut before the target gets the request, or when it replies.
+ * - `silent-before`, `silent-after`: nothing passes any more, from the request or from the reply on.
+ * - `hold`: the request is kept until `release`, and then reaches the target even if its client is gone.
+ */
+export type ProxyFault =
+    "none" | "cut-before" | "cut-after" | "silent-before" | "silent-after" | "hold" | "freeze";
+
+/** A stand-in for the network between a client and one HTTP server. */
+export interface ProxyStandin {
+    address: string;
+    /** `ip:port` that new connections go to. */
+    target: string;
+    /** Decides on each HTTP request by its path, such as `/submit`. */
+    faultFor: (path: string) => ProxyFault;
+    /** Refuses connections and cuts the open ones. */
+    refuse(): Promise<void>;
+    accept(): Promise<void>;
+    cut(): void;
+    /** The open connections pass nothing any more; new ones work. */
+    silence(): void;
+    /** Passes nothing until `resume`, which then delivers everything, also from clients that are gone. */
+    freeze(): void;
+    resume(): void;
+    release(): void;
+    /** Sends the last request with this path to the target once more. */
+    replay(path: string): void;
+    close(): Promise<void>;
+}
+
+interface Connection {
+    client: Socket;
+    upstream: Socket | undefined;
+    fault: ProxyFault;
+    held: Buffer[];
+    silenced: boolean;
+    path: string;
+}
+
+interface State {
+    connections: Set<Connection>;
+    copies: Map<string, Buffer[]>;
+    frozen: boolean;
+    server: Server;
+}
+
+/** Starts the stand-in in front of `target`. */
+export async function startProxyStandin(target: string): Promise<ProxyStandin> {
+    const state: State = {
+        connections: new Set(),
+        copies: new Map(),
+        frozen: false,
+        server: createServer(client => open(proxy, state, client)),
+    };
+    const proxy: ProxyStandin = {
+        address: "",
+        target,
+        faultFor: () => "none",
+        async refuse() {
+            proxy.cut();
+            await new Promise<void>(resolve => state.server.close(() => resolve()));
+        },
+        accept: () => listen(state.server, Number(proxy.address.split(":")[1])),
+        cut() {
+            for (const connection of state.connections) {
+                close(state, connection);
+            }
+        },
+        silence() {
+            for (const connection of state.connections) {
+                connection.silenced = true;
+            }
+        },
+        freeze() {
+            state.frozen = true;
+        },
+        resume() {
+            state.frozen = false;
+            for (const connection of state.connections) {
+                connection.fault = connection.fault === "freeze" ? "none" : connection.fault;
+                connection.client.resume();
+                connection.upstream?.resume();
+                flush(proxy, state, connection);
+            }
+        },
+        release() {
+            for (const connection of state.connections) {
+                if (connection.fault === "hold") {
+                    connection.fault = "none";
+                    flush(proxy, state, connection);
+                }
+            }
+        },
+        replay(path) {
+            const { host, port } = split(proxy.target);
+            const socket = connect(port, host);
+            socket.on("error", () => undefined);
+            for (const chunk of state.copies.get(path) ?? []) {
+                socket.write(chunk);
+            }
+        },
+        async close() {
+            proxy.cut();
+            await new Promise<void>(resolve => state.server.close(() => resolve()));
+        },
+    };
+    await listen(state.server, 0);
+    proxy.address = `127.0.0.1:${(state.server.address() as AddressInfo).port}`;
+    return proxy;
+}
+
+function open(proxy: ProxyStandin, state: State, client: Socket): void {
+    const connection: Connection = {
+        client,
+        upstream: undefined,
+        fault: "none",
+        held: [],
+        silenced: false,
+        path: "",
+    };
+    state.connections.add(connection);
+    client.on("error", () => undefined);
+    client.on("close", () => clientClosed(state, connection));
+    client.on("data", chunk => fromClient(proxy, state, connection, chunk));
+}
+
+function fromClient(proxy: ProxyStandin, state: State, connection: Connection, chunk: Buffer): void {
+    if (connection.silenced) {
+        return;
+    }
+    const path = /^(?:POST|GET|DELETE) (\/[^ ?]*)/.exec(chunk.toString("latin1", 0, 200))?.[1];
+    if (path !== undefined) {
+        connection.path = path;
+        connection.fault = proxy.faultFor(path);
+        state.copies.set(path, []);
+    }
+    if (state.frozen || connection.fault === "freeze") {
+        state.frozen = true;
+        connection.fault = "freeze";
+    }
+    if (connection.fault === "cut-before") {
+        close(state, connection);
+        return;
+    }
+    if (connection.fault === "silent-before") {
+        return;
+    }
+    state.copies.get(connection.path)?.push(chunk);
+    connection.held.push(chunk);
+    if (connection.fault !== "hold" && !state.frozen) {
+        flush(proxy, state, connection);
+    }
+}
+
+function flush(proxy: ProxyStandin, state: State, connection: Connection): void {
+    if (connection.held.length === 0) {
+        return;
+    }
+    connection.upstream ??= openUpstream(proxy, state, connection);
+    for (const chunk of connection.held.splice(0)) {
+        connection.upstream.write(chunk);
+    }
+}
+
+function openUpstream(proxy: ProxyStandin, state: State, connection: Connection): Socket {
+    const { host, port } = split(proxy.target);
+    const upstream = connect(port, host);
+    upstream.on("error", () => undefined);
+    upstream.on("close", () => {
+        // A silent connection does not even show its client that the target is gone.
+        if (connection.fault !== "silent-after" && !connection.silenced) {
+            close(state, connection);
+        }
+    });
+    upstream.on("data", chunk => {
+        if (connection.fault === "cut-after") {
+            close(state, connection);
+            return;
+        }
+        if (connection.fault === "silent-after" || connection.silenced) {
+            return;
+        }
+        if (state.frozen) {
+            upstream.pause();
+            upstream.unshift(chunk);
+            return;
+        }
+        connection.client.write(chunk);
+    });
+    return upstream;
+}
+
+/** A client that goes away does not take back what is held or frozen. */
+function clientClosed(state: State, connection: Connection): void {
+    if (connection.held.length === 0) {
+        close(state, connection);
+    }
+}
+
+function close(state: State, connection: Connection): void {
+    state.connections.delete(connection);
+    connection.client.destroy();
+    connection.upstream?.destroy();
+}
+
+function split(address: string): { host: string; port: number } {
+    const [host, port] = address.split(":");
+    return { host: host ?? "", port: Number(port) };
+}
+
+function listen(server: Server, port: number): Promise<void> {
+    return new Promise(resolve => server.listen(port, "127.0.0.1", () => resolve()));
+}
--- a/standins/src/runner/runnerStandin.ts
+++ b/standins/src/runner/runnerStandin.ts
@@ -1,15 +1,28 @@
 import { readBody, sendJson, startListener, type Listener } from "@tanagerdeck/runtime/http/listener";
 
 const BODY_LIMIT_BYTES = 8 * 1024 * 1024;
+const NOT_STARTED_STATUS = 503;
 
 /** How a runner stand-in executes one request: the answer's body, or a failure. */
 export type RunnerBehaviour = (kind: string, body: string) => Promise<{ status: number; body: string }>;
 
+/**
+ * Fault of a runner stand-in.
+ * - `not-started`: refuses with status 503; - `cut`: starts the request and cuts the connection;
+ * - `silent`: starts the request and never answers; - `truncate`: cuts the connection within the answer;
+ * - `swap`: answers with the id of another request.
+ */
+export type RunnerFault = "none" | "not-started" | "cut" | "silent" | "truncate" | "swap";
+
 /** A stand-in for a desk runner. */
 export interface RunnerStandin {
     listener: Listener;
     /** Ids executed, in order; an id that stands twice ran twice. */
     executed: string[];
+    /** Tests change it while the stand-in runs. */
+    fault: RunnerFault;
+    /** Closes the listener and all connections. */
+    kill(): Promise<void>;
 }
 
 /** Waits `ms` from a body of `{ "ms": 20 }` and echoes the body. */
@@ -27,15 +40,45 @@
     address: string,
     behaviour: RunnerBehaviour,
 ): Promise<RunnerStandin> {
-    const executed: string[] = [];
+    const sockets = new Set<{ destroy(): void }>();
+    const standin: Omit<RunnerStandin, "listener"> = {
+        executed: [],
+        fault: "none",
+        async kill() {
+            const closed = listener.close();
+            for (const socket of sockets) {
+                socket.destroy();
+            }
+            await closed;
+        },
+    };
     const listener = await startListener(address, (request, response) => {
+        sockets.add(request.socket);
+        request.socket.once("close", () => sockets.delete(request.socket));
         void (async () => {
             const text = await readBody(request, BODY_LIMIT_BYTES);
             const { id, kind, body } = JSON.parse(text ?? "{}") as { id: string; kind: string; body: string };
-            executed.push(id);
+            if (standin.fault === "not-started") {
+                sendJson(response, NOT_STARTED_STATUS, {});
+                return;
+            }
+            standin.executed.push(id);
+            if (standin.fault === "silent") {
+                return;
+            }
+            if (standin.fault === "cut") {
+                request.socket.destroy();
+                return;
+            }
             const result = await behaviour(kind, body);
-            sendJson(response, result.status, { id, body: result.body });
+            if (standin.fault === "truncate") {
+                response.writeHead(200, { "content-length": "1000" });
+                response.write('{"id":"', () => request.socket.destroy());
+                return;
+            }
+            const answered = standin.fault === "swap" ? "another" : id;
+            sendJson(response, result.status, { id: answered, body: result.body });
         })().catch(() => request.socket.destroy());
     });
-    return { listener, executed };
+    return Object.assign(standin, { listener });
 }
