Make the fault cases end their sockets and use one agent for silent connections

The case for silent connections sometimes sent its ticket to an agent without open connections and then rightly ran: 1 failure in a full run of 154.

--- a/packages/tanagerdeck/src/entry/requestAnswer.fault.spec.ts
+++ b/packages/tanagerdeck/src/entry/requestAnswer.fault.spec.ts
@@ -92,6 +92,8 @@
 
     describe("step: settle", () => {
         it("fault: all open connections silent for good: settled on a new one at once", async () => {
+            await harness.close();
+            harness = await startHarness(1);
             await Promise.all(Array.from({ length: 8 }, () => harness.run({ body: '{"ms":50}' })));
             const id = await harness.ticket();
             for (const { proxy } of harness.agents) {
--- a/standins/src/network/proxyStandin.ts
+++ b/standins/src/network/proxyStandin.ts
@@ -45,6 +45,7 @@
     connections: Set<Connection>;
     copies: Map<string, Buffer[]>;
     frozen: boolean;
+    replays: Socket[];
     server: Server;
 }
 
@@ -54,6 +55,7 @@
         connections: new Set(),
         copies: new Map(),
         frozen: false,
+        replays: [],
         server: createServer(client => open(proxy, state, client)),
     };
     const proxy: ProxyStandin = {
@@ -99,12 +101,16 @@
             const { host, port } = split(proxy.target);
             const socket = connect(port, host);
             socket.on("error", () => undefined);
+            state.replays.push(socket);
             for (const chunk of state.copies.get(path) ?? []) {
                 socket.write(chunk);
             }
         },
         async close() {
             proxy.cut();
+            for (const socket of state.replays) {
+                socket.destroy();
+            }
             await new Promise<void>(resolve => state.server.close(() => resolve()));
         },
     };
