Add the caller client that handles tickets and checks answers

Callers had to take tickets, repeat by id and check digests themselves. The client sends a random id first; the entry now answers any id that is no ticket with a ticket when the kind may not be repeated, so the client need not know the kinds. It repeats after a lost or damaged reply with the same id, marked as not the first send, so that an entry's refusal then counts as may-have-run.

--- /dev/null
+++ b/packages/caller/src/client/requestClient.ts
@@ -0,0 +1,123 @@
+import { setTimeout as pause } from "node:timers/promises";
+import { nanoid } from "nanoid";
+import { Agent, request as send } from "undici";
+import { failure, type Failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { checkResponse, type EntryResponse } from "./responseCheck.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const REPEAT_PAUSE_MS = 200;
+/** Time after the deadline for which an entry's last word is waited for. */
+const DEADLINE_GRACE_MS = 1_000;
+const TICKET_STATUS = 428;
+const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+/** Refusals of an entry that has not looked at the id. */
+const BLIND_REASONS = new Set<Failure["reason"]>(["no-configuration", "access-denied"]);
+
+/** A request of a caller. Without an id a random one is used; a kind that may not be repeated gets a ticket. */
+export interface ClientRequest {
+    kind: string;
+    id?: string;
+    deadlineMs: number;
+    body: string;
+}
+
+/** Sends requests to entries and repeats them by id until the outcome is known or the deadline has passed. */
+export interface RequestClient {
+    submit(request: ClientRequest): Promise<{ id: string; outcome: Outcome }>;
+    /** The verdict after a cancellation; `ran` if it came too late. */
+    cancel(id: string): Promise<Outcome>;
+    close(): Promise<void>;
+}
+
+/** The entries' caller listeners as `ip:port`, and the client account's bearer token. */
+export interface RequestClientOptions {
+    addresses: string[];
+    token: string;
+}
+
+interface Attempt {
+    id: string;
+    /** True if the id was sent before, so that a refusal says nothing about the earlier send. */
+    sent: boolean;
+    deadlineAt: number;
+    turn: number;
+}
+
+/** Builds a client that owns its connections. */
+export function createRequestClient(options: RequestClientOptions): RequestClient {
+    const dispatcher = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
+
+    async function call(
+        method: "POST" | "DELETE",
+        path: string,
+        turn: number,
+        body?: object,
+        timeoutMs = 5_000,
+    ) {
+        const address = options.addresses[turn % options.addresses.length];
+        const response = await send(`http://${address}${path}`, {
+            method,
+            dispatcher,
+            headers: { authorization: `Bearer ${options.token}` },
+            body: body && JSON.stringify(body),
+            signal: AbortSignal.timeout(timeoutMs),
+        });
+        const bytes = Buffer.from(await response.body.arrayBuffer());
+        return { status: response.statusCode, headers: response.headers, bytes };
+    }
+
+    async function tryOnce(request: ClientRequest, attempt: Attempt): Promise<Outcome | undefined> {
+        const remainingMs = Math.ceil(attempt.deadlineAt - performance.now());
+        const { kind, body } = request;
+        const message = { kind, body, id: attempt.id, firstSend: !attempt.sent, deadlineMs: remainingMs };
+        let response: EntryResponse;
+        try {
+            const timeoutMs = remainingMs + DEADLINE_GRACE_MS;
+            response = await call("POST", "/v1/requests", attempt.turn++, message, timeoutMs);
+        } catch (error) {
+            attempt.sent ||= !NOT_SENT_CODES.has((error as { code?: string }).code ?? "");
+            return undefined;
+        }
+        if (response.status === TICKET_STATUS) {
+            attempt.id = (JSON.parse(response.bytes.toString("utf8")) as { ticket: string }).ticket;
+            attempt.sent = false;
+            return tryOnce(request, attempt);
+        }
+        const outcome = checkResponse(attempt.id, response);
+        const blind = outcome?.kind === "failure" && BLIND_REASONS.has(outcome.reason);
+        if (outcome && blind && attempt.sent) {
+            return { ...outcome, verdict: "may-have-run" } as Failure;
+        }
+        attempt.sent = true;
+        return outcome;
+    }
+
+    return {
+        async submit(request) {
+            const deadlineAt = performance.now() + request.deadlineMs;
+            const given = request.id !== undefined;
+            const attempt: Attempt = { id: request.id ?? nanoid(), sent: given, deadlineAt, turn: 0 };
+            while (performance.now() < deadlineAt) {
+                const outcome = await tryOnce(request, attempt);
+                if (outcome) {
+                    return { id: attempt.id, outcome };
+                }
+                await pause(Math.min(REPEAT_PAUSE_MS, Math.max(0, deadlineAt - performance.now())));
+            }
+            const verdict = attempt.sent ? "may-have-run" : "not-run";
+            const outcome = failure(verdict, "deadline-exceeded", "No entry answered before the deadline.");
+            return { id: attempt.id, outcome };
+        },
+        async cancel(id) {
+            try {
+                const response = await call("DELETE", `/v1/requests/${encodeURIComponent(id)}`, 0);
+                const reply = JSON.parse(response.bytes.toString("utf8")) as Partial<Failure>;
+                const { verdict = "may-have-run", reason = "cancelled", detail = "" } = reply;
+                return failure(verdict, reason, detail);
+            } catch (error) {
+                return failure("may-have-run", "unreachable", `The entry did not answer: ${String(error)}.`);
+            }
+        },
+        close: () => dispatcher.destroy(),
+    };
+}
--- a/packages/caller/src/routing/routingTask.ts
+++ b/packages/caller/src/routing/routingTask.ts
@@ -70,15 +70,12 @@
             joinFlight(known, request, reply);
             return;
         }
-        if (!kind.repeatable && request.id === undefined) {
+        if (!kind.repeatable && !parseTicket(id)) {
             issueTicket(state, kind, request, reply);
             return;
         }
-        if (kind.repeatable === (parseTicket(id) !== undefined)) {
-            const detail = kind.repeatable
-                ? "An id with three ~ is reserved for tickets."
-                : "The id of this kind must be a ticket.";
-            refuse(request, id, reply, "invalid", detail);
+        if (kind.repeatable && parseTicket(id)) {
+            refuse(request, id, reply, "invalid", "An id with three ~ is reserved for tickets.");
             return;
         }
         admit(state, { key, id, kind, request, reply }, context);
