--- a/scripts/bench/bench.ts
+++ b/scripts/bench/bench.ts
@@ -1,7 +1,8 @@
 import { type Bench } from "./benchTypes.ts";
+import { requestBench } from "./requestBench.ts";
 
 /** Benches in the order in which they run. */
-const benches: Bench[] = [];
+const benches: Bench[] = [requestBench];
 
 for (const bench of benches) {
     for (const measure of await bench()) {
