--- a/packages/caller/src/job/jobRoutes.ts
+++ b/packages/caller/src/job/jobRoutes.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
 import { nanoid } from "nanoid";
 import { z } from "zod";
-import { failure, type FailureReason } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { readBody, sendJson } from "@tanagerdeck/runtime/http/listener";
 import { parseJson, type Routes } from "@tanagerdeck/runtime/http/routes";
 import type { CallerContext } from "../listener/callerListener.ts";
@@ -23,15 +23,6 @@
     body: z.string(),
 });
 
-/** Status codes of refusals; others follow from the verdict. */
-const STATUS_BY_REASON: Partial<Record<FailureReason, number>> = {
-    invalid: 400,
-    infeasible: 422,
-    "limit-exceeded": 429,
-    conflict: 409,
-    "not-found": 404,
-};
-
 /** Operations on jobs, supplied by the jobs task. */
 export interface JobOperations {
     submit(job: CallerJob): Promise<JobReply>;
@@ -46,7 +37,7 @@
             const text = await readBody(request, BODY_LIMIT_BYTES);
             const parsed = jobSchema.safeParse(parseJson(text));
             if (!parsed.success) {
-                sendFailure(response, 400, failure("not-run", "invalid", z.prettifyError(parsed.error)));
+                sendFailure(response, failure("not-run", "invalid", z.prettifyError(parsed.error)));
                 return;
             }
             const { id, ...rest } = parsed.data;
@@ -71,8 +62,7 @@
 /** Sends a status; the verdict of an open job is `may-have-run`. */
 function sendReply(response: ServerResponse, status: number, reply: JobReply): void {
     if (reply.kind === "failure") {
-        const byVerdict = reply.verdict === "not-run" ? 503 : 504;
-        sendFailure(response, STATUS_BY_REASON[reply.reason] ?? byVerdict, reply);
+        sendFailure(response, reply);
         return;
     }
     const verdict = reply.status.end?.verdict ?? "may-have-run";
--- a/packages/caller/src/listener/callerListener.ts
+++ b/packages/caller/src/listener/callerListener.ts
@@ -38,18 +38,18 @@
 ): Promise<void> {
     const found = findRoute(options.routes, request);
     if (!found) {
-        refuse(options, response, 404, failure("not-run", "not-found", "There is no such resource."));
+        refuse(options, response, failure("not-run", "not-found", "There is no such resource."));
         return;
     }
     const admitted = request.method === "POST" ? await options.admit() : await held(options);
     if (admitted.isLeft()) {
-        refuse(options, response, 503, admitted.extract());
+        refuse(options, response, admitted.extract());
         return;
     }
     const configuration = admitted.unsafeCoerce();
     const clientAccount = authenticate(configuration, bearerToken(request));
     if (!clientAccount) {
-        refuse(options, response, 401, failure("not-run", "access-denied", "The bearer token is not known."));
+        refuse(options, response, failure("not-run", "access-denied", "The bearer token is not known."));
         return;
     }
     const context = { clientAccount, configuration };
@@ -63,14 +63,9 @@
     return configuration ? Right(configuration) : Left(unknown);
 }
 
-function refuse(
-    options: CallerListenerOptions,
-    response: ServerResponse,
-    status: number,
-    problem: Failure,
-): void {
+function refuse(options: CallerListenerOptions, response: ServerResponse, problem: Failure): void {
     options.metrics.refused(problem.reason);
-    sendFailure(response, status, problem);
+    sendFailure(response, problem);
 }
 
 /** The client account of a token; all digests are compared, so that the time tells nothing. */
--- a/packages/peer/src/link/peerClient.ts
+++ b/packages/peer/src/link/peerClient.ts
@@ -1,13 +1,21 @@
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
-import { Agent, type Dispatcher } from "undici";
+import { Agent } from "undici";
 import type { AgentRouter } from "./agentRouter.ts";
 import type { EntryRouter } from "./entryRouter.ts";
+import { createPooledFetch, createWatchedFetch, type CallOptions, type LinkFetch } from "./watchedFetch.ts";
 
 /** Connections to one address; large answers then do not block small ones. */
 const CONNECTIONS_PER_ADDRESS = 16;
 /** A connection that is not open after this time counts as not sent. */
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
+/**
+ * A long poll of 1,500 ms plus 900 ms for the way; a connection silent for longer is given up.
+ * The remaining 100 ms to the stated 2,500 ms are for late timers of a busy process.
+ */
+export const POLL_SILENT_MS = 2_400;
+/** A call on a new connection is answered at once or, for cancel, at the end of the poll window. */
+const FRESH_SILENT_MS = 2_500;
 
 /** Context of a call: the trace context that is sent as `traceparent`. */
 export interface CallTrace {
@@ -17,30 +25,39 @@
 /** Clients of the other processes, by `ip:port`. Owns the connection pool. */
 export interface PeerClients {
     agent(address: string): TRPCClient<AgentRouter>;
+    /** A client whose calls fail when their connection is silent, however long they take in all. */
+    pollingAgent(address: string): TRPCClient<AgentRouter>;
+    /** A client that opens a connection for each call, for use when an open connection may be silent. */
+    freshAgent(address: string): TRPCClient<AgentRouter>;
     entry(address: string): TRPCClient<EntryRouter>;
     /** Drops the clients whose address is not listed. */
     retain(addresses: Set<string>): void;
     close(): Promise<void>;
 }
 
-/** Builds clients that show the peers' token. */
-export function createPeerClients(token: string): PeerClients {
+/** Builds clients that show the peers' token; `silentMs` is the time after which a polled connection is given up. */
+export function createPeerClients(token: string, silentMs: number = POLL_SILENT_MS): PeerClients {
     const dispatcher = new Agent({
         connections: CONNECTIONS_PER_ADDRESS,
         connect: { timeout: CONNECT_TIMEOUT_MS },
         keepAliveTimeout: KEEP_ALIVE_MS,
     });
+    // Without pipelining undici sends one request on a connection and closes it.
+    const freshDispatcher = new Agent({ pipelining: 0, connect: { timeout: CONNECT_TIMEOUT_MS } });
+    const pooled = createPooledFetch(dispatcher);
+    const polling = createWatchedFetch(dispatcher, silentMs);
+    const fresh = createWatchedFetch(freshDispatcher, FRESH_SILENT_MS);
     const agents = new Map<string, TRPCClient<AgentRouter>>();
     const entries = new Map<string, TRPCClient<EntryRouter>>();
 
-    function link(address: string) {
+    function link(address: string, fetchThrough: LinkFetch) {
         return httpLink({
             url: `http://${address}`,
             headers: ({ op }) => {
                 const { traceparent } = op.context as CallTrace;
                 return { authorization: `Bearer ${token}`, ...(traceparent ? { traceparent } : {}) };
             },
-            fetch: (url, options) => send(dispatcher, String(url), options as CallOptions),
+            fetch: (url, options) => fetchThrough(String(url), options as CallOptions),
         });
     }
 
@@ -48,15 +65,17 @@
         agent(address) {
             let client = agents.get(address);
             if (!client) {
-                client = createTRPCClient<AgentRouter>({ links: [link(address)] });
+                client = createTRPCClient<AgentRouter>({ links: [link(address, pooled)] });
                 agents.set(address, client);
             }
             return client;
         },
+        pollingAgent: address => createTRPCClient<AgentRouter>({ links: [link(address, polling)] }),
+        freshAgent: address => createTRPCClient<AgentRouter>({ links: [link(address, fresh)] }),
         entry(address) {
             let client = entries.get(address);
             if (!client) {
-                client = createTRPCClient<EntryRouter>({ links: [link(address)] });
+                client = createTRPCClient<EntryRouter>({ links: [link(address, pooled)] });
                 entries.set(address, client);
             }
             return client;
@@ -70,22 +89,9 @@
                 }
             }
         },
-        close: () => dispatcher.destroy(),
+        async close() {
+            await dispatcher.destroy();
+            await freshDispatcher.destroy();
+        },
     };
 }
-
-/** What trpc's link passes to its transport. */
-interface CallOptions {
-    method: "GET" | "POST";
-    headers: Record<string, string>;
-    body?: string;
-    signal?: AbortSignal;
-}
-
-/** Sends one call. undici's `fetch` would cost several megabytes and more processor time for each call. */
-async function send(dispatcher: Agent, url: string, options: CallOptions): Promise<Response> {
-    const { origin, pathname, search } = new URL(url);
-    const request: Dispatcher.RequestOptions = { origin, path: pathname + search, ...options };
-    const { statusCode, body } = await dispatcher.request(request);
-    return { status: statusCode, ok: statusCode < 400, json: () => body.json() } as Response;
-}
--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -33,7 +33,15 @@
         traces,
         connect(require) {
             if (server.kind === "runner") {
-                return startRunnerServer({ settings: server, clock, log, metrics, traces, require });
+                return startRunnerServer({
+                    settings: server,
+                    incarnation,
+                    clock,
+                    log,
+                    metrics,
+                    traces,
+                    require,
+                });
             }
             return startWorkerServer({
                 settings: server,
--- a/packages/tanagerdeck/src/agent/runnerServer.ts
+++ b/packages/tanagerdeck/src/agent/runnerServer.ts
@@ -1,9 +1,11 @@
 import { createRunnerClient } from "@tanagerdeck/backend/runner/runnerClient";
 import { startRunnerTask } from "@tanagerdeck/backend/runner/runnerTask";
 import type { RunnerLoad } from "@tanagerdeck/decisions/fleet/reportTypes";
-import type { Progress, Request } from "@tanagerdeck/decisions/request/requestTypes";
+import type { LedgerReference } from "@tanagerdeck/decisions/request/ledgerTypes";
+import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import { noGangHandlers } from "@tanagerdeck/peer/gang/gangHandlers";
 import type { RequestHandlers } from "@tanagerdeck/peer/link/agentRouter";
+import { bodyDigest } from "@tanagerdeck/runtime/access/bodyDigest";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
 import type { Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
@@ -22,6 +24,7 @@
 /** Dependencies of the tasks of an agent beside a runner. */
 export interface RunnerServerOptions {
     settings: RunnerSettings;
+    incarnation: string;
     clock: Clock;
     log: Log;
     metrics: Metrics;
@@ -31,9 +34,11 @@
 
 /** Starts the tasks of an agent beside a runner. */
 export function startRunnerServer(options: RunnerServerOptions): BackendServer {
-    const { settings, clock, log, metrics, traces, require } = options;
+    const { settings, incarnation, clock, log, metrics, traces, require } = options;
     const client = createRunnerClient(settings.address, settings.connections);
     const runner = startRunnerTask({
+        incarnation,
+        digestOf: bodyDigest,
         slots: settings.slots,
         clock,
         log: log.part("runner"),
@@ -46,11 +51,10 @@
     });
 
     /** The progress of a request that is known here, else the refusal: a repeat may belong to work that ran. */
-    async function knownOr({ id, clientAccount }: Request, refusal: Progress): Promise<Progress> {
+    async function knownOr(reference: LedgerReference, refusal: Progress): Promise<Progress> {
         const known = await runner.ask((reply: Reply<Progress>) => ({
             kind: "result",
-            id,
-            clientAccount,
+            reference,
             reply,
         }));
         const unknown =
@@ -59,18 +63,19 @@
     }
 
     const requests: RequestHandlers = {
-        async submit({ request, configurationRevision }) {
+        async submit({ request, send, configurationRevision }) {
             const current = await require(configurationRevision);
             return current.caseOf<Promise<Progress>>({
-                Left: refusal => knownOr(request, { kind: "done", outcome: refusal }),
-                Right: () => runner.ask(reply => ({ kind: "submit", request, reply })),
+                Left: refusal => {
+                    const { id, clientAccount } = request;
+                    return knownOr({ ...send, id, clientAccount }, { kind: "done", id, outcome: refusal });
+                },
+                Right: () => runner.ask(reply => ({ kind: "submit", request, send, reply })),
             });
         },
-        result: reference =>
-            runner.ask((reply: Reply<Progress>) => ({ kind: "result", ...reference, reply })),
-        settle: reference =>
-            runner.ask((reply: Reply<Progress>) => ({ kind: "settle", ...reference, reply })),
-        cancel: async () => undefined,
+        result: reference => runner.ask((reply: Reply<Progress>) => ({ kind: "result", reference, reply })),
+        settle: reference => runner.ask((reply: Reply<Progress>) => ({ kind: "settle", reference, reply })),
+        cancel: reference => runner.ask((reply: Reply<Progress>) => ({ kind: "cancel", reference, reply })),
     };
 
     return {
@@ -80,10 +85,13 @@
             metrics.load("request", load);
             return { runner: load, gangs: [], usage: [] };
         },
-        adopted: () => undefined,
+        adopted({ document }) {
+            runner.send({ kind: "accounts", accounts: document.clientAccounts });
+        },
         replied: () => undefined,
         async drain() {
             runner.send({ kind: "drain" });
+            await runner.ask((reply: Reply<undefined>) => ({ kind: "idle", reply }));
         },
         async stop() {
             await runner.stop();
--- a/packages/tanagerdeck/src/agent/workerServer.ts
+++ b/packages/tanagerdeck/src/agent/workerServer.ts
@@ -3,6 +3,7 @@
 import type { WorkerStatus } from "@tanagerdeck/backend/worker/workerTypes";
 import type { GangReport } from "@tanagerdeck/decisions/fleet/reportTypes";
 import { boundAccounts } from "@tanagerdeck/decisions/ledger/ledger";
+import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startAnchorTask } from "@tanagerdeck/peer/gang/anchorTask";
 import { createMemberCalls } from "@tanagerdeck/peer/gang/gangCalls";
@@ -41,12 +42,16 @@
     log: Log;
 }
 
+function refuseRequest({ id }: { id: string }): Progress {
+    return { kind: "done", id, outcome: noRunner };
+}
+
 /** Request operations of an agent that has no runner. */
 const noRequestHandlers: RequestHandlers = {
-    submit: async () => ({ kind: "done", outcome: noRunner }),
-    result: async () => ({ kind: "done", outcome: noRunner }),
-    settle: async () => ({ kind: "done", outcome: noRunner }),
-    cancel: async () => undefined,
+    submit: async ({ request }) => refuseRequest(request),
+    result: async reference => refuseRequest(reference),
+    settle: async reference => refuseRequest(reference),
+    cancel: async reference => refuseRequest(reference),
 };
 
 /** Starts and connects the tasks of an agent beside a worker. */
--- a/packages/tanagerdeck/src/entry/agentCalls.ts
+++ b/packages/tanagerdeck/src/entry/agentCalls.ts
@@ -1,12 +1,15 @@
-import type { AgentCalls } from "@tanagerdeck/caller/routing/routingTask";
+import type { AgentCalls } from "@tanagerdeck/caller/routing/routingState";
 import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { isRefusedConnection, peerCall } from "@tanagerdeck/peer/link/peerCall";
 import { withSpan, type StartSpan } from "@tanagerdeck/runtime/trace/traceTypes";
 
-/** A long poll of 1,500 ms plus 1,000 ms for the way; a connection silent for longer is given up. */
-const POLL_TIMEOUT_MS = 2_500;
+/** Longest transfer of one answer; a silent connection is given up much earlier by the client. */
+const TRANSFER_TIMEOUT_MS = 60_000;
+/** Settle is answered at once; the time is for connecting and the way. */
 const SETTLE_TIMEOUT_MS = 1_000;
+/** Cancel waits for a run to end, at most for one poll window. */
+const CANCEL_TIMEOUT_MS = 2_500;
 
 /** What the calls tell the entry's other tasks. */
 export interface AgentCallEvents {
@@ -16,20 +19,21 @@
     refused(address: string): void;
 }
 
-/** The routing task's calls over trpc. */
+/** The routing task's calls over trpc. A call after a lost reply opens a new connection. */
 export function createAgentCalls(
     clients: PeerClients,
     events: AgentCallEvents,
     startSpan: StartSpan,
+    settleTimeoutMs: number = SETTLE_TIMEOUT_MS,
 ): AgentCalls {
     return {
-        async submit(address, { traceparent: parent, ...request }, configurationRevision) {
+        async submit(address, { traceparent: parent, ...request }, send, configurationRevision) {
             const result = await withSpan(startSpan, "call agent", parent, ({ traceparent }) =>
-                peerCall(POLL_TIMEOUT_MS, signal =>
+                peerCall(TRANSFER_TIMEOUT_MS, signal =>
                     clients
-                        .agent(address)
+                        .pollingAgent(address)
                         .submit.mutate(
-                            { request, configurationRevision },
+                            { request, send, configurationRevision },
                             { signal, context: { traceparent } },
                         ),
                 ),
@@ -42,13 +46,17 @@
             }
             return result;
         },
-        result: (address, id, clientAccount) =>
-            peerCall(POLL_TIMEOUT_MS, signal =>
-                clients.agent(address).result.mutate({ id, clientAccount }, { signal }),
+        result: (address, reference) =>
+            peerCall(TRANSFER_TIMEOUT_MS, signal =>
+                clients.pollingAgent(address).result.mutate(reference, { signal }),
             ),
-        settle: (address, id, clientAccount) =>
-            peerCall(SETTLE_TIMEOUT_MS, signal =>
-                clients.agent(address).settle.mutate({ id, clientAccount }, { signal }),
+        settle: (address, reference) =>
+            peerCall(settleTimeoutMs, signal =>
+                clients.freshAgent(address).settle.mutate(reference, { signal }),
+            ),
+        cancel: (address, reference) =>
+            peerCall(CANCEL_TIMEOUT_MS, signal =>
+                clients.freshAgent(address).cancel.mutate(reference, { signal }),
             ),
     };
 }
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -7,6 +7,7 @@
 import type { Failure, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startCallerListener } from "@tanagerdeck/caller/listener/callerListener";
 import { createRequestRoutes } from "@tanagerdeck/caller/routing/requestRoutes";
+import type { RoutingReply } from "@tanagerdeck/caller/routing/routingState";
 import { startRoutingTask } from "@tanagerdeck/caller/routing/routingTask";
 import { startOperatorListener } from "@tanagerdeck/operator/listener/operatorListener";
 import { createEntryRouter, type ConfigurationStatus } from "@tanagerdeck/peer/link/entryRouter";
@@ -14,6 +15,7 @@
 import { createPeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
 import { createEtcdStore } from "@tanagerdeck/platform/store/etcdStore";
+import { bodyDigest } from "@tanagerdeck/runtime/access/bodyDigest";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
 import { startMetricsListener, type Health } from "@tanagerdeck/runtime/metrics/metricsListener";
 import { createPromMetrics } from "@tanagerdeck/runtime/metrics/promMetrics";
@@ -51,6 +53,8 @@
         clock,
         log: log.part("routing"),
         random: Math.random,
+        newId: nanoid,
+        digestOf: bodyDigest,
         calls: createAgentCalls(
             clients,
             {
@@ -148,15 +152,22 @@
                 reply,
             })),
         routes: {
-            ...createRequestRoutes(async request => {
-                const outcome = await routing.ask((reply: Reply<Outcome>) => ({
-                    kind: "request",
-                    request,
-                    reply,
-                }));
-                metrics.ended("request", outcome);
-                return outcome;
-            }, traces.startRoot),
+            ...createRequestRoutes({
+                async submit(request) {
+                    const reply = await routing.ask((done: Reply<RoutingReply>) => ({
+                        kind: "request",
+                        request,
+                        reply: done,
+                    }));
+                    if (reply.kind === "outcome") {
+                        metrics.ended("request", reply.outcome);
+                    }
+                    return reply;
+                },
+                cancel: (id, clientAccount) =>
+                    routing.ask((reply: Reply<Outcome>) => ({ kind: "cancel", id, clientAccount, reply })),
+                startRoot: traces.startRoot,
+            }),
             ...jobs.routes,
         },
         metrics,
@@ -178,7 +189,10 @@
         },
         async stop() {
             health = "stopping";
+            // The load balancer needs time to see that this entry is stopping; until then it still sends requests.
+            await new Promise<void>(resolve => clock.startTimer(settings.lingerMs, resolve));
             await callerListener.close();
+            await routing.ask((reply: Reply<undefined>) => ({ kind: "idle", reply }));
             await jobs.handOver();
             await operatorListener.close();
             await peerListener.close();
--- a/packages/tanagerdeck/src/entry/testing/controlWorld.ts
+++ b/packages/tanagerdeck/src/entry/testing/controlWorld.ts
@@ -76,6 +76,8 @@
         adopted: ({ revision }) => adopted.push(revision),
     });
     const runner = startRunnerTask({
+        incarnation: "one",
+        digestOf: body => body,
         slots: 8,
         clock,
         log: silentLog,
@@ -197,6 +199,7 @@
             remainingMs: 5_000,
             body: "",
         },
+        send: { incarnation: "one", attempt: id },
         reply,
     }));
     return progress.kind === "done" ? progress.outcome : undefined;
--- a/scripts/bench/bench.ts
+++ b/scripts/bench/bench.ts
@@ -3,9 +3,10 @@
 import { gangBench } from "./gangBench.ts";
 import { placementBench } from "./placementBench.ts";
 import { platformReturnBench } from "./platformReturnBench.ts";
+import { requestBench } from "./requestBench.ts";
 
 /** Benches in the order in which they run. */
-const benches: Bench[] = [placementBench, gangBench, controlBench, platformReturnBench];
+const benches: Bench[] = [requestBench, placementBench, gangBench, controlBench, platformReturnBench];
 
 for (const bench of benches) {
     for (const measure of await bench()) {
