--- a/packages/caller/src/client/requestClient.ts
+++ b/packages/caller/src/client/requestClient.ts
@@ -73,8 +73,9 @@
         let response: EntryResponse;
         try {
             const timeoutMs = remainingMs + DEADLINE_GRACE_MS;
-            response = await call("POST", "/v1/requests", attempt.turn++, message, timeoutMs);
+            response = await call("POST", "/v1/requests", attempt.turn, message, timeoutMs);
         } catch (error) {
+            attempt.turn++;
             attempt.sent ||= !NOT_SENT_CODES.has((error as { code?: string }).code ?? "");
             return undefined;
         }
@@ -89,6 +90,7 @@
             return { ...outcome, verdict: "may-have-run" } as Failure;
         }
         attempt.sent = true;
+        attempt.turn++;
         return outcome;
     }
 
