Build the fleet view once for each pass over the queue

Quota and claims were computed again for each waiting job over all accelerators of the fleet. They are now kept by account and by worker name during one pass. A claim on accelerators that a report still shows for another account counts against the quota as well.

--- a/packages/caller/src/job/jobQueue.ts
+++ b/packages/caller/src/job/jobQueue.ts
@@ -1,4 +1,5 @@
 import { findAccount } from "@tanagerdeck/decisions/gang/jobAdmission";
+import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { AcceleratorState } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { WaitingJob } from "@tanagerdeck/decisions/gang/jobTypes";
 import type { Placement, WorkerView } from "@tanagerdeck/decisions/placement/placementTypes";
@@ -8,6 +9,12 @@
 /** Attempts in progress at once; a burst of jobs then does not flood the agents with reservations. */
 const MAX_ATTEMPTS = 64;
 
+/** The workers as far as this entry knows, and the accelerators in use or held by client account. */
+interface Fleet {
+    views: Map<string, WorkerView>;
+    used: Map<string, number>;
+}
+
 /** Begins an attempt for each waiting job that fits now. */
 export function placeWaiting(state: JobsState, context: JobContext): void {
     const { configuration } = state;
@@ -15,20 +22,20 @@
     if (!configuration || waiting.length === 0) {
         return;
     }
-    const views = workerViews(state);
+    const fleet = knownFleet(state);
     let attempts = countAttempts(state);
     for (const { key } of state.options.order(waiting, configuration)) {
         const job = state.jobs.get(key);
-        if (!job || attempts >= MAX_ATTEMPTS || !withinQuota(state, job, views)) {
+        if (!job || attempts >= MAX_ATTEMPTS || !withinQuota(configuration, job, fleet)) {
             continue;
         }
         const { clientAccount, shape } = job.record;
-        const usable = views.filter(view => !job.excluded.has(view.agent));
+        const usable = [...fleet.views.values()].filter(view => !job.excluded.has(view.agent));
         const placement = state.options.place({ clientAccount, shape }, usable, configuration);
         if (!placement) {
             continue;
         }
-        claim(views, placement, clientAccount);
+        claim(fleet, placement, clientAccount);
         beginAttempt(state, job, placement, context);
         attempts++;
     }
@@ -48,44 +55,50 @@
     return waiting;
 }
 
-/** The workers, with the accelerators of this entry's attempts that no report shows yet. */
-function workerViews(state: JobsState): WorkerView[] {
-    const views: WorkerView[] = [];
+/** The reported workers, with the accelerators of this entry's attempts that no report shows yet. */
+function knownFleet(state: JobsState): Fleet {
+    const fleet: Fleet = { views: new Map(), used: new Map() };
     for (const agent of state.agents) {
         const { name, address, availabilityZone, worker } = agent.report;
         if (!worker) {
             continue;
         }
-        views.push({
-            agent: name,
-            address,
-            availabilityZone,
-            rack: worker.rack,
-            slot: worker.slot,
-            accelerators: [...worker.accelerators],
-            usable: agent.state === "serving" && state.options.usable(agent),
-        });
+        const { rack, slot } = worker;
+        const accelerators = [...worker.accelerators];
+        const usable = agent.state === "serving" && state.options.usable(agent);
+        fleet.views.set(name, { agent: name, address, availabilityZone, rack, slot, accelerators, usable });
+        for (const accelerator of accelerators) {
+            if (accelerator.kind !== "free") {
+                count(fleet, accelerator.clientAccount);
+            }
+        }
     }
     for (const job of state.jobs.values()) {
         if (job.placement) {
-            claim(views, job.placement, job.record.clientAccount);
+            claim(fleet, job.placement, job.record.clientAccount);
         }
     }
-    return views;
+    return fleet;
 }
 
-function claim(views: WorkerView[], placement: Placement, clientAccount: string): void {
+function claim(fleet: Fleet, placement: Placement, clientAccount: string): void {
     const held: AcceleratorState = { kind: "held", clientAccount };
     for (const member of placement.members) {
-        const view = views.find(candidate => candidate.agent === member.agent);
+        const accelerators = fleet.views.get(member.agent)?.accelerators ?? [];
         for (const index of member.indexes) {
-            if (view?.accelerators[index]?.kind === "free") {
-                view.accelerators[index] = held;
+            const known = accelerators[index];
+            if (known && (known.kind === "free" || known.clientAccount !== clientAccount)) {
+                accelerators[index] = held;
+                count(fleet, clientAccount);
             }
         }
     }
 }
 
+function count(fleet: Fleet, clientAccount: string): void {
+    fleet.used.set(clientAccount, (fleet.used.get(clientAccount) ?? 0) + 1);
+}
+
 function countAttempts(state: JobsState): number {
     let attempts = 0;
     for (const { phase } of state.jobs.values()) {
@@ -97,16 +110,8 @@
 }
 
 /** True if the account's accelerators in use and this job's stay within its quota. */
-function withinQuota(state: JobsState, job: Job, views: WorkerView[]): boolean {
+function withinQuota(configuration: Configuration, job: Job, fleet: Fleet): boolean {
     const { clientAccount, shape } = job.record;
-    const account = state.configuration && findAccount(state.configuration.document, clientAccount);
-    let used = 0;
-    for (const { accelerators } of views) {
-        for (const accelerator of accelerators) {
-            if (accelerator.kind !== "free" && accelerator.clientAccount === clientAccount) {
-                used++;
-            }
-        }
-    }
-    return used + shape.accelerators <= (account?.quota.accelerators ?? 0);
+    const quota = findAccount(configuration.document, clientAccount)?.quota.accelerators ?? 0;
+    return (fleet.used.get(clientAccount) ?? 0) + shape.accelerators <= quota;
 }
