--- a/packages/tanagerdeck/src/main.ts
+++ b/packages/tanagerdeck/src/main.ts
@@ -1,8 +1,6 @@
 import { cac } from "cac";
 import { readSettings } from "@tanagerdeck/runtime/settings/settingsFile";
-import { startAgent } from "./agent/agentProcess.ts";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
-import { startEntry } from "./entry/entryProcess.ts";
 import { agentSettingsSchema, entrySettingsSchema } from "./settings/settingsSchema.ts";
 
 const EXIT_USAGE = 2;
@@ -12,14 +10,20 @@
 cli.command("entry <settings>", "Run an entry process").action(async (path: string) => {
     await readSettings(path, entrySettingsSchema).caseOf({
         Left: async problem => exitWithUsageError(problem),
-        Right: async settings => serveUntilSignal(await startEntry(settings)),
+        Right: async settings => {
+            const { startEntry } = await import("./entry/entryProcess.ts");
+            serveUntilSignal(await startEntry(settings));
+        },
     });
 });
 
 cli.command("agent <settings>", "Run the agent of a backend server").action(async (path: string) => {
     await readSettings(path, agentSettingsSchema).caseOf({
         Left: async problem => exitWithUsageError(problem),
-        Right: async settings => serveUntilSignal(await startAgent(settings)),
+        Right: async settings => {
+            const { startAgent } = await import("./agent/agentProcess.ts");
+            serveUntilSignal(await startAgent(settings));
+        },
     });
 });
 
