--- a/scripts/capacity/capacity.ts
+++ b/scripts/capacity/capacity.ts
@@ -55,6 +55,6 @@
     if (!existsSync(DECISION_SLOPE)) {
         return [];
     }
-    const module = (await import(DECISION_SLOPE.href)) as { decisionSlope: () => Slope };
-    return [module.decisionSlope()];
+    const module = (await import(DECISION_SLOPE.href)) as { decisionSlope: () => Slope[] };
+    return module.decisionSlope();
 }
