--- a/packages/tanagerdeck/src/main.ts
+++ b/packages/tanagerdeck/src/main.ts
@@ -1,12 +1,10 @@
 import { cac } from "cac";
 import { readSettings } from "@tanagerdeck/runtime/settings/settingsFile";
-import { registerCommands, processIo } from "./commands/commandLine.ts";
-import { commands } from "./commands/commands.ts";
-import { startAgent } from "./agent/agentProcess.ts";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
-import { startEntry } from "./entry/entryProcess.ts";
 import { agentSettingsSchema, entrySettingsSchema } from "./settings/settingsSchema.ts";
 
+/** Commands that run a process of the system. */
+const PROCESS_COMMANDS = new Set(["entry", "agent"]);
 const EXIT_INTERNAL = 1;
 const EXIT_USAGE = 2;
 
@@ -15,18 +13,23 @@
 cli.command("entry <settings>", "Run an entry process").action(async (path: string) => {
     await readSettings(path, entrySettingsSchema).caseOf({
         Left: async problem => exitWithUsageError(problem),
-        Right: async settings => serveUntilSignal(await startEntry(settings)),
+        Right: async settings => {
+            const { startEntry } = await import("./entry/entryProcess.ts");
+            serveUntilSignal(await startEntry(settings));
+        },
     });
 });
 
 cli.command("agent <settings>", "Run the agent of a backend server").action(async (path: string) => {
     await readSettings(path, agentSettingsSchema).caseOf({
         Left: async problem => exitWithUsageError(problem),
-        Right: async settings => serveUntilSignal(await startAgent(settings)),
+        Right: async settings => {
+            const { startAgent } = await import("./agent/agentProcess.ts");
+            serveUntilSignal(await startAgent(settings));
+        },
     });
 });
 
-registerCommands(cli, commands, processIo);
 cli.command("", "Show the commands").action(() => {
     cli.outputHelp();
     process.exitCode = EXIT_USAGE;
@@ -46,7 +49,17 @@
     process.once("SIGINT", stop);
 }
 
+/** Registers the operators' and callers' commands, whose code an entry or an agent need not load. */
+async function registerRemoteCommands(): Promise<void> {
+    const { registerCommands, processIo } = await import("./commands/commandLine.ts");
+    const { commands } = await import("./commands/commands.ts");
+    registerCommands(cli, commands, processIo);
+}
+
 async function run(): Promise<void> {
+    if (!PROCESS_COMMANDS.has(process.argv[2] ?? "")) {
+        await registerRemoteCommands();
+    }
     cli.parse(process.argv, { run: false });
     await cli.runMatchedCommand();
 }
