Count the slot time of requests by client account and kind

Cause: the runner's agent reported no usage, so the record of whose work used what held gang jobs only. Ruled out: counting at the entry, which does not know when a run began. Before: the two new tests fail with an empty list; after: they pass. A run that is given up counts until its slot is free, a refused one does not count.

--- a/packages/backend/src/runner/runnerState.ts
+++ b/packages/backend/src/runner/runnerState.ts
@@ -5,6 +5,7 @@
     type QueueOrder,
     type RunnerQueue,
 } from "@tanagerdeck/decisions/admission/runnerQueue";
+import type { UsageCounter } from "@tanagerdeck/decisions/fleet/reportTypes";
 import { learnRunTime, runEstimate, type RunTimes } from "@tanagerdeck/decisions/admission/runTimes";
 import {
     createLedger,
@@ -13,6 +14,7 @@
     type LedgerRecord,
 } from "@tanagerdeck/decisions/request/ledgerTypes";
 import { deliverRecord, finishRecord } from "@tanagerdeck/decisions/request/requestLedger";
+import { countUse } from "@tanagerdeck/decisions/usage/usageCount";
 import type { Progress, Request } from "@tanagerdeck/decisions/request/requestTypes";
 import { failure, type Failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock, TimerStop } from "@tanagerdeck/runtime/clock/clock";
@@ -64,6 +66,7 @@
     live: Map<string, LiveRequest>;
     queue: RunnerQueue;
     runTimes: RunTimes;
+    usage: Map<string, UsageCounter>;
     accounts: Map<string, ClientAccount>;
     draining: boolean;
     idle: Reply<undefined>[];
@@ -84,6 +87,7 @@
         live: new Map(),
         queue: { slots, waiting: [], running: [], served: new Map(), weightOf },
         runTimes: new Map(),
+        usage: new Map(),
         accounts,
         draining: false,
         idle: [],
@@ -191,16 +195,20 @@
     return true;
 }
 
-/** Frees the slot of a request and learns its run time if it answered. */
+/** Frees the slot of a request, counts its use and learns its run time if it answered. */
 export function leaveSlot(state: RunnerState, key: string, outcome: Outcome): void {
     const { queue, options } = state;
     const index = queue.running.findIndex(running => running.key === key);
     const [running] = index < 0 ? [] : queue.running.splice(index, 1);
     const live = state.live.get(key);
-    if (!running || !live || outcome.kind !== "answer") {
+    if (!running || !live || outcome.verdict === "not-run") {
         return;
     }
     const now = options.clock.now();
+    countUse(state.usage, live.request, now - running.startedAt);
+    if (outcome.kind !== "answer") {
+        return;
+    }
     learnRunTime(state.runTimes, runTimeKey(live.request), now - running.startedAt, now);
 }
 
--- a/packages/backend/src/runner/runnerTask.spec.ts
+++ b/packages/backend/src/runner/runnerTask.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import type { RunnerLoad } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { RunnerLoad, UsageCounter } from "@tanagerdeck/decisions/fleet/reportTypes";
 import { formatTicket, type Progress, type Request } from "@tanagerdeck/decisions/request/requestTypes";
 import type { Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
@@ -121,6 +121,30 @@
         });
     });
 
+    describe("when requests have run", () => {
+        it("counts the slot time of each account and kind, so that no use goes unrecorded", async () => {
+            submit({ id: "one", body: "300" });
+            submit({ id: "two", body: "200" });
+            submit({ id: "other", clientAccount: "quiet", body: "50" });
+            submit({ id: "stuck", clientAccount: "quiet", body: "1000000", remainingMs: 1_000 });
+            await clock.advance(4_000);
+            const usage = await task.ask((reply: Reply<UsageCounter[]>) => ({ kind: "usage", reply }));
+            expect(usage).to.have.deep.members([
+                { clientAccount: "counter", kind: "quote", milliseconds: 500, count: 2 },
+                { clientAccount: "quiet", kind: "quote", milliseconds: 3_050, count: 2 },
+            ]);
+        });
+
+        it("does not count a request that did not run", async () => {
+            submit({ id: "refused", body: "1" });
+            task.send({ kind: "drain" });
+            submit({ id: "late", clientAccount: "quiet", body: "1" });
+            await clock.advance(100);
+            const usage = await task.ask((reply: Reply<UsageCounter[]>) => ({ kind: "usage", reply }));
+            expect(usage.map(({ clientAccount }) => clientAccount)).to.deep.equal(["counter"]);
+        });
+    });
+
     function submit(change: Partial<Request>): Promise<Progress> {
         const request: Request = {
             id: "id",
--- a/packages/backend/src/runner/runnerTask.ts
+++ b/packages/backend/src/runner/runnerTask.ts
@@ -1,5 +1,5 @@
 import type { ClientAccount } from "@tanagerdeck/decisions/document/documentTypes";
-import type { RunnerLoad } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { RunnerLoad, UsageCounter } from "@tanagerdeck/decisions/fleet/reportTypes";
 import { enqueue, expectedWaitMs } from "@tanagerdeck/decisions/admission/runnerQueue";
 import { runEstimate, typicalRunMs } from "@tanagerdeck/decisions/admission/runTimes";
 import { sweepLedger } from "@tanagerdeck/decisions/request/ledgerMemory";
@@ -56,6 +56,8 @@
     | { kind: "run-end"; key: string }
     | { kind: "sweep" }
     | { kind: "load"; reply: Reply<RunnerLoad> }
+    /** Answered with the cumulative slot time by client account and kind. */
+    | { kind: "usage"; reply: Reply<UsageCounter[]> }
     | { kind: "drain" }
     /** Answered when no request waits, runs, or has an outcome that its entry can still ask for. */
     | { kind: "idle"; reply: Reply<undefined> };
@@ -159,6 +161,9 @@
     load(state, message) {
         message.reply(describeLoad(state));
     },
+    usage(state, message) {
+        message.reply([...state.usage.values()]);
+    },
     drain(state) {
         state.draining = true;
     },
--- a/packages/tanagerdeck/src/agent/runnerServer.ts
+++ b/packages/tanagerdeck/src/agent/runnerServer.ts
@@ -1,6 +1,6 @@
 import { createRunnerClient } from "@tanagerdeck/backend/runner/runnerClient";
 import { startRunnerTask } from "@tanagerdeck/backend/runner/runnerTask";
-import type { RunnerLoad } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { RunnerLoad, UsageCounter } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { LedgerReference } from "@tanagerdeck/decisions/request/ledgerTypes";
 import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import { noGangHandlers } from "@tanagerdeck/peer/gang/gangHandlers";
@@ -83,7 +83,8 @@
         async report() {
             const load = await runner.ask((reply: Reply<RunnerLoad>) => ({ kind: "load", reply }));
             metrics.load("request", load);
-            return { runner: load, gangs: [], usage: [] };
+            const usage = await runner.ask((reply: Reply<UsageCounter[]>) => ({ kind: "usage", reply }));
+            return { runner: load, gangs: [], usage };
         },
         adopted({ document }) {
             runner.send({ kind: "accounts", accounts: document.clientAccounts });
