Divide an account's request rate among the entries

Cause: each entry applied the whole quota, so an account behind a load balancer with N entries could send N times its rate. Ruled out: a shared counter on the platform, one write a request. The number of entries comes from the registrations.

--- a/packages/caller/src/routing/routingState.ts
+++ b/packages/caller/src/routing/routingState.ts
@@ -49,6 +49,8 @@
 export type RoutingMessage =
     | { kind: "fleet"; agents: AgentView[] }
     | { kind: "configuration"; configuration: Configuration }
+    /** Number of entries that serve the environment, this one included. */
+    | { kind: "entries"; count: number }
     | { kind: "request"; request: CallerRequest; reply: Reply<RoutingReply> }
     | { kind: "start"; key: string; attempt: string }
     | { kind: "call"; key: string; attempt: string; step: CallStep }
@@ -114,6 +116,7 @@
     agents: AgentView[];
     medianMs: number;
     configuration: Configuration | undefined;
+    entries: number;
     flights: Map<string, Flight>;
     recent: Map<string, RecentTarget>;
     health: Map<string, ServerHealth>;
@@ -133,6 +136,7 @@
         agents: [],
         medianMs: 0,
         configuration: undefined,
+        entries: 1,
         flights: new Map(),
         recent: new Map(),
         health: new Map(),
--- a/packages/caller/src/routing/routingTask.spec.ts
+++ b/packages/caller/src/routing/routingTask.spec.ts
@@ -80,6 +80,15 @@
         });
     });
 
+    describe("when several entries serve one environment", () => {
+        it("gives each its share of an account's rate, so that the account does not get a multiple", async () => {
+            task.send({ kind: "entries", count: 2 });
+            void Array.from({ length: 30 }, () => submit({ clientAccount: "loud" }));
+            await clock.advance(1_000);
+            expect(submits.length).to.be.at.most(10);
+        });
+    });
+
     describe("when a server fails everything", () => {
         beforeEach(async () => {
             answerOf = (agent, id) =>
--- a/packages/caller/src/routing/routingTask.ts
+++ b/packages/caller/src/routing/routingTask.ts
@@ -56,6 +56,9 @@
     configuration(state, message) {
         state.configuration = message.configuration;
     },
+    entries(state, message) {
+        state.entries = message.count;
+    },
     request(state, message, context) {
         const { request, reply } = message;
         const id = request.id ?? state.options.newId();
@@ -169,7 +172,8 @@
     }
     const bucket = valueOf(state.buckets, account.name, createTokenBucket);
     const bodyBytes = Buffer.byteLength(request.body);
-    const { quota } = account;
+    const requestsPerSecond = account.quota.requestsPerSecond / state.entries;
+    const quota = { ...account.quota, requestsPerSecond };
     const admission = admitAtEntry(bucket, { bodyBytes, deadlineAt, limits: kind.limits, quota }, now);
     if (admission.kind === "refused") {
         refuse(request, id, reply, admission.failure.reason, admission.failure.detail);
--- a/packages/tanagerdeck/src/entry/entryControl.ts
+++ b/packages/tanagerdeck/src/entry/entryControl.ts
@@ -34,8 +34,8 @@
     adopted: (configuration: Configuration) => void;
     /** Called with the fleet view after changes of it. */
     fleetChanged: (agents: AgentView[]) => void;
-    /** Called once for each agent that has gone. */
-    agentGone: (agent: AgentView) => void;
+    /** Called with the number of entries that serve the environment, this one included. */
+    entriesChanged: (count: number) => void;
     /** Called once for each entry that has gone; its jobs need another owner. */
     entryGone: (entry: Registration) => void;
 }
@@ -54,7 +54,6 @@
             rebinding?.send({ kind: "fleet", agents });
             options.fleetChanged(agents);
         },
-        gone: options.agentGone,
         reported: ({ name, incarnation, usage: counters }) =>
             usage.send({ kind: "report", agent: name, incarnation, counters }),
     });
@@ -115,6 +114,7 @@
             const known = new Set([own.address, ...addresses, ...options.seeds]);
             membership.send({ kind: "entries", addresses: [...known] });
             configuration.send({ kind: "entries", addresses });
+            options.entriesChanged(others.length + 1);
             usage.send({ kind: "entries", names: others.map(({ name }) => name) });
         },
         gone: options.entryGone,
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -123,7 +123,7 @@
             routing.send({ kind: "fleet", agents });
             jobs.jobs.send({ kind: "fleet", agents });
         },
-        agentGone: () => undefined,
+        entriesChanged: count => routing.send({ kind: "entries", count }),
         entryGone: ({ name }) => jobs.claim(name),
     });
     started.control = control;
--- a/packages/tanagerdeck/src/entry/testing/controlWorld.ts
+++ b/packages/tanagerdeck/src/entry/testing/controlWorld.ts
@@ -55,7 +55,7 @@
         rebind: undefined,
         adopted: configuration => adopted.push(configuration.revision),
         fleetChanged: () => undefined,
-        agentGone: () => undefined,
+        entriesChanged: () => undefined,
         entryGone: entry => world.entriesGone.push({ at: name, gone: entry.name }),
     });
     const node = { name, clock, connection, adopted, control };
