--- a/packages/platform/src/record/jobRecords.ts
+++ b/packages/platform/src/record/jobRecords.ts
@@ -1,8 +1,14 @@
 import { Either } from "purify-ts/Either";
-import type { JobRecord } from "@tanagerdeck/decisions/gang/jobTypes";
+import { isEnded, type JobRecord } from "@tanagerdeck/decisions/gang/jobTypes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Store, StoredValue } from "../store/storeTypes.ts";
 
+/** Lifetime of the leases under which the records of ended jobs are stored. */
+export const RETENTION_SECONDS = 7 * 86_400;
+/** Records that end within this time share a lease. */
+const LEASE_SHARED_MS = 86_400_000;
+
 /** A job record with its version for compare-and-swap. */
 export interface StoredJob {
     record: JobRecord;
@@ -23,12 +29,28 @@
     list(): Promise<Either<Failure, StoredJob[]>>;
 }
 
-/** Job records of one environment in the platform's service. */
-export function createJobRecords(store: Store, environment: string): JobRecords {
+/**
+ * Job records of one environment in the platform's service. The record of an ended job is stored under a lease
+ * that nobody renews, so that the service deletes it six to seven days later.
+ */
+export function createJobRecords(store: Store, environment: string, clock: Clock): JobRecords {
+    let retention: { lease: Promise<string | undefined>; grantedAt: number } | undefined;
+
     const prefix = `${environment}/jobs/`;
     const keyOf = (clientAccount: string, id: string) =>
         `${prefix}${clientAccount}/${encodeURIComponent(id)}`;
 
+    /** The current lease for ended jobs; undefined if the platform does not grant one. */
+    function retentionLease(): Promise<string | undefined> {
+        const now = clock.now();
+        if (!retention || now - retention.grantedAt >= LEASE_SHARED_MS) {
+            const granted = store.grantLease(RETENTION_SECONDS);
+            const lease = granted.then(result => result.toMaybe().extract());
+            retention = { lease, grantedAt: now };
+        }
+        return retention.lease;
+    }
+
     async function read(clientAccount: string, id: string): Promise<Either<Failure, StoredJob | undefined>> {
         const value = await store.get(keyOf(clientAccount, id));
         return value.map(stored => (stored ? decode(stored) : undefined));
@@ -39,13 +61,23 @@
         async write(record, version) {
             const key = keyOf(record.clientAccount, record.id);
             const value = JSON.stringify(record);
-            await store.write([{ key, value, expectedVersion: version }]);
+            const lease = isEnded(record.state) ? await retentionLease() : undefined;
+            if (isEnded(record.state) && lease === undefined) {
+                retention = undefined;
+                return { kind: "unavailable" };
+            }
+            await store.write([{ key, value, expectedVersion: version, lease }]);
             // Whatever the reply was, the stored write id tells whether this write took effect.
             const stored = await read(record.clientAccount, record.id);
-            return stored.caseOf<RecordWrite>({
+            const result = stored.caseOf<RecordWrite>({
                 Left: () => ({ kind: "unavailable" }),
                 Right: found => resolveWrite(found, record.writeId, version),
             });
+            if (result.kind === "unavailable") {
+                // The platform may have lost the lease, and refuses writes under it.
+                retention = undefined;
+            }
+            return result;
         },
         async list() {
             const values = await store.list(prefix);
--- a/packages/tanagerdeck/src/entry/jobWiring.ts
+++ b/packages/tanagerdeck/src/entry/jobWiring.ts
@@ -52,7 +52,7 @@
         random: Math.random,
         newId: nanoid,
         calls: createCoordinatorCalls(clients),
-        records: createJobRecords(store, environment),
+        records: createJobRecords(store, environment, clock),
         place,
         order,
         usable,
--- a/standins/src/gang/gangFixture.ts
+++ b/standins/src/gang/gangFixture.ts
@@ -212,7 +212,7 @@
             random: options.random,
             newId: () => `${process.name}-${ids++}`,
             calls,
-            records: createJobRecords(platform.store, "test"),
+            records: createJobRecords(platform.store, "test", process.clock),
             place: options.place ?? firstFitPlacement,
             order: options.order ?? orderByPriority,
             usable: () => true,
