Add the worker program

Fault tests and the quickstart need workers as processes of their own, with computing intervals on one time scale. The control address reports each interval in milliseconds since the Unix epoch, since the monotonic clocks of two processes have different origins.

--- /dev/null
+++ b/standins/src/programs/workerProgram.ts
@@ -0,0 +1,24 @@
+import type { WorkerFaults } from "../worker/workerModel.ts";
+import { startWorkerStandin } from "../worker/workerStandin.ts";
+import { startControlListener } from "./controlListener.ts";
+import { readStandinSettings, serveProgram } from "./programFile.ts";
+
+async function run(): Promise<void> {
+    const settings = readStandinSettings();
+    const worker = await startWorkerStandin(settings.address);
+    const { model } = worker;
+    const control = await startControlListener(settings.controlAddress, {
+        // Times since the Unix epoch, so that tests can compare the intervals of several processes.
+        "GET /intervals": () =>
+            model.intervals.map(interval => ({
+                ...interval,
+                begin: performance.timeOrigin + interval.begin,
+                end: interval.end === undefined ? undefined : performance.timeOrigin + interval.end,
+            })),
+        "POST /faults": body => Object.assign(model.faults, body as Partial<WorkerFaults>),
+        "POST /fail": () => model.fail(),
+    });
+    serveProgram({ address: worker.listener.address, controlAddress: control.address });
+}
+
+void run();
