Add workers, gang jobs and caller processes to the quickstart

The quickstart sent requests of one kind from its own process and no gang jobs, and applied its documents by a call of its own. Now each firm has six workers in two racks with their agents; separate caller processes send requests of three kinds, one in five by ticket, and submit and follow gang jobs; the document is applied with the bundled `tanagerdeck apply`. Duplicates are executions beyond the first of each answered request. A gang is whole if its verdict is ran and every part of one attempt finished on the workers.

The documents in examples/ are not used: their token digests belong to no token in the repository.

The check for partial gangs was not tried against a gang that is partial.

--- a/scripts/quickstart.ts
+++ b/scripts/quickstart.ts
@@ -3,11 +3,14 @@
 import { join } from "node:path";
 import { createProcessGroup } from "@tanagerdeck/standins/processes/processGroup";
 import { bundlePrograms } from "@tanagerdeck/standins/processes/programBundle";
-import { applyDocument, startEntries, startRunners, waitUntilServing } from "./quickstart/environment.ts";
+import { applyByCommand } from "./quickstart/applyByCommand.ts";
+import { startEntries, startRunners, startWorkers, waitUntilServing } from "./quickstart/environment.ts";
 import { FIRMS } from "./quickstart/firms.ts";
+import { sendJobs } from "./quickstart/jobs.ts";
 import { sendRequests } from "./quickstart/requests.ts";
 
 const REQUESTS_PER_FIRM = 60;
+const JOBS_PER_FIRM = 6;
 const ANY_PORT = "127.0.0.1:0";
 
 /** The last line of the quickstart's output. */
@@ -42,17 +45,24 @@
     for (const firm of FIRMS) {
         say(`Starting the environment ${firm.environment}.`);
         const environment = await startEntries(group, firm, platform.addresses.address!);
-        await startRunners(group, environment);
-        await applyDocument(environment);
+        await Promise.all([startRunners(group, environment), startWorkers(group, environment)]);
+        say(await applyByCommand(group.folder, programs, environment));
         await waitUntilServing(environment);
-        const requests = await sendRequests(environment, REQUESTS_PER_FIRM);
+        const [requests, jobs] = await Promise.all([
+            sendRequests(group, environment, REQUESTS_PER_FIRM),
+            sendJobs(group, environment, JOBS_PER_FIRM),
+        ]);
         result.requests += requests.requests;
         result.answered += requests.answered;
         result.duplicated += requests.duplicated;
-        for (const problem of requests.problems) {
+        result.gangs += jobs.gangs;
+        result.gangsWhole += jobs.gangsWhole;
+        result.gangsPartial += jobs.gangsPartial;
+        for (const problem of [...requests.problems, ...jobs.problems]) {
             say(problem);
         }
         say(`${requests.answered} of ${requests.requests} requests were answered.`);
+        say(`${jobs.gangsWhole} of ${jobs.gangs} gangs were whole.`);
     }
     result.processes = group.processes().length;
 } catch (error) {
@@ -65,7 +75,7 @@
 if (result.requests === 0 || result.answered !== result.requests || result.duplicated > 0) {
     process.exitCode = 1;
 }
-if (result.gangsWhole !== result.gangs || result.gangsPartial > 0) {
+if (result.gangs === 0 || result.gangsWhole !== result.gangs || result.gangsPartial > 0) {
     process.exitCode = 1;
 }
 process.stdout.write(`${JSON.stringify(result)}\n`);
--- /dev/null
+++ b/scripts/quickstart/callers.ts
@@ -0,0 +1,43 @@
+import type { ProcessGroup } from "@tanagerdeck/standins/processes/processGroup";
+import { pollUntil } from "@tanagerdeck/standins/processes/polling";
+import type { CallerReport, CallerSettings } from "@tanagerdeck/standins/programs/callerProgram";
+import type { Environment } from "./environment.ts";
+
+const ANY_PORT = "127.0.0.1:0";
+const JOB_LIMIT_MS = 40_000;
+const CALLER_LIMIT_MS = 50_000;
+
+/** What one caller process sends. */
+export type CallerOrder = Pick<CallerSettings, "name" | "token" | "requests" | "jobs">;
+
+/** Starts a caller process, and resolves with its report when it has received everything. */
+export async function runCaller(
+    group: ProcessGroup,
+    { entries }: Environment,
+    order: CallerOrder,
+): Promise<CallerReport> {
+    const settings: CallerSettings = {
+        ...order,
+        address: ANY_PORT,
+        controlAddress: ANY_PORT,
+        addresses: entries.map(entry => entry.addresses.callerAddress!),
+        jobLimitMs: JOB_LIMIT_MS,
+    };
+    const caller = await group.start("caller", settings);
+    let report: CallerReport | undefined;
+    await pollUntil(
+        async () => {
+            report = await readControl<CallerReport>(caller.addresses.controlAddress!, "/report");
+            return report.ended;
+        },
+        CALLER_LIMIT_MS,
+        `the end of ${order.name}`,
+    );
+    return report!;
+}
+
+/** Reads from the control address of a stand-in. */
+export async function readControl<T>(address: string, path: string): Promise<T> {
+    const response = await fetch(`http://${address}${path}`);
+    return (await response.json()) as T;
+}
--- a/scripts/quickstart/environment.ts
+++ b/scripts/quickstart/environment.ts
@@ -22,6 +22,7 @@
     settings: EnvironmentSettings;
     entries: ChildProcess[];
     runners: ChildProcess[];
+    workers: ChildProcess[];
 }
 
 /** Starts a firm's entries, one in each of its availability zones. */
@@ -45,7 +46,7 @@
             return group.start("tanagerdeck", entrySettings(settings, entry), "entry");
         }),
     );
-    return { firm, settings, entries, runners: [] };
+    return { firm, settings, entries, runners: [], workers: [] };
 }
 
 /** Starts a runner with its agent in each availability zone. */
@@ -67,6 +68,29 @@
     );
 }
 
+/** Starts every worker of the document's racks with its agent. */
+export async function startWorkers(group: ProcessGroup, environment: Environment): Promise<void> {
+    const { firm, workers } = environment;
+    const places = firm.document.racks.flatMap(rack =>
+        Array.from({ length: rack.workers }, (_value, slot) => ({ rack, slot })),
+    );
+    await Promise.all(
+        places.map(async ({ rack, slot }) => {
+            const name = `${firm.environment}-${rack.name}-worker-${slot}`;
+            const standin = { name, address: ANY_PORT, controlAddress: ANY_PORT };
+            const worker = await group.start("worker", standin);
+            workers.push(worker);
+            await startAgent(group, environment, `${name}-agent`, rack.availabilityZone, {
+                kind: "worker",
+                address: worker.addresses.address!,
+                rack: rack.name,
+                slot,
+                accelerators: rack.acceleratorsPerWorker,
+            });
+        }),
+    );
+}
+
 /** Starts the agent of a backend server. */
 export function startAgent(
     group: ProcessGroup,
@@ -107,7 +131,7 @@
     }
 }
 
-/** Waits until every entry has the configuration and sees the agents of all runners. */
+/** Waits until every entry has the configuration and sees the agents of all backend servers. */
 export async function waitUntilServing(environment: Environment): Promise<void> {
     for (const entry of environment.entries) {
         await pollUntil(
@@ -117,7 +141,7 @@
                 ).text();
                 const agents = Number(/tanagerdeck_agents\{state="serving"\} (\d+)/.exec(metrics)?.[1]);
                 const revision = Number(/tanagerdeck_configuration_revision (\d+)/.exec(metrics)?.[1]);
-                return revision >= 1 && agents >= environment.runners.length;
+                return revision >= 1 && agents >= environment.runners.length + environment.workers.length;
             },
             READY_LIMIT_MS,
             `${entry.name} serving`,
--- a/scripts/quickstart/firms.ts
+++ b/scripts/quickstart/firms.ts
@@ -6,58 +6,101 @@
     environment: string;
     region: string;
     availabilityZones: string[];
+    /** Token of the account `desk`, which sends the requests. */
     callerToken: string;
-    /** Kind of the requests that the quickstart sends. */
+    /** Token of the account `planning`, which submits the gang jobs. */
+    planningToken: string;
+    /** Kind of the most frequent requests. */
     requestKind: string;
+    /** Other kinds of requests that may be repeated. */
+    otherKinds: string[];
+    /** Kind of the requests that may not be repeated. */
+    onceKind: string;
+    gangKind: string;
     document: Document;
 }
 
 /** The two firms with small documents. */
 export const FIRMS: Firm[] = [
-    createFirm("okahandja", "khomas", ["windhoek", "okahandja"], "quote", {
-        completionTime: 3,
-        fragmentation: 1,
+    createFirm("okahandja", "khomas", ["windhoek", "okahandja"], {
+        kinds: {
+            requestKind: "quote",
+            otherKinds: ["fleet-check"],
+            onceKind: "booking",
+            gangKind: "delivery-routes",
+        },
+        weights: { completionTime: 3, fragmentation: 1 },
     }),
-    createFirm("caroni", "north", ["arima", "st-augustine"], "van-route", {
-        completionTime: 1,
-        fragmentation: 3,
+    createFirm("caroni", "north", ["arima", "st-augustine"], {
+        kinds: {
+            requestKind: "van-route",
+            otherKinds: ["expiry-scan"],
+            onceKind: "dispatch",
+            gangKind: "restock-forecast",
+        },
+        weights: { completionTime: 1, fragmentation: 3 },
     }),
 ];
 
+type FirmKinds = Pick<Firm, "requestKind" | "otherKinds" | "onceKind" | "gangKind">;
+
 function createFirm(
     environment: string,
     region: string,
     availabilityZones: string[],
-    requestKind: string,
-    weights: Document["weights"],
+    { kinds, weights }: { kinds: FirmKinds; weights: Document["weights"] },
 ): Firm {
     const callerToken = `${environment}-quickstart-token`;
+    const planningToken = `${environment}-quickstart-planning-token`;
+    const quota = { accelerators: 48, requestsPerSecond: 1_000, waiting: 1_000 };
+    const rack = { availabilityZone: availabilityZones[0]!, workers: 3, acceleratorsPerWorker: 8 };
     const document: Document = {
         clientAccounts: [
             {
                 name: "desk",
                 tokenDigests: [tokenDigest(callerToken)],
+                guarantees: [{ span: "worker", accelerators: 8 }],
+                quota,
+                weight: 1,
+            },
+            {
+                name: "planning",
+                tokenDigests: [tokenDigest(planningToken)],
                 guarantees: [{ span: "rack", accelerators: 16 }],
-                quota: { accelerators: 48, requestsPerSecond: 1_000, waiting: 1_000 },
+                quota,
                 weight: 1,
             },
         ],
         kinds: [
+            requestKind(kinds.requestKind, true),
+            ...kinds.otherKinds.map(name => requestKind(name, true)),
+            requestKind(kinds.onceKind, false),
             {
-                name: requestKind,
-                clientAccounts: ["desk"],
+                name: kinds.gangKind,
+                clientAccounts: ["planning"],
                 repeatable: true,
-                form: "request",
-                limits: { seconds: 10, bytes: 100_000, accelerators: 0 },
-                priority: "urgent",
+                form: "gang",
+                limits: { seconds: 60, bytes: 100_000, accelerators: 48 },
+                priority: "batch",
             },
         ],
         racks: [
-            { name: "rack-a", availabilityZone: availabilityZones[0]!, workers: 3, acceleratorsPerWorker: 8 },
-            { name: "rack-b", availabilityZone: availabilityZones[0]!, workers: 3, acceleratorsPerWorker: 8 },
+            { name: "rack-a", ...rack },
+            { name: "rack-b", ...rack },
         ],
         weights,
         whenPlatformUnreachable: "serve-while-peers-agree",
     };
-    return { environment, region, availabilityZones, callerToken, requestKind, document };
+    return { environment, region, availabilityZones, callerToken, planningToken, ...kinds, document };
+}
+
+function requestKind(name: string, repeatable: boolean): Document["kinds"][number] {
+    return {
+        name,
+        clientAccounts: ["desk"],
+        repeatable,
+        form: "request",
+        limits: { seconds: 10, bytes: 100_000, accelerators: 0 },
+        priority: "urgent",
+    };
 }
--- a/scripts/quickstart/requests.ts
+++ b/scripts/quickstart/requests.ts
@@ -1,72 +1,75 @@
-import { createHash } from "node:crypto";
+import type { ClientRequest } from "@tanagerdeck/caller/client/requestClient";
+import type { ProcessGroup } from "@tanagerdeck/standins/processes/processGroup";
+import { readControl, runCaller } from "./callers.ts";
 import type { Environment } from "./environment.ts";
+import type { Firm } from "./firms.ts";
 
-const CONCURRENCY = 16;
+const CALLERS = 2;
 const DEADLINE_MS = 10_000;
 const RUN_TIMES_MS = [2, 5, 10, 20, 30];
+/** One in this number of requests is of the kind that may not be repeated. */
+const ONCE_EVERY = 5;
+const OTHER_EVERY = 3;
 
 /** What became of the requests of one environment. */
 export interface RequestResult {
     requests: number;
     /** Requests whose caller received the complete answer to its own request. */
     answered: number;
-    /** Requests that a runner executed more than once. */
+    /** Executions beyond the first of each answered request. */
     duplicated: number;
     problems: string[];
 }
 
-/** Sends requests through all entries and checks each answer and each execution. */
-export async function sendRequests(environment: Environment, count: number): Promise<RequestResult> {
-    const result: RequestResult = { requests: count, answered: 0, duplicated: 0, problems: [] };
-    let next = 0;
-    async function sendInTurn(): Promise<void> {
-        while (next < count) {
-            const index = next++;
-            const problem = await sendRequest(environment, index).catch(String);
-            if (problem === undefined) {
-                result.answered++;
-                continue;
-            }
-            result.problems.push(problem);
-        }
-    }
-    await Promise.all(Array.from({ length: CONCURRENCY }, sendInTurn));
-    result.duplicated = await countDuplicates(environment);
-    return result;
+/** Sends requests from caller processes and checks each answer and each execution. */
+export async function sendRequests(
+    group: ProcessGroup,
+    environment: Environment,
+    count: number,
+): Promise<RequestResult> {
+    const { firm } = environment;
+    const requests = Array.from({ length: count }, (_value, index) => createRequest(firm, index));
+    const reports = await Promise.all(
+        Array.from({ length: CALLERS }, (_value, caller) =>
+            runCaller(group, environment, {
+                name: `${firm.environment}-desk-${caller + 1}`,
+                token: firm.callerToken,
+                requests: requests.filter((_request, index) => index % CALLERS === caller),
+                jobs: [],
+            }),
+        ),
+    );
+    const outcomes = reports.flatMap(report => report.requests);
+    const answered = outcomes.filter(({ verdict, whole }) => verdict === "ran" && whole);
+    const problems = outcomes.filter(outcome => !answered.includes(outcome));
+    return {
+        requests: count,
+        answered: answered.length,
+        duplicated: await countDuplicates(environment, new Set(answered.map(({ id }) => id))),
+        problems: problems.map(({ id, verdict, detail }) => `${id}: ${verdict}: ${detail}`),
+    };
 }
 
-/** Sends one request; undefined if its answer is complete and its own, else what was wrong. */
-async function sendRequest({ firm, entries }: Environment, index: number): Promise<string | undefined> {
-    const id = `${firm.environment}-${index}`;
-    const body = JSON.stringify({ id, ms: RUN_TIMES_MS[index % RUN_TIMES_MS.length] });
-    const entry = entries[index % entries.length]!;
-    const response = await fetch(`http://${entry.addresses.callerAddress}/v1/requests`, {
-        method: "POST",
-        headers: { authorization: `Bearer ${firm.callerToken}` },
-        body: JSON.stringify({ kind: firm.requestKind, id, deadlineMs: DEADLINE_MS, body }),
-    });
-    const text = await response.text();
-    if (response.status !== 200 || response.headers.get("x-verdict") !== "ran") {
-        return `${id}: status ${response.status}: ${text}`;
-    }
-    const digest = createHash("sha256").update(text).digest("base64");
-    if (response.headers.get("content-digest") !== `sha-256=:${digest}:`) {
-        return `${id}: the digest does not match the body`;
-    }
-    if ((JSON.parse(text) as { echo: string }).echo !== body) {
-        return `${id}: the answer belongs to another request: ${text}`;
+function createRequest(firm: Firm, index: number): ClientRequest {
+    const name = `${firm.environment}-${index}`;
+    const body = JSON.stringify({ id: name, ms: RUN_TIMES_MS[index % RUN_TIMES_MS.length] });
+    if (index % ONCE_EVERY === 0) {
+        return { kind: firm.onceKind, deadlineMs: DEADLINE_MS, body };
     }
-    return undefined;
+    const other = firm.otherKinds[index % firm.otherKinds.length]!;
+    const kind = index % OTHER_EVERY === 0 ? other : firm.requestKind;
+    return { kind, id: name, deadlineMs: DEADLINE_MS, body };
 }
 
-async function countDuplicates({ runners }: Environment): Promise<number> {
+/** Counts executions that are not the first of an answered request. */
+async function countDuplicates({ runners }: Environment, answered: Set<string>): Promise<number> {
     const seen = new Set<string>();
-    const repeated = new Set<string>();
+    let duplicates = 0;
     for (const runner of runners) {
-        const response = await fetch(`http://${runner.addresses.controlAddress}/executed`);
-        for (const id of (await response.json()) as string[]) {
-            (seen.has(id) ? repeated : seen).add(id);
+        for (const id of await readControl<string[]>(runner.addresses.controlAddress!, "/executed")) {
+            duplicates += answered.has(id) && !seen.has(id) ? 0 : 1;
+            seen.add(id);
         }
     }
-    return repeated.size;
+    return duplicates;
 }
--- a/standins/src/gang/gangMeasures.ts
+++ b/standins/src/gang/gangMeasures.ts
@@ -3,7 +3,7 @@
 import type { ComputingInterval, WorkerModel } from "../worker/workerModel.ts";
 
 /** Intervals of one part. */
-interface PartIntervals {
+export interface PartIntervals {
     intervals: ComputingInterval[];
 }
 
@@ -50,7 +50,8 @@
     );
 }
 
-function longestPartialOfParts(parts: PartIntervals[], now: number): number {
+/** Longest time for which one of the parts computed while another neither computed nor had finished. */
+export function longestPartialOfParts(parts: PartIntervals[], now: number): number {
     const times = new Set<number>();
     for (const { intervals } of parts) {
         for (const { begin, end } of intervals) {
--- a/standins/src/processes/programBundle.ts
+++ b/standins/src/processes/programBundle.ts
@@ -10,6 +10,7 @@
     platform: "standins/src/programs/platformProgram.ts",
     runner: "standins/src/programs/runnerProgram.ts",
     worker: "standins/src/programs/workerProgram.ts",
+    caller: "standins/src/programs/callerProgram.ts",
 };
 
 /** Name of a bundled program. */
--- /dev/null
+++ b/standins/src/programs/callerProgram.ts
@@ -0,0 +1,108 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { createRequestClient, type ClientRequest } from "@tanagerdeck/caller/client/requestClient";
+import type { CallerJob } from "@tanagerdeck/caller/job/jobTaskTypes";
+import type { JobStatus } from "@tanagerdeck/decisions/gang/jobTypes";
+import { startControlListener } from "./controlListener.ts";
+import { readStandinSettings, serveProgram, type StandinSettings } from "./programFile.ts";
+
+const CONCURRENCY = 8;
+const JOB_POLL_MS = 100;
+const JOB_CALL_LIMIT_MS = 5_000;
+
+/** What a caller process sends. */
+export interface CallerSettings extends StandinSettings {
+    /** The entries' caller listeners as `ip:port`. */
+    addresses: string[];
+    token: string;
+    requests: ClientRequest[];
+    jobs: Omit<CallerJob, "clientAccount">[];
+    /** Time after which a job counts as not ended. */
+    jobLimitMs: number;
+}
+
+/** Outcome of one request: `whole` if the answer is the echo of its own body. */
+export interface RequestReport {
+    id: string;
+    verdict: string;
+    whole: boolean;
+    detail: string;
+}
+
+/** End of one job; the verdict is absent if the job did not end in time. */
+export interface JobReport {
+    id: string;
+    verdict?: string;
+    detail: string;
+}
+
+/** What a caller process has received so far. */
+export interface CallerReport {
+    ended: boolean;
+    requests: RequestReport[];
+    jobs: JobReport[];
+}
+
+async function run(): Promise<void> {
+    const settings = readStandinSettings() as CallerSettings;
+    const report: CallerReport = { ended: false, requests: [], jobs: [] };
+    const control = await startControlListener(settings.controlAddress, { "GET /report": () => report });
+    serveProgram({ controlAddress: control.address });
+    await Promise.all([
+        sendRequests(settings, report.requests),
+        Promise.all(settings.jobs.map(async job => report.jobs.push(await followJob(settings, job)))),
+    ]);
+    report.ended = true;
+}
+
+async function sendRequests(settings: CallerSettings, reports: RequestReport[]): Promise<void> {
+    const client = createRequestClient(settings);
+    const waiting = [...settings.requests];
+    async function sendInTurn(): Promise<void> {
+        for (let request = waiting.shift(); request; request = waiting.shift()) {
+            const { id, outcome } = await client.submit(request);
+            const { verdict } = outcome;
+            if (outcome.kind === "failure") {
+                reports.push({ id, verdict, whole: false, detail: outcome.detail });
+                continue;
+            }
+            const { echo } = JSON.parse(outcome.answer.body) as { echo?: string };
+            reports.push({ id, verdict, whole: echo === request.body, detail: "" });
+        }
+    }
+    await Promise.all(Array.from({ length: CONCURRENCY }, sendInTurn));
+    await client.close();
+}
+
+/** Submits a job under its id until it is accepted, and asks for its status until it ends. */
+async function followJob(settings: CallerSettings, job: { id: string }): Promise<JobReport> {
+    const { addresses, token, jobLimitMs } = settings;
+    const path = `/v1/jobs/${encodeURIComponent(job.id)}`;
+    const end = performance.now() + jobLimitMs;
+    let accepted = false;
+    let detail = "";
+    for (let turn = 0; performance.now() < end; turn++) {
+        try {
+            const response = await fetch(
+                `http://${addresses[turn % addresses.length]}${accepted ? path : "/v1/jobs"}`,
+                {
+                    method: accepted ? "GET" : "POST",
+                    headers: { authorization: `Bearer ${token}` },
+                    body: accepted ? undefined : JSON.stringify(job),
+                    signal: AbortSignal.timeout(JOB_CALL_LIMIT_MS),
+                },
+            );
+            detail = await response.text();
+            accepted ||= response.ok;
+            const status = JSON.parse(detail) as Partial<JobStatus>;
+            if (response.ok && status.end) {
+                return { id: job.id, verdict: status.end.verdict, detail: status.end.detail };
+            }
+        } catch (error) {
+            detail = String(error);
+        }
+        await delay(JOB_POLL_MS);
+    }
+    return { id: job.id, detail: `no end in time: ${detail}` };
+}
+
+void run();
