--- /dev/null
+++ b/packages/tanagerdeck/src/process/gangProcess.fault.spec.ts
@@ -0,0 +1,169 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { expect } from "chai";
+import { PARTIAL_LIMIT_MS } from "@tanagerdeck/decisions/gang/gangTypes";
+import type { JobStatus } from "@tanagerdeck/decisions/gang/jobTypes";
+import { longestPartialOfParts } from "@tanagerdeck/standins/gang/gangMeasures";
+import type { ChildProcess, ProcessSignal } from "@tanagerdeck/standins/processes/childProcess";
+import { pollUntil } from "@tanagerdeck/standins/processes/polling";
+import type { ComputingInterval } from "@tanagerdeck/standins/worker/workerModel";
+import {
+    createDocument,
+    intervalsOf,
+    jobStatus,
+    startDeployment,
+    type Deployment,
+} from "./processDeployment.ts";
+
+/** Longer than every lease. */
+const FREEZE_MS = 6_000;
+const END_LIMIT_MS = 18_000;
+const RUN_MS = 1_500;
+const PARTS = 2;
+
+/** A process that takes part in a gang. */
+type Victim = "anchor's agent" | "member's agent" | "worker" | "coordinating entry" | "caller" | "platform";
+
+/** A gang that computes, and the processes that run it. */
+interface RunningGang {
+    id: string;
+    members: number[];
+    caller: ChildProcess;
+}
+
+describe("invariant 2: no part of a gang runs without the rest (processes)", function () {
+    this.timeout(40_000);
+    let deployment: Deployment;
+    let observed: Map<string, ComputingInterval[]>;
+    let jobs = 0;
+
+    before(async () => {
+        deployment = await startDeployment();
+        expect((await deployment.apply(createDocument(1), 0)).status).to.equal(200);
+    });
+    beforeEach(async () => {
+        observed = new Map();
+        await deployment.restartEnded();
+        await deployment.untilServing();
+    });
+    after(() => deployment.stop());
+
+    describe("step: run", () => {
+        for (const victim of ["anchor's agent", "member's agent", "worker", "caller"] as const) {
+            it(`fault: ${victim} killed: whole or stopped, and the job ends with its truth`, () =>
+                check(victim, "SIGKILL"));
+        }
+        it("fault: coordinating entry killed: whole or stopped, and the job ends with its truth", () =>
+            check("coordinating entry", "SIGKILL"));
+        for (const victim of ["member's agent", "worker", "coordinating entry", "caller"] as const) {
+            it(`fault: ${victim} frozen past every lease: whole or stopped, and the job ends with its truth`, () =>
+                check(victim, "SIGSTOP"));
+        }
+    });
+
+    describe("step: placement", () => {
+        it("fault: platform frozen and resumed: whole, and the job ends with its truth", async () => {
+            deployment.platform.signal("SIGSTOP");
+            const resumed = delay(FREEZE_MS).then(() => deployment.platform.signal("SIGCONT"));
+            const gang = await startGang(false);
+            await resumed;
+            await expectTruth(gang.id);
+        });
+    });
+
+    async function check(victim: Victim, signal: ProcessSignal): Promise<void> {
+        const gang = await startGang(true);
+        const child = await findVictim(victim, gang);
+        child.signal(signal);
+        if (signal === "SIGSTOP") {
+            await delay(FREEZE_MS);
+            child.signal("SIGCONT");
+        } else {
+            await child.ended;
+        }
+        await expectTruth(gang.id);
+    }
+
+    /** Submits a gang of two workers; resolves when all of its parts compute, if asked to. */
+    async function startGang(untilComputing: boolean): Promise<RunningGang> {
+        const id = `job-${jobs++}`;
+        const shape = { span: "rack", accelerators: PARTS * 8 };
+        const job = { kind: "forecast", id, shape, seconds: 2, body: JSON.stringify({ ms: RUN_MS }) };
+        const caller = await deployment.startCaller({ name: `caller-${id}`, jobs: [job] });
+        const members: number[] = [];
+        if (untilComputing) {
+            const computing = async () => {
+                const found = await observe(id);
+                members.splice(0, members.length, ...found);
+                return found.length === PARTS;
+            };
+            await pollUntil(computing, END_LIMIT_MS, `${id} computing`);
+        }
+        return { id, members, caller };
+    }
+
+    /** Records the intervals of a gang, so that those of a killed worker are kept; returns who computed. */
+    async function observe(id: string): Promise<number[]> {
+        const found: number[] = [];
+        for (const [index, worker] of deployment.workers.entries()) {
+            const all = worker.running() ? await intervalsOf(worker).catch(() => undefined) : [];
+            const own = all?.filter(interval => interval.id.includes(`/${id}#`));
+            if (own?.length) {
+                observed.set(worker.name, own);
+                found.push(index);
+            }
+        }
+        return found;
+    }
+
+    async function findVictim(victim: Victim, gang: RunningGang): Promise<ChildProcess> {
+        const { entries, agents, workers, platform } = deployment;
+        const [anchor = 0, member = 0] = gang.members;
+        const victims: Record<Victim, ChildProcess> = {
+            "anchor's agent": agents[anchor]!,
+            "member's agent": agents[member]!,
+            worker: workers[member]!,
+            // The caller submits to the first entry, which coordinates the job.
+            "coordinating entry": entries[0]!,
+            caller: gang.caller,
+            platform,
+        };
+        return victims[victim];
+    }
+
+    /** The job ends with `ran` only if a whole attempt finished, and no attempt ran partially for too long. */
+    async function expectTruth(id: string): Promise<void> {
+        let status: JobStatus | undefined;
+        const ended = async () => {
+            await observe(id);
+            const entry = deployment.entries.find(candidate => candidate.running())!;
+            status = await jobStatus(entry, id);
+            return status.end !== undefined;
+        };
+        await pollUntil(ended, END_LIMIT_MS, `the end of ${id}`);
+        await observe(id);
+        const now = performance.timeOrigin + performance.now();
+        const attempts = attemptsOf();
+        for (const parts of attempts) {
+            const all = parts.length < PARTS ? [...parts, { intervals: [] }] : parts;
+            expect(longestPartialOfParts(all, now), id).to.be.at.most(PARTIAL_LIMIT_MS);
+        }
+        const whole = attempts.some(
+            parts =>
+                parts.length === PARTS &&
+                parts.every(({ intervals }) => intervals.some(({ finished }) => finished)),
+        );
+        expect(status!.end!.verdict === "ran", JSON.stringify(status)).to.equal(whole);
+        expect(status!.end!.verdict, "a gang that has computed").to.not.equal("not-run");
+    }
+
+    function attemptsOf(): { intervals: ComputingInterval[] }[][] {
+        const attempts = new Map<string, { intervals: ComputingInterval[] }[]>();
+        for (const all of observed.values()) {
+            for (const id of new Set(all.map(interval => interval.id))) {
+                const intervals = all.filter(interval => interval.id === id);
+                attempts.set(id, [...(attempts.get(id) ?? []), { intervals }]);
+            }
+        }
+        return [...attempts.values()];
+    }
+});
