Use the dispatch decisions in the jobs task of an entry

Entries still placed jobs by priority and first fit, so an owner never displaced a borrower and small jobs could starve a large gang. The jobs task now passes its queue to one function, `dispatch`, and keeps the plan and the finished run times between rounds. The index is built once for each revision. A round that ends at its limit of starts is followed by another one after the other messages. Workers that failed a job are passed as `avoidedAgents` of that job. The place of a job that backs off for at most 2 s is kept for it. The simple policy moves to the fixtures.

Proof: with the former policy the owner's gang does not start at all and the large gang does not start within 44.9 s of continuous small jobs; both tests fail. Without the anchor's time limit the third test fails: a run must be stopped at the limit of its kind for the bound of a planned place. The part that keeps the place of a backing-off job has no test of its own.

--- a/packages/caller/src/job/jobAttempt.ts
+++ b/packages/caller/src/job/jobAttempt.ts
@@ -161,6 +161,7 @@
         return;
     }
     enterPhase(job, "running");
+    job.startedAt = context.clock.now();
     job.record = { ...job.record, state: "running" };
     saveJob(state, job, context);
     if (job.cancelled) {
--- a/packages/caller/src/job/jobQueue.ts
+++ b/packages/caller/src/job/jobQueue.ts
@@ -1,71 +1,108 @@
-import { findAccount } from "@tanagerdeck/decisions/gang/jobAdmission";
-import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { AcceleratorState } from "@tanagerdeck/decisions/fleet/reportTypes";
-import type { WaitingJob } from "@tanagerdeck/decisions/gang/jobTypes";
 import type { Placement, WorkerView } from "@tanagerdeck/decisions/placement/placementTypes";
+import { MAX_STARTS } from "@tanagerdeck/decisions/queue/dispatchRound";
+import type { RunningGang, WaitingJob } from "@tanagerdeck/decisions/queue/queueTypes";
 import { beginAttempt } from "./jobAttempt.ts";
+import { MAX_BACKOFF_MS } from "./jobState.ts";
 import type { Job, JobContext, JobsState } from "./jobTaskTypes.ts";
 
 /** Attempts in progress at once; a burst of jobs then does not flood the agents with reservations. */
 const MAX_ATTEMPTS = 64;
 
-/** The workers as far as this entry knows, and the accelerators in use or held by client account. */
-interface Fleet {
-    views: Map<string, WorkerView>;
-    used: Map<string, number>;
-}
-
-/** Begins an attempt for each waiting job that fits now. */
+/** Begins an attempt for each waiting job that the dispatch policy starts now. */
 export function placeWaiting(state: JobsState, context: JobContext): void {
-    const { configuration } = state;
+    const { configuration, index, runTimes, plan } = state;
     const waiting = waitingJobs(state, context);
-    if (!configuration || waiting.length === 0) {
+    const maxStarts = Math.min(MAX_STARTS, MAX_ATTEMPTS - countAttempts(state));
+    if (!configuration || !index || waiting.length === 0 || maxStarts <= 0) {
         return;
     }
-    const fleet = knownFleet(state);
-    let attempts = countAttempts(state);
-    for (const { key } of state.options.order(waiting, configuration)) {
-        const job = state.jobs.get(key);
-        if (!job || attempts >= MAX_ATTEMPTS || !withinQuota(configuration, job, fleet)) {
-            continue;
-        }
-        const { clientAccount, shape } = job.record;
-        const workers = workersFor(fleet, job, context.clock.now());
-        const placement = state.options.place({ clientAccount, shape }, workers, configuration);
-        if (!placement) {
-            continue;
+    const { clientAccounts } = configuration.document;
+    const round = state.options.dispatch({
+        nowMs: context.clock.now(),
+        waiting,
+        running: runningGangs(state),
+        workers: knownFleet(state),
+        index,
+        runTimes,
+        accountWeights: new Map(clientAccounts.map(({ name, weight }) => [name, weight])),
+        plan,
+        maxStarts,
+    });
+    state.plan = round.plan;
+    let begun = 0;
+    for (const { job: started, placement } of round.starts) {
+        const job = state.jobs.get(started.id);
+        // The place of a job that waits after a refused attempt is kept for it.
+        if (job && job.nextTryAt <= context.clock.now()) {
+            beginAttempt(state, job, placement, context);
+            begun++;
         }
-        claim(fleet, placement, clientAccount);
-        beginAttempt(state, job, placement, context);
-        attempts++;
+    }
+    if (!round.isComplete && begun > 0) {
+        context.after(0, { kind: "dispatch" });
     }
 }
 
-/** The workers as this job may use them: not those that have failed it, lately or for good. */
-function workersFor(fleet: Fleet, job: Job, now: number): WorkerView[] {
-    return [...fleet.views.values()].map(view => {
-        const avoided = (job.avoided.get(view.agent) ?? 0) > now || job.excluded.has(view.agent);
-        return avoided ? { ...view, usable: false } : view;
-    });
-}
-
+/** The queued jobs, with those whose next attempt is due within the longest back-off. */
 function waitingJobs(state: JobsState, context: JobContext): WaitingJob[] {
     const now = context.clock.now();
     const waiting: WaitingJob[] = [];
     for (const job of state.jobs.values()) {
-        if (job.phase !== "queued" || job.nextTryAt > now || job.cancelled) {
+        if (job.phase !== "queued" || job.cancelled || job.nextTryAt > now + MAX_BACKOFF_MS) {
             continue;
         }
         const { key, priority, acceptedAt, record } = job;
-        const { clientAccount, shape, seconds } = record;
-        waiting.push({ key, clientAccount, priority, shape, seconds, waitedMs: now - acceptedAt });
+        const { clientAccount, kind, shape } = record;
+        waiting.push({
+            id: key,
+            clientAccount,
+            kind,
+            priority,
+            shape,
+            acceptedAtMs: acceptedAt,
+            limitMs: remainingMs(job),
+            avoidedAgents: avoidedAgents(job, now),
+        });
     }
     return waiting;
 }
 
+/** The agents that have failed this job, lately or for good. */
+function avoidedAgents(job: Job, now: number): Set<string> {
+    const avoided = new Set(job.excluded);
+    for (const [agent, until] of job.avoided) {
+        if (until > now) {
+            avoided.add(agent);
+        }
+    }
+    return avoided;
+}
+
+/** Time for which the job may still compute. */
+function remainingMs({ limitMs, record }: Job): number {
+    return Math.max(1, limitMs - record.ranMs);
+}
+
+function runningGangs(state: JobsState): RunningGang[] {
+    const running: RunningGang[] = [];
+    for (const job of state.jobs.values()) {
+        if (job.placement && (job.phase === "running" || job.phase === "settling")) {
+            running.push({
+                id: job.key,
+                kind: job.record.kind,
+                members: job.placement.members,
+                startedAtMs: job.startedAt,
+                limitMs: remainingMs(job),
+            });
+        }
+    }
+    return running;
+}
+
 /** The reported workers, with the accelerators of this entry's attempts that no report shows yet. */
-function knownFleet(state: JobsState): Fleet {
-    const fleet: Fleet = { views: new Map(), used: new Map() };
+function knownFleet(state: JobsState): WorkerView[] {
+    const views = new Map<string, WorkerView>();
     for (const agent of state.agents) {
         const { name, address, availabilityZone, worker } = agent.report;
         if (!worker) {
@@ -75,39 +112,29 @@
         const accelerators = [...worker.accelerators];
         const serving = agent.state === "serving" && worker.ready !== false;
         const usable = serving && state.options.usable(agent);
-        fleet.views.set(name, { agent: name, address, availabilityZone, rack, slot, accelerators, usable });
-        for (const accelerator of accelerators) {
-            if (accelerator.kind !== "free") {
-                count(fleet, accelerator.clientAccount);
-            }
-        }
+        views.set(name, { agent: name, address, availabilityZone, rack, slot, accelerators, usable });
     }
     for (const job of state.jobs.values()) {
         if (job.placement) {
-            claim(fleet, job.placement, job.record.clientAccount);
+            claim(views, job.placement, job.record.clientAccount);
         }
     }
-    return fleet;
+    return [...views.values()];
 }
 
-function claim(fleet: Fleet, placement: Placement, clientAccount: string): void {
+function claim(views: Map<string, WorkerView>, placement: Placement, clientAccount: string): void {
     const held: AcceleratorState = { kind: "held", clientAccount };
     for (const member of placement.members) {
-        const accelerators = fleet.views.get(member.agent)?.accelerators ?? [];
+        const accelerators = views.get(member.agent)?.accelerators ?? [];
         for (const index of member.indexes) {
             const known = accelerators[index];
             if (known && (known.kind === "free" || known.clientAccount !== clientAccount)) {
                 accelerators[index] = held;
-                count(fleet, clientAccount);
             }
         }
     }
 }
 
-function count(fleet: Fleet, clientAccount: string): void {
-    fleet.used.set(clientAccount, (fleet.used.get(clientAccount) ?? 0) + 1);
-}
-
 function countAttempts(state: JobsState): number {
     let attempts = 0;
     for (const { phase } of state.jobs.values()) {
@@ -117,10 +144,3 @@
     }
     return attempts;
 }
-
-/** True if the account's accelerators in use and this job's stay within its quota. */
-function withinQuota(configuration: Configuration, job: Job, fleet: Fleet): boolean {
-    const { clientAccount, shape } = job.record;
-    const quota = findAccount(configuration.document, clientAccount)?.quota.accelerators ?? 0;
-    return (fleet.used.get(clientAccount) ?? 0) + shape.accelerators <= quota;
-}
--- a/packages/caller/src/job/jobSettle.ts
+++ b/packages/caller/src/job/jobSettle.ts
@@ -2,6 +2,7 @@
 import type { GangEnd, GangReport } from "@tanagerdeck/decisions/fleet/reportTypes";
 import { attemptKey, PARTIAL_LIMIT_MS, type SettleReply } from "@tanagerdeck/decisions/gang/gangTypes";
 import type { JobEnd } from "@tanagerdeck/decisions/gang/jobTypes";
+import { recordRun } from "@tanagerdeck/decisions/queue/runTimes";
 import type { Failure, FailureReason, Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { saveJob } from "./jobRecording.ts";
 import { endCancelled, endJob, enterPhase, requeue } from "./jobState.ts";
@@ -94,6 +95,7 @@
     job.ends.push(attemptKey(report));
     job.record = { ...job.record, started: job.record.started || end.started };
     if (report.state === "finished") {
+        state.runTimes = recordRun(state.runTimes, job.record.kind, job.record.ranMs + end.ranMs);
         endJob(state, job, "finished", { verdict: "ran", detail: "All parts have finished." }, context);
         return;
     }
--- a/packages/caller/src/job/jobState.ts
+++ b/packages/caller/src/job/jobState.ts
@@ -10,7 +10,8 @@
 import { saveJob } from "./jobRecording.ts";
 
 const FIRST_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 2_000;
+/** Longest delay between two attempts of a job. */
+export const MAX_BACKOFF_MS = 2_000;
 /** Longer than the interval of reports. */
 const AVOID_MS = 3_000;
 
@@ -41,6 +42,7 @@
         placement: undefined,
         replies: new Map(),
         attemptAt: 0,
+        startedAt: 0,
         grantedAt: 0,
         nextTryAt: 0,
         backoffMs: FIRST_BACKOFF_MS,
--- a/packages/caller/src/job/jobTask.ts
+++ b/packages/caller/src/job/jobTask.ts
@@ -1,5 +1,6 @@
 import { attemptKey } from "@tanagerdeck/decisions/gang/gangTypes";
 import { isEnded } from "@tanagerdeck/decisions/gang/jobTypes";
+import { indexPlacement } from "@tanagerdeck/decisions/placement/placementIndex";
 import { startTask, type Handlers, type Task } from "@tanagerdeck/runtime/task/task";
 import { attemptCommitted, memberReserved, reserveAll } from "./jobAttempt.ts";
 import { admitJob } from "./jobAdmission.ts";
@@ -23,6 +24,9 @@
         jobs: new Map(),
         agents: [],
         configuration: undefined,
+        index: undefined,
+        plan: undefined,
+        runTimes: {},
         platformDownUntil: 0,
         handOver: undefined,
         options,
@@ -77,6 +81,7 @@
     },
     configuration(state, message) {
         state.configuration = message.configuration;
+        state.index = indexPlacement(message.configuration);
     },
     gangs(state, message, context) {
         const recorded: string[] = [];
@@ -101,6 +106,9 @@
         forgetEnded(state, context);
         context.after(TICK_MS, { kind: "tick" });
     },
+    dispatch(state, _message, context) {
+        placeWaiting(state, context);
+    },
     released() {},
     reserved(state, message, context) {
         const job = inTurn(state, message);
--- a/packages/caller/src/job/jobTaskTypes.ts
+++ b/packages/caller/src/job/jobTaskTypes.ts
@@ -10,8 +10,11 @@
     Settlement,
     SettleReply,
 } from "@tanagerdeck/decisions/gang/gangTypes";
-import type { JobRecord, JobStatus, WaitingJob } from "@tanagerdeck/decisions/gang/jobTypes";
-import type { Demand, Placement, WorkerView } from "@tanagerdeck/decisions/placement/placementTypes";
+import type { JobRecord, JobStatus } from "@tanagerdeck/decisions/gang/jobTypes";
+import type { PlacementIndex } from "@tanagerdeck/decisions/placement/placementIndex";
+import type { Placement } from "@tanagerdeck/decisions/placement/placementTypes";
+import type { RoundInput, RoundResult } from "@tanagerdeck/decisions/queue/dispatchRound";
+import type { PlannedPlace, RunTimes } from "@tanagerdeck/decisions/queue/queueTypes";
 import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { JobRecords, RecordWrite, StoredJob } from "@tanagerdeck/platform/record/jobRecords";
@@ -47,15 +50,8 @@
     settleGang(address: string, settlement: Settlement): Promise<Either<Failure, SettleReply>>;
 }
 
-/** Chooses accelerators for a gang; undefined if it has to wait. */
-export type Place = (
-    demand: Demand,
-    workers: WorkerView[],
-    configuration: Configuration,
-) => Placement | undefined;
-
-/** Orders the waiting jobs; those that must not start now are left out. */
-export type OrderQueue = (jobs: WaitingJob[], configuration: Configuration) => WaitingJob[];
+/** Decides which of the waiting jobs start now, and where. */
+export type Dispatch = (input: RoundInput) => RoundResult;
 
 /** Messages of the jobs task. `turn` identifies the state of the job that a reply belongs to. */
 export type JobMessage =
@@ -66,6 +62,7 @@
     | { kind: "configuration"; configuration: Configuration }
     | { kind: "gangs"; gangs: GangReport[]; reply: Reply<string[]> }
     | { kind: "tick" }
+    | { kind: "dispatch" }
     | { kind: "released" }
     | { kind: "reserved"; key: string; turn: number; agent: string; result: Either<Failure, ReserveReply> }
     | { kind: "reserve-again"; key: string; turn: number }
@@ -89,8 +86,7 @@
     newId: () => string;
     calls: JobCalls;
     records: JobRecords;
-    place: Place;
-    order: OrderQueue;
+    dispatch: Dispatch;
     /** False for a quarantined worker. */
     usable: (agent: AgentView) => boolean;
 }
@@ -115,6 +111,8 @@
     placement: Placement | undefined;
     replies: Map<string, ReserveReply | undefined>;
     attemptAt: number;
+    /** Time at which the current attempt was committed. */
+    startedAt: number;
     grantedAt: number;
     nextTryAt: number;
     backoffMs: number;
@@ -145,6 +143,11 @@
     jobs: Map<string, Job>;
     agents: AgentView[];
     configuration: Configuration | undefined;
+    /** Built from the configuration once for each revision. */
+    index: PlacementIndex | undefined;
+    /** The place that is kept for the first job that does not fit. */
+    plan: PlannedPlace | undefined;
+    runTimes: RunTimes;
     platformDownUntil: number;
     handOver: Reply<void> | undefined;
     options: JobOptions;
--- a/packages/decisions/src/gang/jobTypes.ts
+++ b/packages/decisions/src/gang/jobTypes.ts
@@ -1,4 +1,4 @@
-import type { Priority, Shape } from "../document/documentTypes.ts";
+import type { Shape } from "../document/documentTypes.ts";
 import type { FailureReason, Verdict } from "../verdict/verdictTypes.ts";
 
 /** State of a job. */
@@ -53,23 +53,7 @@
     end?: JobEnd;
 }
 
-/** A waiting job as the queue order sees it. `waitedMs` counts from acceptance. */
-export interface WaitingJob {
-    key: string;
-    clientAccount: string;
-    priority: Priority;
-    shape: Shape;
-    seconds: number;
-    waitedMs: number;
-}
-
 /** True if the job will not run again. */
 export function isEnded(state: JobState): boolean {
     return state === "finished" || state === "failed" || state === "cancelled";
 }
-
-/** Urgent before normal before batch, then the longest waiting first. */
-export function orderByPriority(jobs: WaitingJob[]): WaitingJob[] {
-    const rank: Record<Priority, number> = { urgent: 0, normal: 1, batch: 2 };
-    return [...jobs].sort((a, b) => rank[a.priority] - rank[b.priority] || b.waitedMs - a.waitedMs);
-}
--- a/packages/decisions/src/placement/fleetSummary.ts
+++ b/packages/decisions/src/placement/fleetSummary.ts
@@ -59,6 +59,14 @@
     return replaced;
 }
 
+/** The summary without some agents' workers; what their client accounts use still counts. */
+export function withoutAgents({ racks, inUse }: FleetSummary, agents: Set<string>): FleetSummary {
+    const without = racks.map(slots =>
+        slots.map(summary => (summary && agents.has(summary.worker.agent) ? undefined : summary)),
+    );
+    return { racks: without, inUse };
+}
+
 /** A usable worker by position. */
 export function workerAt(
     { racks }: FleetSummary,
--- a/packages/decisions/src/queue/dispatchRound.ts
+++ b/packages/decisions/src/queue/dispatchRound.ts
@@ -4,6 +4,7 @@
     replaceWorkers,
     summarizeFleet,
     usableWorkers,
+    withoutAgents,
     workerAt,
 } from "../placement/fleetSummary.ts";
 import type { PlacementIndex } from "../placement/placementIndex.ts";
@@ -97,9 +98,9 @@
 
 function planFor(round: Round, job: WaitingJob): void {
     const { span, accelerators } = job.shape;
-    const key = `${span}/plan`;
+    const key = `${span}/plan${avoidanceKey(job)}`;
     if (accelerators < (round.tooLarge.get(key) ?? Infinity)) {
-        round.plan = planPlace(job, { ...round, workers: usableWorkers(round.fleet) });
+        round.plan = planPlace(job, { ...round, workers: usableWorkers(fleetFor(round, job)) });
         round.tooLarge.set(key, round.plan ? Infinity : accelerators);
     }
 }
@@ -132,15 +133,17 @@
 
 function tryPlace(
     round: Round,
-    { clientAccount, shape }: WaitingJob,
+    job: WaitingJob,
     view: "all" | "beside" | "own",
     preference: Stage[] | undefined,
 ): Placement | undefined {
-    const key = `${clientAccount}/${shape.span}/${view}`;
+    const { clientAccount, shape } = job;
+    const key = `${clientAccount}/${shape.span}/${view}${avoidanceKey(job)}`;
     if (shape.accelerators >= (round.tooLarge.get(key) ?? Infinity)) {
         return undefined;
     }
-    const { plan, fleet, index } = round;
+    const { plan, index } = round;
+    const fleet = fleetFor(round, job);
     const placement =
         view === "beside" && plan
             ? choosePlacementIn(
@@ -156,6 +159,15 @@
     return placement;
 }
 
+function fleetFor({ fleet }: Round, { avoidedAgents }: WaitingJob): FleetSummary {
+    return avoidedAgents?.size ? withoutAgents(fleet, avoidedAgents) : fleet;
+}
+
+/** Separates jobs that may use different workers; what does not fit one may fit the other. */
+function avoidanceKey({ avoidedAgents }: WaitingJob): string {
+    return avoidedAgents?.size ? `/${[...avoidedAgents].sort().join(",")}` : "";
+}
+
 /** The index with the quota that the planned job needs taken out. */
 function quotaBeside({ index, plan, waiting }: Round): PlacementIndex {
     const planned = waiting.find(({ id }) => id === plan?.job);
--- a/packages/decisions/src/queue/queueTypes.ts
+++ b/packages/decisions/src/queue/queueTypes.ts
@@ -11,6 +11,8 @@
     acceptedAtMs: number;
     /** Upper limit of the run time that the kind sets; a run is stopped there. */
     limitMs: number;
+    /** Agents that this job must not use. */
+    avoidedAgents?: Set<string>;
 }
 
 /** A gang that runs. */
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -2,8 +2,7 @@
 import { nanoid } from "nanoid";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { Registration } from "@tanagerdeck/decisions/fleet/entryPresence";
-import { orderByPriority } from "@tanagerdeck/decisions/gang/jobTypes";
-import { firstFitPlacement } from "@tanagerdeck/decisions/placement/firstFitPlacement";
+import { dispatchRound } from "@tanagerdeck/decisions/queue/dispatchRound";
 import type { Failure, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startCallerListener } from "@tanagerdeck/caller/listener/callerListener";
 import { createRequestRoutes } from "@tanagerdeck/caller/routing/requestRoutes";
@@ -73,8 +72,7 @@
         clients,
         clock,
         log,
-        place: firstFitPlacement,
-        order: orderByPriority,
+        dispatch: dispatchRound,
         usable: () => true,
     });
 
--- a/packages/tanagerdeck/src/entry/jobWiring.ts
+++ b/packages/tanagerdeck/src/entry/jobWiring.ts
@@ -1,7 +1,7 @@
 import { nanoid } from "nanoid";
 import { createJobRoutes } from "@tanagerdeck/caller/job/jobRoutes";
 import { startJobTask } from "@tanagerdeck/caller/job/jobTask";
-import type { JobMessage, JobReply, OrderQueue, Place } from "@tanagerdeck/caller/job/jobTaskTypes";
+import type { Dispatch, JobMessage, JobReply } from "@tanagerdeck/caller/job/jobTaskTypes";
 import type { CallerContext } from "@tanagerdeck/caller/listener/callerListener";
 import type { Report, ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
 import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
@@ -25,8 +25,7 @@
     clients: PeerClients;
     clock: Clock;
     log: Log;
-    place: Place;
-    order: OrderQueue;
+    dispatch: Dispatch;
     usable: (agent: AgentView) => boolean;
 }
 
@@ -44,7 +43,7 @@
 
 /** Starts and connects the jobs task of an entry. */
 export function startJobWiring(options: JobWiringOptions): JobWiring {
-    const { entry, environment, store, clients, clock, log, place, order, usable } = options;
+    const { entry, environment, store, clients, clock, log, dispatch, usable } = options;
     const jobs = startJobTask({
         entry,
         clock,
@@ -53,8 +52,7 @@
         newId: nanoid,
         calls: createCoordinatorCalls(clients),
         records: createJobRecords(store, environment),
-        place,
-        order,
+        dispatch,
         usable,
     });
     // A restarted entry finds the jobs of its former incarnation under its own name.
--- a/standins/src/gang/gangFixture.ts
+++ b/standins/src/gang/gangFixture.ts
@@ -1,12 +1,10 @@
 import { startJobTask } from "@tanagerdeck/caller/job/jobTask";
-import type { JobCalls, JobMessage, JobReply, OrderQueue, Place } from "@tanagerdeck/caller/job/jobTaskTypes";
+import type { Dispatch, JobCalls, JobMessage, JobReply } from "@tanagerdeck/caller/job/jobTaskTypes";
 import { startWorkerTask } from "@tanagerdeck/backend/worker/workerTask";
 import type { WorkerMessage, WorkerStatus } from "@tanagerdeck/backend/worker/workerTypes";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { GangReport, Report, ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
-import { orderByPriority } from "@tanagerdeck/decisions/gang/jobTypes";
 import { boundAccounts } from "@tanagerdeck/decisions/ledger/ledger";
-import { firstFitPlacement } from "@tanagerdeck/decisions/placement/firstFitPlacement";
 import { startAnnouncementTask } from "@tanagerdeck/peer/announcement/announcementTask";
 import { startAnchorTask } from "@tanagerdeck/peer/gang/anchorTask";
 import type { AnchorMessage } from "@tanagerdeck/peer/gang/anchorTypes";
@@ -20,6 +18,7 @@
 import { createWorkerModel, healthyWorker, type WorkerModel } from "../worker/workerModel.ts";
 import { createNetworkFixture, type NetworkFixture } from "./networkFixture.ts";
 import { createProcessFixture, type ProcessFixture } from "./processFixture.ts";
+import { createSimpleDispatch } from "./simpleDispatch.ts";
 import { createStoreFixture, type StoreFixture } from "./storeFixture.ts";
 import { createWorkerCalls } from "./workerCallsFixture.ts";
 
@@ -73,8 +72,8 @@
     entries: number;
     configuration: Configuration;
     random: () => number;
-    place?: Place;
-    order?: OrderQueue;
+    /** By priority and first fit, if absent. */
+    dispatch?: Dispatch;
 }
 
 /** Starts all tasks and lets every entry learn of every worker. */
@@ -213,8 +212,7 @@
             newId: () => `${process.name}-${ids++}`,
             calls,
             records: createJobRecords(platform.store, "test"),
-            place: options.place ?? firstFitPlacement,
-            order: options.order ?? orderByPriority,
+            dispatch: options.dispatch ?? createSimpleDispatch(),
             usable: () => true,
         });
         jobs.send({ kind: "configuration", configuration: options.configuration });
--- a/standins/src/gang/reclaimScenario.ts
+++ b/standins/src/gang/reclaimScenario.ts
@@ -1,9 +1,10 @@
-import type { Place } from "@tanagerdeck/caller/job/jobTaskTypes";
+import type { Dispatch } from "@tanagerdeck/caller/job/jobTaskTypes";
 import type { Commitment } from "@tanagerdeck/decisions/gang/gangTypes";
 import { firstFitPlacement } from "@tanagerdeck/decisions/placement/firstFitPlacement";
 import { gangConfiguration, ONCE_KIND, REPEATABLE_KIND } from "./gangConfiguration.ts";
 import { startGangFixture, type GangFixture } from "./gangFixture.ts";
 import { doubleUses, longestPartialMs } from "./gangMeasures.ts";
+import { createSimpleDispatch, type Place } from "./simpleDispatch.ts";
 
 /** Workers that are bound to the owner. */
 export const BOUND_WORKERS = 3;
@@ -94,6 +95,7 @@
 /** A fixture in which the borrower runs on the owner's binding, with all commitments so far and later. */
 export async function startBorrowed(
     foreignAnchor = false,
+    dispatch: Dispatch = createSimpleDispatch(ownerFirst(foreignAnchor)),
 ): Promise<{ fixture: GangFixture; commitments: Commitment[] }> {
     const configuration = gangConfiguration(BOUND_WORKERS);
     const fixture = await startGangFixture({
@@ -102,7 +104,7 @@
         entries: 2,
         configuration,
         random: () => 0.5,
-        place: ownerFirst(foreignAnchor),
+        dispatch,
     });
     const commitments: Commitment[] = [];
     fixture.network.choose = ({ step, input }) => {
