Rebind gone workers with the binding decisions

Entries passed no rebind function, so a guarantee whose worker had gone was never moved. The check of a document refuses guarantees that do not fit the racks together; its new case fails when computeBindings is left out.

--- a/packages/operator/src/document/checkDocument.spec.ts
+++ b/packages/operator/src/document/checkDocument.spec.ts
@@ -46,6 +46,17 @@
                 d => d.clientAccounts[1]!.tokenDigests.push(...d.clientAccounts[0]!.tokenDigests),
                 /^clientAccounts\[1\]\.tokenDigests\[1\]/,
             ],
+            [
+                "guarantees that do not fit the racks together",
+                d => {
+                    for (const account of d.clientAccounts) {
+                        account.guarantees = [{ span: "rack", accelerators: 24 }];
+                        account.quota.accelerators = 24;
+                    }
+                    d.racks = d.racks.slice(0, 2);
+                },
+                /^client account [a-z-]+: guarantee 0 /,
+            ],
             ["two weights of 0", d => (d.weights = { completionTime: 0, fragmentation: 0 }), /^weights:/],
             ["an unknown field", d => Object.assign(d, { environment: "trial" }), /environment/],
             [
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -28,6 +28,7 @@
 import { startEntryControl, type EntryControl } from "./entryControl.ts";
 import { startJobWiring } from "./jobWiring.ts";
 import { createOperatorRoutes } from "./operatorRoutes.ts";
+import { rebindWorkers } from "./rebindWorkers.ts";
 
 const EXCHANGE_TIMEOUT_MS = 1_000;
 const FETCH_TIMEOUT_MS = 2_000;
@@ -110,7 +111,7 @@
             peerCall(FETCH_TIMEOUT_MS, signal =>
                 clients.entry(address).configuration.mutate({ afterRevision }, { signal }),
             ),
-        rebind: undefined,
+        rebind: rebindWorkers,
         adopted(adopted) {
             metrics.configurationRevision(adopted.revision);
             routing.send({ kind: "configuration", configuration: adopted });
--- /dev/null
+++ b/packages/tanagerdeck/src/entry/rebindWorkers.ts
@@ -0,0 +1,12 @@
+import { Left, Right } from "purify-ts/Either";
+import { rebind } from "@tanagerdeck/decisions/binding/rebinding";
+import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Rebind } from "@tanagerdeck/platform/configuration/rebindingTask";
+
+/** Moves all bindings that fit elsewhere off the gone workers at once; fails if none does. */
+export const rebindWorkers: Rebind = (document, bindings, gone) => {
+    const { bindings: rebound, moved, unplaced } = rebind(bindings, document, gone);
+    return moved.length > 0
+        ? Right(rebound)
+        : Left(failure("not-run", "infeasible", `No other place is free for ${unplaced.length} bindings.`));
+};
