Quarantine workers that fail every gang in the jobs task

The jobs task asked a `usable` function that entries set to always true. The option is removed, as nothing varies it any more.

Health is learned per entry from its own gangs. One round may still start several small gangs on a worker whose probe is due.

--- a/packages/caller/src/job/jobQueue.ts
+++ b/packages/caller/src/job/jobQueue.ts
@@ -5,6 +5,7 @@
 import { beginAttempt } from "./jobAttempt.ts";
 import { MAX_BACKOFF_MS } from "./jobState.ts";
 import type { Job, JobContext, JobsState } from "./jobTaskTypes.ts";
+import { shunnedWorkers, takeProbes } from "./workerHealth.ts";
 
 /** Attempts in progress at once; a burst of jobs then does not flood the agents with reservations. */
 const MAX_ATTEMPTS = 64;
@@ -22,7 +23,7 @@
         nowMs: context.clock.now(),
         waiting,
         running: runningGangs(state),
-        workers: knownFleet(state),
+        workers: knownFleet(state, context.clock.now()),
         index,
         runTimes,
         accountWeights: new Map(clientAccounts.map(({ name, weight }) => [name, weight])),
@@ -35,6 +36,7 @@
         const job = state.jobs.get(started.id);
         // The place of a job that waits after a refused attempt is kept for it.
         if (job && job.nextTryAt <= context.clock.now()) {
+            takeProbes(state, placement, context.clock.now());
             beginAttempt(state, job, placement, context);
             begun++;
         }
@@ -101,8 +103,9 @@
 }
 
 /** The reported workers, with the accelerators of this entry's attempts that no report shows yet. */
-function knownFleet(state: JobsState): WorkerView[] {
+function knownFleet(state: JobsState, now: number): WorkerView[] {
     const views = new Map<string, WorkerView>();
+    const shunned = shunnedWorkers(state, now);
     for (const agent of state.agents) {
         const { name, address, availabilityZone, worker } = agent.report;
         if (!worker) {
@@ -111,7 +114,7 @@
         const { rack, slot } = worker;
         const accelerators = [...worker.accelerators];
         const serving = agent.state === "serving" && worker.ready !== false;
-        const usable = serving && state.options.usable(agent);
+        const usable = serving && !shunned.has(name);
         views.set(name, { agent: name, address, availabilityZone, rack, slot, accelerators, usable });
     }
     for (const job of state.jobs.values()) {
--- a/packages/caller/src/job/jobSettle.ts
+++ b/packages/caller/src/job/jobSettle.ts
@@ -7,6 +7,7 @@
 import { saveJob } from "./jobRecording.ts";
 import { endCancelled, endJob, enterPhase, requeue } from "./jobState.ts";
 import type { Job, JobContext, JobsState } from "./jobTaskTypes.ts";
+import { learnWorkerHealth } from "./workerHealth.ts";
 
 const SETTLE_INTERVAL_MS = 1_000;
 /** An anchor that cannot be reached for this time after its leases have expired counts as lost. */
@@ -93,6 +94,7 @@
         return;
     }
     job.ends.push(attemptKey(report));
+    learnWorkerHealth(state, job, report, context.clock.now());
     job.record = { ...job.record, started: job.record.started || end.started };
     if (report.state === "finished") {
         state.runTimes = recordRun(state.runTimes, job.record.kind, job.record.ranMs + end.ranMs);
--- a/packages/caller/src/job/jobTask.ts
+++ b/packages/caller/src/job/jobTask.ts
@@ -27,6 +27,7 @@
         index: undefined,
         plan: undefined,
         runTimes: {},
+        workerHealth: new Map(),
         platformDownUntil: 0,
         handOver: undefined,
         options,
--- a/packages/caller/src/job/jobTaskTypes.ts
+++ b/packages/caller/src/job/jobTaskTypes.ts
@@ -10,6 +10,7 @@
     Settlement,
     SettleReply,
 } from "@tanagerdeck/decisions/gang/gangTypes";
+import type { ServerHealth } from "@tanagerdeck/decisions/health/serverHealth";
 import type { JobRecord, JobStatus } from "@tanagerdeck/decisions/gang/jobTypes";
 import type { PlacementIndex } from "@tanagerdeck/decisions/placement/placementIndex";
 import type { Placement } from "@tanagerdeck/decisions/placement/placementTypes";
@@ -87,8 +88,6 @@
     calls: JobCalls;
     records: JobRecords;
     dispatch: Dispatch;
-    /** False for a quarantined worker. */
-    usable: (agent: AgentView) => boolean;
 }
 
 /** Step of a job at its coordinator. */
@@ -148,6 +147,8 @@
     /** The place that is kept for the first job that does not fit. */
     plan: PlannedPlace | undefined;
     runTimes: RunTimes;
+    /** By agent, from the gangs that this entry coordinates. */
+    workerHealth: Map<string, ServerHealth>;
     platformDownUntil: number;
     handOver: Reply<void> | undefined;
     options: JobOptions;
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -74,7 +74,6 @@
         clock,
         log,
         dispatch: dispatchRound,
-        usable: () => true,
     });
 
     const peerListener = await startPeerListener(
--- a/packages/tanagerdeck/src/entry/jobWiring.ts
+++ b/packages/tanagerdeck/src/entry/jobWiring.ts
@@ -4,7 +4,6 @@
 import type { Dispatch, JobMessage, JobReply } from "@tanagerdeck/caller/job/jobTaskTypes";
 import type { CallerContext } from "@tanagerdeck/caller/listener/callerListener";
 import type { Report, ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
-import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
 import { createCoordinatorCalls } from "@tanagerdeck/peer/gang/gangCalls";
 import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { createJobRecords } from "@tanagerdeck/platform/record/jobRecords";
@@ -26,7 +25,6 @@
     clock: Clock;
     log: Log;
     dispatch: Dispatch;
-    usable: (agent: AgentView) => boolean;
 }
 
 /** The jobs task of an entry. */
@@ -43,7 +41,7 @@
 
 /** Starts and connects the jobs task of an entry. */
 export function startJobWiring(options: JobWiringOptions): JobWiring {
-    const { entry, environment, store, clients, clock, log, dispatch, usable } = options;
+    const { entry, environment, store, clients, clock, log, dispatch } = options;
     const jobs = startJobTask({
         entry,
         clock,
@@ -53,7 +51,6 @@
         calls: createCoordinatorCalls(clients),
         records: createJobRecords(store, environment),
         dispatch,
-        usable,
     });
     // A restarted entry finds the jobs of its former incarnation under its own name.
     jobs.send({ kind: "claim", owner: entry });
--- a/standins/src/gang/gangFixture.ts
+++ b/standins/src/gang/gangFixture.ts
@@ -213,7 +213,6 @@
             calls,
             records: createJobRecords(platform.store, "test"),
             dispatch: options.dispatch ?? createSimpleDispatch(),
-            usable: () => true,
         });
         jobs.send({ kind: "configuration", configuration: options.configuration });
         const membership = startMembershipTask({
