--- a/packages/caller/src/job/jobSettle.ts
+++ b/packages/caller/src/job/jobSettle.ts
@@ -2,10 +2,12 @@
 import type { GangEnd, GangReport } from "@tanagerdeck/decisions/fleet/reportTypes";
 import { attemptKey, PARTIAL_LIMIT_MS, type SettleReply } from "@tanagerdeck/decisions/gang/gangTypes";
 import type { JobEnd } from "@tanagerdeck/decisions/gang/jobTypes";
+import { recordRun } from "@tanagerdeck/decisions/queue/runTimes";
 import type { Failure, FailureReason, Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { saveJob } from "./jobRecording.ts";
 import { endCancelled, endJob, enterPhase, requeue } from "./jobState.ts";
 import type { Job, JobContext, JobsState } from "./jobTaskTypes.ts";
+import { learnWorkerHealth } from "./workerHealth.ts";
 
 const SETTLE_INTERVAL_MS = 1_000;
 /** An anchor that cannot be reached for this time after its leases have expired counts as lost. */
@@ -92,8 +94,10 @@
         return;
     }
     job.ends.push(attemptKey(report));
+    learnWorkerHealth(state, job, report, context.clock.now());
     job.record = { ...job.record, started: job.record.started || end.started };
     if (report.state === "finished") {
+        state.runTimes = recordRun(state.runTimes, job.record.kind, job.record.ranMs + end.ranMs);
         endJob(state, job, "finished", { verdict: "ran", detail: "All parts have finished." }, context);
         return;
     }
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -2,8 +2,7 @@
 import { nanoid } from "nanoid";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import type { Registration } from "@tanagerdeck/decisions/fleet/entryPresence";
-import { orderByPriority } from "@tanagerdeck/decisions/gang/jobTypes";
-import { firstFitPlacement } from "@tanagerdeck/decisions/placement/firstFitPlacement";
+import { dispatchRound } from "@tanagerdeck/decisions/queue/dispatchRound";
 import type { Failure, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { startCallerListener } from "@tanagerdeck/caller/listener/callerListener";
 import { createRequestRoutes } from "@tanagerdeck/caller/routing/requestRoutes";
@@ -29,6 +28,7 @@
 import { startEntryControl, type EntryControl } from "./entryControl.ts";
 import { startJobWiring } from "./jobWiring.ts";
 import { createOperatorRoutes } from "./operatorRoutes.ts";
+import { rebindWorkers } from "./rebindWorkers.ts";
 
 const EXCHANGE_TIMEOUT_MS = 1_000;
 const FETCH_TIMEOUT_MS = 2_000;
@@ -73,9 +73,7 @@
         clients,
         clock,
         log,
-        place: firstFitPlacement,
-        order: orderByPriority,
-        usable: () => true,
+        dispatch: dispatchRound,
     });
 
     const peerListener = await startPeerListener(
@@ -112,7 +110,7 @@
             peerCall(FETCH_TIMEOUT_MS, signal =>
                 clients.entry(address).configuration.mutate({ afterRevision }, { signal }),
             ),
-        rebind: undefined,
+        rebind: rebindWorkers,
         adopted(adopted) {
             metrics.configurationRevision(adopted.revision);
             routing.send({ kind: "configuration", configuration: adopted });
--- a/packages/tanagerdeck/src/entry/jobWiring.ts
+++ b/packages/tanagerdeck/src/entry/jobWiring.ts
@@ -1,10 +1,9 @@
 import { nanoid } from "nanoid";
 import { createJobRoutes } from "@tanagerdeck/caller/job/jobRoutes";
 import { startJobTask } from "@tanagerdeck/caller/job/jobTask";
-import type { JobMessage, JobReply, OrderQueue, Place } from "@tanagerdeck/caller/job/jobTaskTypes";
+import type { Dispatch, JobMessage, JobReply } from "@tanagerdeck/caller/job/jobTaskTypes";
 import type { CallerContext } from "@tanagerdeck/caller/listener/callerListener";
 import type { Report, ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
-import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
 import { createCoordinatorCalls } from "@tanagerdeck/peer/gang/gangCalls";
 import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { createJobRecords } from "@tanagerdeck/platform/record/jobRecords";
@@ -25,9 +24,7 @@
     clients: PeerClients;
     clock: Clock;
     log: Log;
-    place: Place;
-    order: OrderQueue;
-    usable: (agent: AgentView) => boolean;
+    dispatch: Dispatch;
 }
 
 /** The jobs task of an entry. */
@@ -44,7 +41,7 @@
 
 /** Starts and connects the jobs task of an entry. */
 export function startJobWiring(options: JobWiringOptions): JobWiring {
-    const { entry, environment, store, clients, clock, log, place, order, usable } = options;
+    const { entry, environment, store, clients, clock, log, dispatch } = options;
     const jobs = startJobTask({
         entry,
         clock,
@@ -53,9 +50,7 @@
         newId: nanoid,
         calls: createCoordinatorCalls(clients),
         records: createJobRecords(store, environment, clock),
-        place,
-        order,
-        usable,
+        dispatch,
     });
     // A restarted entry finds the jobs of its former incarnation under its own name.
     jobs.send({ kind: "claim", owner: entry });
