Refuse reservations of an entry that is behind the agent's configuration

Cause: gang calls did not carry the entry's revision, so a worker's agent served an entry with an older configuration; only requests were checked. Ruled out: the revision on commit as well, since a commit needs holds that were reserved under the check at most 3 s before.

--- a/packages/caller/src/job/jobAttempt.ts
+++ b/packages/caller/src/job/jobAttempt.ts
@@ -42,6 +42,7 @@
             indexes: member.indexes,
             guaranteed: placement?.tenure === "owned",
             holdMs: HOLD_MS,
+            configurationRevision: state.configuration?.revision ?? 0,
         };
         context.start(
             () => state.options.calls.reserve(member.address, reservation),
--- a/packages/decisions/src/gang/gangTypes.ts
+++ b/packages/decisions/src/gang/gangTypes.ts
@@ -24,10 +24,13 @@
     /** True if the shape is one of the account's guarantees; borrowed tasks then give way. */
     guaranteed: boolean;
     holdMs: number;
+    /** Revision that the coordinating entry holds; an agent with a newer one refuses. */
+    configurationRevision: number;
 }
 
 /** Why a member refuses a reservation. */
-export type ReserveRefusal = "stale" | "occupied" | "draining" | "starting" | "invalid";
+export type ReserveRefusal =
+    "stale" | "stale-configuration" | "occupied" | "draining" | "starting" | "invalid";
 
 /** Reply to a reservation; `reclaiming` means ask again. */
 export type ReserveReply =
--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -48,6 +48,7 @@
                 incarnation,
                 address: () => started.core?.peerAddress ?? settings.peerAddress,
                 drainGraceMs: settings.drainGraceMs,
+                require,
                 clients,
                 clock,
                 log,
--- a/packages/tanagerdeck/src/agent/workerServer.ts
+++ b/packages/tanagerdeck/src/agent/workerServer.ts
@@ -2,6 +2,7 @@
 import { startWorkerTask } from "@tanagerdeck/backend/worker/workerTask";
 import type { WorkerStatus } from "@tanagerdeck/backend/worker/workerTypes";
 import type { GangReport } from "@tanagerdeck/decisions/fleet/reportTypes";
+import type { ReserveReply } from "@tanagerdeck/decisions/gang/gangTypes";
 import { boundAccounts } from "@tanagerdeck/decisions/ledger/ledger";
 import type { Progress } from "@tanagerdeck/decisions/request/requestTypes";
 import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
@@ -14,7 +15,8 @@
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
-import type { BackendServer } from "./agentCore.ts";
+import type { BackendServer, RequireConfiguration } from "./agentCore.ts";
+import { createMemberHandlers } from "./memberHandlers.ts";
 
 const noRunner = failure("not-run", "invalid", "This agent has no runner.");
 
@@ -37,6 +39,7 @@
     /** Bound `ip:port` of this agent. */
     address: () => string;
     drainGraceMs: number;
+    require: RequireConfiguration;
     clients: PeerClients;
     clock: Clock;
     log: Log;
@@ -56,7 +59,7 @@
 
 /** Starts and connects the tasks of an agent beside a worker. */
 export function startWorkerServer(options: WorkerServerOptions): BackendServer {
-    const { settings, incarnation, clients, clock, log, address, drainGraceMs } = options;
+    const { settings, incarnation, clients, clock, log, address, drainGraceMs, require } = options;
     const { rack, slot, accelerators } = settings;
     const client = createWorkerClient(settings.address);
     const anchor = startAnchorTask({
@@ -81,16 +84,16 @@
     });
     const status = () => worker.ask((reply: Reply<WorkerStatus>) => ({ kind: "status", reply }));
 
+    const members = createMemberHandlers(worker, anchor);
     const gangs: GangHandlers = {
-        reserve: reservation => worker.ask(reply => ({ kind: "reserve", reservation, reply })),
-        release: reference => worker.ask(reply => ({ kind: "release", reference, reply })),
-        prepare: preparation => worker.ask(reply => ({ kind: "prepare", preparation, reply })),
-        start: order => worker.ask(reply => ({ kind: "start", order, reply })),
-        renew: order => worker.ask(reply => ({ kind: "renew", order, reply })),
-        stop: order => worker.ask(reply => ({ kind: "stop", order, reply })),
-        commit: commitment => anchor.ask(reply => ({ kind: "commit", commitment, reply })),
-        settleGang: settlement => anchor.ask(reply => ({ kind: "settle", settlement, reply })),
-        reclaimGang: reference => anchor.ask(reply => ({ kind: "reclaim", reference, reply })),
+        ...members,
+        async reserve(reservation) {
+            const current = await require(reservation.configurationRevision);
+            return current.caseOf<Promise<ReserveReply>>({
+                Left: async () => ({ kind: "refused", reason: "stale-configuration" }),
+                Right: () => members.reserve(reservation),
+            });
+        },
     };
 
     return {
