Count the ends, retries and load of gang jobs in the metrics

Cause: only requests reached the metrics, so an operator saw no gang job. Ruled out: an outcome of the request's type for jobs; the metric needs only a verdict and a reason, which is now its argument's type. Before: the new test sees no end; after: one.

--- a/packages/caller/src/job/jobState.ts
+++ b/packages/caller/src/job/jobState.ts
@@ -70,7 +70,8 @@
 
 /** Puts a job back into the queue, after a random delay that grows with each failed attempt. */
 export function requeue(state: JobsState, job: Job, context: JobContext, delayMs = 0): void {
-    const { random } = state.options;
+    const { random, metrics } = state.options;
+    metrics.retried("gang");
     enterPhase(job, "queued");
     job.placement = undefined;
     job.record = { ...job.record, state: "queued" };
@@ -116,6 +117,7 @@
     job.placement = undefined;
     job.endedAt = context.clock.now();
     job.record = { ...job.record, state: ended, end };
+    state.options.metrics.ended("gang", end);
     state.options.log.info("A job has ended.", { job: job.key, state: ended, verdict: end.verdict });
     saveJob(state, job, context);
 }
--- a/packages/caller/src/job/jobTask.spec.ts
+++ b/packages/caller/src/job/jobTask.spec.ts
@@ -6,6 +6,7 @@
     type GangFixture,
     type JobSubmission,
 } from "@tanagerdeck/standins/gang/gangFixture";
+import { silentMetrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import { doubleUses } from "@tanagerdeck/standins/gang/gangMeasures";
 import type { JobReply } from "./jobTaskTypes.ts";
 
@@ -13,8 +14,10 @@
 
 describe("jobs", () => {
     let fixture: GangFixture;
+    let ended: string[];
 
     beforeEach(async () => {
+        ended = [];
         const configuration = gangConfiguration();
         configuration.document.clientAccounts[0]!.quota = {
             accelerators: 8,
@@ -27,11 +30,20 @@
             entries: 2,
             configuration,
             random: () => 0.5,
+            metrics: { ...silentMetrics, ended: (form, end) => ended.push(`${form} ${end.verdict}`) },
         });
     });
 
     afterEach(() => fixture.stop());
 
+    describe("metrics", () => {
+        it("count each end once, so that a rising share of may-have-run is seen", async () => {
+            await submit(0, JOB);
+            await fixture.clock.advance(8_000);
+            expect(ended).to.deep.equal(["gang ran"]);
+        });
+    });
+
     describe("platform down", () => {
         beforeEach(() => {
             fixture.platform.mode = "down";
--- a/packages/caller/src/job/jobTask.ts
+++ b/packages/caller/src/job/jobTask.ts
@@ -1,6 +1,7 @@
 import { attemptKey } from "@tanagerdeck/decisions/gang/gangTypes";
 import { isEnded } from "@tanagerdeck/decisions/gang/jobTypes";
 import { indexPlacement } from "@tanagerdeck/decisions/placement/placementIndex";
+import type { WorkLoad } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import { startTask, type Handlers, type Task } from "@tanagerdeck/runtime/task/task";
 import { attemptCommitted, memberReserved, reserveAll } from "./jobAttempt.ts";
 import { admitJob } from "./jobAdmission.ts";
@@ -105,6 +106,7 @@
     tick(state, _message, context) {
         placeWaiting(state, context);
         forgetEnded(state, context);
+        state.options.metrics.load("gang", countJobs(state));
         context.after(TICK_MS, { kind: "tick" });
     },
     dispatch(state, _message, context) {
@@ -224,6 +226,18 @@
     state.handOver?.();
 }
 
+function countJobs(state: JobsState): WorkLoad {
+    const load = { waiting: 0, running: 0 };
+    for (const { phase } of state.jobs.values()) {
+        if (phase === "running" || phase === "settling") {
+            load.running++;
+        } else if (phase !== "ended") {
+            load.waiting++;
+        }
+    }
+    return load;
+}
+
 function forgetEnded(state: JobsState, context: JobContext): void {
     for (const [key, job] of state.jobs) {
         const old = context.clock.now() - job.endedAt > ENDED_RETENTION_MS;
--- a/packages/caller/src/job/jobTaskTypes.ts
+++ b/packages/caller/src/job/jobTaskTypes.ts
@@ -21,6 +21,7 @@
 import type { JobRecords, RecordWrite, StoredJob } from "@tanagerdeck/platform/record/jobRecords";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import type { Reply, TaskContext } from "@tanagerdeck/runtime/task/task";
 
 /** A caller's job after authentication. */
@@ -88,6 +89,7 @@
     calls: JobCalls;
     records: JobRecords;
     dispatch: Dispatch;
+    metrics: Metrics;
 }
 
 /** Step of a job at its coordinator. */
--- a/packages/runtime/src/metrics/metricsTypes.ts
+++ b/packages/runtime/src/metrics/metricsTypes.ts
@@ -1,10 +1,16 @@
 import type { Form } from "@tanagerdeck/decisions/document/documentTypes";
 import type { AgentState } from "@tanagerdeck/decisions/fleet/reportTypes";
-import type { FailureReason, Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { FailureReason, Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
 
 /** Calls to the platform's service, by their effect on its budget. */
 export type PlatformOperation = "read" | "write" | "watch";
 
+/** How a request or a job ended. */
+export interface WorkEnd {
+    verdict: Verdict;
+    reason?: FailureReason | undefined;
+}
+
 /** Work of one form at one process. */
 export interface WorkLoad {
     waiting: number;
@@ -17,7 +23,7 @@
  */
 export interface Metrics {
     /** Counts the end of a request or job; a failure with `not-run` also counts as refused. */
-    ended(form: Form, outcome: Outcome): void;
+    ended(form: Form, end: WorkEnd): void;
     /** Counts work that was refused before it became a request or job, such as a wrong token. */
     refused(reason: FailureReason): void;
     /** Counts a second or later attempt of a request or job. */
--- a/packages/runtime/src/metrics/promMetrics.ts
+++ b/packages/runtime/src/metrics/promMetrics.ts
@@ -78,10 +78,10 @@
         contentType: registry.contentType,
         text: () => registry.metrics(),
         stop: stopDelay,
-        ended(form, outcome) {
-            ended.inc({ form, verdict: outcome.verdict });
-            if (outcome.kind === "failure" && outcome.verdict === "not-run") {
-                refused.inc({ reason: outcome.reason });
+        ended(form, { verdict, reason }) {
+            ended.inc({ form, verdict });
+            if (verdict === "not-run" && reason) {
+                refused.inc({ reason });
             }
         },
         refused: reason => refused.inc({ reason }),
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -74,6 +74,7 @@
         clock,
         log,
         dispatch: dispatchRound,
+        metrics,
     });
 
     const peerListener = await startPeerListener(
--- a/packages/tanagerdeck/src/entry/jobWiring.ts
+++ b/packages/tanagerdeck/src/entry/jobWiring.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Routes } from "@tanagerdeck/runtime/http/routes";
 import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
 
 /** Longest wait for the platform when an entry stops. */
@@ -25,6 +26,7 @@
     clock: Clock;
     log: Log;
     dispatch: Dispatch;
+    metrics: Metrics;
 }
 
 /** The jobs task of an entry. */
@@ -41,7 +43,7 @@
 
 /** Starts and connects the jobs task of an entry. */
 export function startJobWiring(options: JobWiringOptions): JobWiring {
-    const { entry, environment, store, clients, clock, log, dispatch } = options;
+    const { entry, environment, store, clients, clock, log, dispatch, metrics } = options;
     const jobs = startJobTask({
         entry,
         clock,
@@ -51,6 +53,7 @@
         calls: createCoordinatorCalls(clients),
         records: createJobRecords(store, environment, clock),
         dispatch,
+        metrics,
     });
     // A restarted entry finds the jobs of its former incarnation under its own name.
     jobs.send({ kind: "claim", owner: entry });
--- a/standins/src/gang/gangFixture.ts
+++ b/standins/src/gang/gangFixture.ts
@@ -15,6 +15,7 @@
 import { createMemberHandlers } from "@tanagerdeck/tanagerdeck/agent/memberHandlers";
 import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
 import { silentLog } from "@tanagerdeck/runtime/log/log";
+import { silentMetrics, type Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
 import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
 import { createWorkerModel, healthyWorker, type WorkerModel } from "../worker/workerModel.ts";
 import { createNetworkFixture, type NetworkFixture } from "./networkFixture.ts";
@@ -74,6 +75,7 @@
     configuration: Configuration;
     random: () => number;
     /** By priority and first fit, if absent. */
+    metrics?: Metrics;
     dispatch?: Dispatch;
 }
 
@@ -214,6 +216,7 @@
             calls,
             records: createJobRecords(platform.store, "test", process.clock),
             dispatch: options.dispatch ?? createSimpleDispatch(),
+            metrics: options.metrics ?? silentMetrics,
         });
         jobs.send({ kind: "configuration", configuration: options.configuration });
         const membership = startMembershipTask({
