Keep the fixtures of process and request tests with the stand-ins

Cause: a deployment of test processes stood among the shipped code, and the same document of one account and one kind stood in two specs.

--- a/packages/tanagerdeck/src/entry/requestPath.spec.ts
+++ b/packages/tanagerdeck/src/entry/requestPath.spec.ts
@@ -5,7 +5,7 @@
     startRunnerStandin,
     type RunnerStandin,
 } from "@tanagerdeck/standins/runner/runnerStandin";
-import { tokenDigest } from "@tanagerdeck/runtime/access/token";
+import { requestDocument } from "@tanagerdeck/standins/document/requestDocument";
 import { startAgent } from "../agent/agentProcess.ts";
 import { agentSettingsSchema, entrySettingsSchema } from "../settings/settingsSchema.ts";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
@@ -16,29 +16,7 @@
 const CALLER_TOKEN = "caller-token-for-tests";
 const ANY_PORT = "127.0.0.1:0";
 
-const DOCUMENT = {
-    clientAccounts: [
-        {
-            name: "counter",
-            tokenDigests: [tokenDigest(CALLER_TOKEN)],
-            guarantees: [],
-            quota: { accelerators: 8, requestsPerSecond: 100, waiting: 100 },
-            weight: 1,
-        },
-    ],
-    kinds: [
-        {
-            name: "quote",
-            clientAccounts: ["counter"],
-            repeatable: true,
-            form: "request",
-            limits: { seconds: 10, bytes: 10_000, accelerators: 0 },
-            priority: "urgent",
-        },
-    ],
-    racks: [],
-    weights: { completionTime: 3, fragmentation: 1 },
-};
+const DOCUMENT = requestDocument(CALLER_TOKEN);
 
 describe("the path of a request", () => {
     let platform: PlatformStandin;
--- a/packages/tanagerdeck/src/entry/requestTrace.spec.ts
+++ b/packages/tanagerdeck/src/entry/requestTrace.spec.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { expect } from "chai";
-import { tokenDigest } from "@tanagerdeck/runtime/access/token";
+import { requestDocument } from "@tanagerdeck/standins/document/requestDocument";
 import type { SpanLine } from "@tanagerdeck/runtime/trace/lineExporter";
 import { pollUntil } from "@tanagerdeck/standins/processes/polling";
 import { createProcessGroup, type ProcessGroup } from "@tanagerdeck/standins/processes/processGroup";
@@ -15,29 +15,7 @@
 const CALLER_TRACE = "0af7651916cd43dd8448eb211c80319c";
 const HOPS = ["POST /v1/requests", "route request", "call agent", "serve submit", "POST /run"];
 
-const DOCUMENT = {
-    clientAccounts: [
-        {
-            name: "counter",
-            tokenDigests: [tokenDigest(CALLER_TOKEN)],
-            guarantees: [],
-            quota: { accelerators: 0, requestsPerSecond: 100, waiting: 100 },
-            weight: 1,
-        },
-    ],
-    kinds: [
-        {
-            name: "quote",
-            clientAccounts: ["counter"],
-            repeatable: true,
-            form: "request",
-            limits: { seconds: 10, bytes: 10_000, accelerators: 0 },
-            priority: "urgent",
-        },
-    ],
-    racks: [],
-    weights: { completionTime: 3, fragmentation: 1 },
-};
+const DOCUMENT = requestDocument(CALLER_TOKEN);
 
 describe("the trace of a request", () => {
     const programs = mkdtempSync(join(tmpdir(), "tanagerdeck-programs-"));
--- a/packages/tanagerdeck/src/process/configurationProcess.fault.spec.ts
+++ b/packages/tanagerdeck/src/process/configurationProcess.fault.spec.ts
@@ -1,7 +1,12 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { expect } from "chai";
 import type { ChildProcess } from "@tanagerdeck/standins/processes/childProcess";
-import { createDocument, revisionOf, startDeployment, type Deployment } from "./processDeployment.ts";
+import {
+    createDocument,
+    revisionOf,
+    startDeployment,
+    type Deployment,
+} from "@tanagerdeck/standins/processes/processDeployment";
 
 /** Stated bound from acceptance to force everywhere. */
 const IN_FORCE_LIMIT_MS = 17_000;
--- a/packages/tanagerdeck/src/process/gangProcess.fault.spec.ts
+++ b/packages/tanagerdeck/src/process/gangProcess.fault.spec.ts
@@ -12,7 +12,7 @@
     jobStatus,
     startDeployment,
     type Deployment,
-} from "./processDeployment.ts";
+} from "@tanagerdeck/standins/processes/processDeployment";
 
 /** Longer than every lease. */
 const FREEZE_MS = 6_000;
--- a/packages/tanagerdeck/src/process/processDeployment.ts
+++ b/standins/src/processes/processDeployment.ts
@@ -4,12 +4,12 @@
 import type { Document } from "@tanagerdeck/decisions/document/documentTypes";
 import type { JobStatus } from "@tanagerdeck/decisions/gang/jobTypes";
 import { tokenDigest } from "@tanagerdeck/runtime/access/token";
-import type { ChildProcess } from "@tanagerdeck/standins/processes/childProcess";
-import { pollUntil } from "@tanagerdeck/standins/processes/polling";
-import { createProcessGroup } from "@tanagerdeck/standins/processes/processGroup";
-import { agentSettings, entrySettings } from "@tanagerdeck/standins/processes/processSettings";
-import { bundlePrograms } from "@tanagerdeck/standins/processes/programBundle";
-import type { ComputingInterval } from "@tanagerdeck/standins/worker/workerModel";
+import type { ChildProcess } from "./childProcess.ts";
+import { pollUntil } from "./polling.ts";
+import { createProcessGroup } from "./processGroup.ts";
+import { agentSettings, entrySettings } from "./processSettings.ts";
+import { bundlePrograms } from "./programBundle.ts";
+import type { ComputingInterval } from "../worker/workerModel.ts";
 
 const ANY_PORT = "127.0.0.1:0";
 const READY_LIMIT_MS = 15_000;
