End the observed intervals of a killed worker when it exits

The last observation of the killed worker showed an open interval, which counted as computing until the job's end, long after the process had exited. The interval now ends when the process has exited, the latest time at which it can have computed.

--- a/packages/tanagerdeck/src/process/gangProcess.fault.spec.ts
+++ b/packages/tanagerdeck/src/process/gangProcess.fault.spec.ts
@@ -94,6 +94,7 @@
             child.signal("SIGCONT");
         } else {
             await child.ended;
+            endObserved(child.name);
         }
         await expectTruth(gang.id, signal === "SIGKILL" ? END_LIMIT_MS + FAILOVER_MS[victim] : END_LIMIT_MS);
     }
@@ -130,6 +131,16 @@
         return found;
     }
 
+    /** A worker that has exited computes no longer, though the last observation shows it computing. */
+    function endObserved(worker: string): void {
+        const end = performance.timeOrigin + performance.now();
+        const intervals = observed.get(worker) ?? [];
+        observed.set(
+            worker,
+            intervals.map(interval => ({ ...interval, end: interval.end ?? end })),
+        );
+    }
+
     async function findVictim(victim: Victim, gang: RunningGang): Promise<ChildProcess> {
         const { entries, agents, workers, platform } = deployment;
         const [anchor = 0, member = 0] = gang.members;
