Keep the error codes of unsent calls in one place

Cause: the set that decides between not-run and may-have-run stood in five clients, so a code added to one would have made verdicts differ. Ruled out: the set in packages/peer, on which the platform's and the backend server's clients do not depend. No behaviour changes.

--- a/packages/backend/src/runner/runnerClient.ts
+++ b/packages/backend/src/runner/runnerClient.ts
@@ -2,9 +2,9 @@
 import { bodyDigest } from "@tanagerdeck/runtime/access/bodyDigest";
 import type { Request } from "@tanagerdeck/decisions/request/requestTypes";
 import { failure, type Answer, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { NOT_SENT_CODES } from "@tanagerdeck/runtime/http/notSentCodes";
 
 const CONNECT_TIMEOUT_MS = 1_000;
-const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
 const NOT_STARTED_STATUS = 503;
 
 /** Runs a request on the backend server; the outcome carries the verdict. */
--- a/packages/caller/src/client/requestClient.ts
+++ b/packages/caller/src/client/requestClient.ts
@@ -2,6 +2,7 @@
 import { nanoid } from "nanoid";
 import { Agent, request as send } from "undici";
 import { failure, type Failure, type Outcome } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { NOT_SENT_CODES } from "@tanagerdeck/runtime/http/notSentCodes";
 import { checkResponse, type EntryResponse } from "./responseCheck.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -9,7 +10,6 @@
 /** Time after the deadline for which an entry's last word is waited for. */
 const DEADLINE_GRACE_MS = 1_000;
 const TICKET_STATUS = 428;
-const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
 /** Refusals of an entry that has not looked at the id. */
 const BLIND_REASONS = new Set<Failure["reason"]>(["no-configuration", "access-denied"]);
 
--- a/packages/operator/src/client/operatorClient.ts
+++ b/packages/operator/src/client/operatorClient.ts
@@ -2,8 +2,8 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import { request } from "undici";
 import { failure, type Failure, type Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { NOT_SENT_CODES } from "@tanagerdeck/runtime/http/notSentCodes";
 
-const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
 const VERDICTS = new Set<unknown>(["not-run", "ran", "may-have-run"] satisfies Verdict[]);
 
 /** One HTTP call to an entry. `timeoutMs` bounds the whole call. */
--- a/packages/peer/src/link/peerCall.ts
+++ b/packages/peer/src/link/peerCall.ts
@@ -1,9 +1,7 @@
 import { Either, Left, Right } from "purify-ts/Either";
 import { TRPCClientError } from "@trpc/client";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-
-/** Error codes of connections that failed before any byte of the request was sent. */
-const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+import { NOT_SENT_CODES } from "@tanagerdeck/runtime/http/notSentCodes";
 
 /**
  * Runs one remote call with a timeout and turns its error into a failure.
--- a/packages/platform/src/store/etcdStore.ts
+++ b/packages/platform/src/store/etcdStore.ts
@@ -2,6 +2,7 @@
 import { Pool } from "undici";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { PlatformOperation } from "@tanagerdeck/runtime/metrics/metricsTypes";
+import { NOT_SENT_CODES } from "@tanagerdeck/runtime/http/notSentCodes";
 import {
     decodeValue,
     encode,
@@ -16,7 +17,6 @@
 const CALL_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 const CONNECTIONS = 8;
-const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
 /** Statuses with which the gateway refuses a call before it applies anything. */
 const REFUSED_STATUSES = new Set([400, 401, 403, 404, 412, 429]);
 
