Rename the package of the store's tasks to store

Cause: the users' platform gets an adapter in the folder platform/ at the root, and two packages called platform confuse. Change: packages/platform becomes packages/store, without other changes. Ruled out: moving it into platform/, because its tasks hold decisions and the adapter must not. Checked with the type checker, formatter and linter.

--- a/packages/caller/src/job/jobClaim.ts
+++ b/packages/caller/src/job/jobClaim.ts
@@ -1,7 +1,7 @@
 import type { Either } from "purify-ts/Either";
 import { isEnded } from "@tanagerdeck/decisions/gang/jobTypes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { StoredJob } from "@tanagerdeck/platform/record/jobRecords";
+import type { StoredJob } from "@tanagerdeck/store/record/jobRecords";
 import { saveJob } from "./jobRecording.ts";
 import { createJob, jobKey } from "./jobState.ts";
 import type { JobContext, JobsState } from "./jobTaskTypes.ts";
--- a/packages/caller/src/job/jobRecording.ts
+++ b/packages/caller/src/job/jobRecording.ts
@@ -1,6 +1,6 @@
 import { isEnded, type JobRecord } from "@tanagerdeck/decisions/gang/jobTypes";
 import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { RecordWrite, StoredJob } from "@tanagerdeck/platform/record/jobRecords";
+import type { RecordWrite, StoredJob } from "@tanagerdeck/store/record/jobRecords";
 import { commitAttempt, releaseAll } from "./jobAttempt.ts";
 import { beginSettle, cancelAttempt } from "./jobSettle.ts";
 import { enterPhase, jobStatus, requeue } from "./jobState.ts";
--- a/packages/caller/src/job/jobRemote.ts
+++ b/packages/caller/src/job/jobRemote.ts
@@ -1,7 +1,7 @@
 import { attemptKey } from "@tanagerdeck/decisions/gang/gangTypes";
 import { isEnded, type JobEnd, type JobRecord } from "@tanagerdeck/decisions/gang/jobTypes";
 import { failure, type Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { StoredJob } from "@tanagerdeck/platform/record/jobRecords";
+import type { StoredJob } from "@tanagerdeck/store/record/jobRecords";
 import { jobStatus } from "./jobState.ts";
 import type { JobOptions, JobReference, JobReply } from "./jobTaskTypes.ts";
 
--- a/packages/caller/src/job/jobTaskTypes.ts
+++ b/packages/caller/src/job/jobTaskTypes.ts
@@ -18,7 +18,7 @@
 import type { PlannedPlace, RunTimes } from "@tanagerdeck/decisions/queue/queueTypes";
 import type { AgentView } from "@tanagerdeck/decisions/routing/agentChoice";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { JobRecords, RecordWrite, StoredJob } from "@tanagerdeck/platform/record/jobRecords";
+import type { JobRecords, RecordWrite, StoredJob } from "@tanagerdeck/store/record/jobRecords";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
 import type { Metrics } from "@tanagerdeck/runtime/metrics/metricsTypes";
--- a/packages/operator/src/document/applyDocument.fault.spec.ts
+++ b/packages/operator/src/document/applyDocument.fault.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import type { Either } from "purify-ts/Either";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import { listHistory, readCurrent } from "@tanagerdeck/platform/configuration/acceptedConfiguration";
+import { listHistory, readCurrent } from "@tanagerdeck/store/configuration/acceptedConfiguration";
 import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
 import {
     createMemoryPlatform,
--- a/packages/operator/src/document/applyDocument.ts
+++ b/packages/operator/src/document/applyDocument.ts
@@ -6,8 +6,8 @@
     readCurrent,
     readHistory,
     type HistoryRecord,
-} from "@tanagerdeck/platform/configuration/acceptedConfiguration";
-import type { Store } from "@tanagerdeck/platform/store/storeTypes";
+} from "@tanagerdeck/store/configuration/acceptedConfiguration";
+import type { Store } from "@tanagerdeck/store/store/storeTypes";
 import { checkDocument, documentDigest } from "./checkDocument.ts";
 
 /** A document to apply: `text` is its exact bytes, `expectedRevision` the revision that it replaces (0: none). */
--- a/packages/operator/src/document/documentRoutes.ts
+++ b/packages/operator/src/document/documentRoutes.ts
@@ -3,7 +3,7 @@
 import { z } from "zod";
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { HistoryRecord } from "@tanagerdeck/platform/configuration/acceptedConfiguration";
+import type { HistoryRecord } from "@tanagerdeck/store/configuration/acceptedConfiguration";
 import type { Routes } from "@tanagerdeck/runtime/http/routes";
 import { readOperatorBody, sendResult } from "../listener/operatorBody.ts";
 import type { AcceptedChange, Change } from "./applyDocument.ts";
--- a/packages/operator/src/usage/usageRoutes.ts
+++ b/packages/operator/src/usage/usageRoutes.ts
@@ -1,5 +1,5 @@
 import { Right } from "purify-ts/Either";
-import type { UsageSummary } from "@tanagerdeck/platform/usage/usageTask";
+import type { UsageSummary } from "@tanagerdeck/store/usage/usageTask";
 import type { Routes } from "@tanagerdeck/runtime/http/routes";
 import { sendResult } from "../listener/operatorBody.ts";
 
--- a/packages/tanagerdeck/src/commands/historyCommand.ts
+++ b/packages/tanagerdeck/src/commands/historyCommand.ts
@@ -1,4 +1,4 @@
-import type { HistoryRecord } from "@tanagerdeck/platform/configuration/acceptedConfiguration";
+import type { HistoryRecord } from "@tanagerdeck/store/configuration/acceptedConfiguration";
 import type { Command } from "./commandTypes.ts";
 import { entryOptions } from "./entryOptions.ts";
 import { runOperatorCall } from "./operatorCalls.ts";
--- a/packages/tanagerdeck/src/commands/usageCommand.ts
+++ b/packages/tanagerdeck/src/commands/usageCommand.ts
@@ -1,4 +1,4 @@
-import type { UsageSummary } from "@tanagerdeck/platform/usage/usageTask";
+import type { UsageSummary } from "@tanagerdeck/store/usage/usageTask";
 import type { Command } from "./commandTypes.ts";
 import { entryOptions } from "./entryOptions.ts";
 import { runOperatorCall } from "./operatorCalls.ts";
--- a/packages/tanagerdeck/src/entry/entryControl.ts
+++ b/packages/tanagerdeck/src/entry/entryControl.ts
@@ -7,11 +7,11 @@
 import { startEntryConfigurationTask } from "@tanagerdeck/peer/configuration/entryConfigurationTask";
 import type { ConfigurationStatus } from "@tanagerdeck/peer/link/entryRouter";
 import { startMembershipTask } from "@tanagerdeck/peer/membership/membershipTask";
-import { startConfigurationTask } from "@tanagerdeck/platform/configuration/configurationTask";
-import { startRebindingTask, type Rebind } from "@tanagerdeck/platform/configuration/rebindingTask";
-import { startRegistrationTask } from "@tanagerdeck/platform/registration/registrationTask";
-import type { Store } from "@tanagerdeck/platform/store/storeTypes";
-import { startUsageTask } from "@tanagerdeck/platform/usage/usageTask";
+import { startConfigurationTask } from "@tanagerdeck/store/configuration/configurationTask";
+import { startRebindingTask, type Rebind } from "@tanagerdeck/store/configuration/rebindingTask";
+import { startRegistrationTask } from "@tanagerdeck/store/registration/registrationTask";
+import type { Store } from "@tanagerdeck/store/store/storeTypes";
+import { startUsageTask } from "@tanagerdeck/store/usage/usageTask";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
 
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -13,7 +13,7 @@
 import { peerCall } from "@tanagerdeck/peer/link/peerCall";
 import { createPeerClients } from "@tanagerdeck/peer/link/peerClient";
 import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
-import { createEtcdStore } from "@tanagerdeck/platform/store/etcdStore";
+import { createEtcdStore } from "@tanagerdeck/store/store/etcdStore";
 import { bodyDigest } from "@tanagerdeck/runtime/access/bodyDigest";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
 import { startMetricsListener, type Health } from "@tanagerdeck/runtime/metrics/metricsListener";
--- a/packages/tanagerdeck/src/entry/jobWiring.ts
+++ b/packages/tanagerdeck/src/entry/jobWiring.ts
@@ -6,8 +6,8 @@
 import type { Report, ReportReply } from "@tanagerdeck/decisions/fleet/reportTypes";
 import { createCoordinatorCalls } from "@tanagerdeck/peer/gang/gangCalls";
 import type { PeerClients } from "@tanagerdeck/peer/link/peerClient";
-import { createJobRecords } from "@tanagerdeck/platform/record/jobRecords";
-import type { Store } from "@tanagerdeck/platform/store/storeTypes";
+import { createJobRecords } from "@tanagerdeck/store/record/jobRecords";
+import type { Store } from "@tanagerdeck/store/store/storeTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Routes } from "@tanagerdeck/runtime/http/routes";
 import type { Log } from "@tanagerdeck/runtime/log/log";
--- a/packages/tanagerdeck/src/entry/rebindWorkers.spec.ts
+++ b/packages/tanagerdeck/src/entry/rebindWorkers.spec.ts
@@ -4,8 +4,8 @@
     acceptConfiguration,
     listHistory,
     readCurrent,
-} from "@tanagerdeck/platform/configuration/acceptedConfiguration";
-import { startRebindingTask } from "@tanagerdeck/platform/configuration/rebindingTask";
+} from "@tanagerdeck/store/configuration/acceptedConfiguration";
+import { startRebindingTask } from "@tanagerdeck/store/configuration/rebindingTask";
 import { createManualClock } from "@tanagerdeck/runtime/clock/manualClock";
 import { silentLog } from "@tanagerdeck/runtime/log/log";
 import { gangConfiguration } from "@tanagerdeck/standins/gang/gangConfiguration";
--- a/packages/tanagerdeck/src/entry/rebindWorkers.ts
+++ b/packages/tanagerdeck/src/entry/rebindWorkers.ts
@@ -1,7 +1,7 @@
 import { Left, Right } from "purify-ts/Either";
 import { rebind } from "@tanagerdeck/decisions/binding/rebinding";
 import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { Rebind } from "@tanagerdeck/platform/configuration/rebindingTask";
+import type { Rebind } from "@tanagerdeck/store/configuration/rebindingTask";
 
 /** Moves all bindings that fit elsewhere off the gone workers at once; fails if none does. */
 export const rebindWorkers: Rebind = (document, bindings, gone) => {
--- a/packages/tanagerdeck/src/entry/testing/worldCalls.ts
+++ b/packages/tanagerdeck/src/entry/testing/worldCalls.ts
@@ -2,7 +2,7 @@
 import type { Configuration } from "@tanagerdeck/decisions/document/documentTypes";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { ConfigurationStatus } from "@tanagerdeck/peer/link/entryRouter";
-import type { Store } from "@tanagerdeck/platform/store/storeTypes";
+import type { Store } from "@tanagerdeck/store/store/storeTypes";
 import type { FreezableClock } from "@tanagerdeck/standins/polling/freezableClock";
 import type { ControlWorld, EntryNode } from "./worldTypes.ts";
 
--- a/scripts/bench/platformReturnBench.ts
+++ b/scripts/bench/platformReturnBench.ts
@@ -1,7 +1,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import { startConfigurationTask } from "@tanagerdeck/platform/configuration/configurationTask";
-import { createEtcdStore } from "@tanagerdeck/platform/store/etcdStore";
+import { startConfigurationTask } from "@tanagerdeck/store/configuration/configurationTask";
+import { createEtcdStore } from "@tanagerdeck/store/store/etcdStore";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
 import { silentLog } from "@tanagerdeck/runtime/log/log";
 import { startPlatformStandin } from "@tanagerdeck/standins/platform/platformStandin";
--- a/scripts/bench/requestBench.ts
+++ b/scripts/bench/requestBench.ts
@@ -18,7 +18,7 @@
 import { silentLog } from "@tanagerdeck/runtime/log/log";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
 import { startProxyStandin } from "@tanagerdeck/standins/network/proxyStandin";
-import { createEtcdStore } from "@tanagerdeck/platform/store/etcdStore";
+import { createEtcdStore } from "@tanagerdeck/store/store/etcdStore";
 import { startPlatformStandin } from "@tanagerdeck/standins/platform/platformStandin";
 import { request } from "undici";
 import type { Bench, Measure } from "./benchTypes.ts";
--- a/standins/src/gang/gangFixture.ts
+++ b/standins/src/gang/gangFixture.ts
@@ -11,7 +11,7 @@
 import { MEMBER_TIMEOUT_MS, type MemberCalls } from "@tanagerdeck/peer/gang/gangCalls";
 import type { GangHandlers } from "@tanagerdeck/peer/gang/gangHandlers";
 import { startMembershipTask, type MembershipMessage } from "@tanagerdeck/peer/membership/membershipTask";
-import { createJobRecords } from "@tanagerdeck/platform/record/jobRecords";
+import { createJobRecords } from "@tanagerdeck/store/record/jobRecords";
 import { createMemberHandlers } from "@tanagerdeck/tanagerdeck/agent/memberHandlers";
 import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
 import { silentLog } from "@tanagerdeck/runtime/log/log";
--- a/standins/src/gang/storeFixture.ts
+++ b/standins/src/gang/storeFixture.ts
@@ -1,5 +1,5 @@
 import { Left, Right, type Either } from "purify-ts/Either";
-import type { Store, StoredValue } from "@tanagerdeck/platform/store/storeTypes";
+import type { Store, StoredValue } from "@tanagerdeck/store/store/storeTypes";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 
--- a/standins/src/platform/memoryPlatform.ts
+++ b/standins/src/platform/memoryPlatform.ts
@@ -1,12 +1,7 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import { failure, type Failure, type Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import {
-    decodeValue,
-    encode,
-    encodeTransaction,
-    prefixRange,
-} from "@tanagerdeck/platform/store/gatewayCodec";
-import type { Store, Write, WriteResult } from "@tanagerdeck/platform/store/storeTypes";
+import { decodeValue, encode, encodeTransaction, prefixRange } from "@tanagerdeck/store/store/gatewayCodec";
+import type { Store, Write, WriteResult } from "@tanagerdeck/store/store/storeTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import { createKeySpace, type Comparison, type Operation } from "./keySpace.ts";
 
