--- /dev/null
+++ b/packages/backend/src/agent/agentState.ts
@@ -0,0 +1,216 @@
+import { sameBoot, type Boot } from "@tanagerdeck/decisions/job/progressTypes";
+import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
+import { lapseAfterMs } from "@tanagerdeck/decisions/lease/leaseTimes";
+import {
+    runKey,
+    type EndedTask,
+    type RunningTask,
+    type Stamp,
+    type StartOrder,
+    type StartRefusal,
+    type StopOrder,
+    type SyncReply,
+    type WorkerCondition,
+    type WorkerDescription,
+} from "@tanagerdeck/decisions/worker/workerReport";
+import type { Clock, TimerStop } from "@tanagerdeck/runtime/clock/clock";
+import { elapsedSince } from "@tanagerdeck/runtime/clock/instant";
+import type { Reply } from "@tanagerdeck/runtime/task/task";
+import type { WorkerHeartbeat } from "./workerPort.ts";
+
+/** A start that the leader lists, and how far it got. */
+export interface StartAttempt {
+    order: StartOrder;
+    state: "idle" | "calling" | "started" | "refused";
+    reason?: StartRefusal | undefined;
+    listedAt: number;
+    /** Whether a call got no answer, so that it may still be executed. */
+    isUnanswered: boolean;
+}
+
+/** A stop that the leader lists, and how far it got. */
+export interface StopAttempt {
+    order: StopOrder;
+    state: "idle" | "calling" | "answered" | "closed";
+    answeredAt: number;
+}
+
+/** A call of the leader that waits for news. */
+export interface OpenPoll {
+    seenVersion: number;
+    reply: Reply<SyncReply>;
+    stopTimer: TimerStop;
+}
+
+/** The worker as its heartbeats and lists show it. */
+export interface KnownWorker {
+    boot: Boot;
+    heartbeat: WorkerHeartbeat;
+    hasLeft: boolean;
+}
+
+/** State of the agent's task. */
+export interface AgentState {
+    incarnation: string;
+    /** The newest leader's term and its latest call. */
+    term: number;
+    sequence: number;
+    grant: { stamp: Stamp; ms: number } | undefined;
+    worker: KnownWorker | undefined;
+    /** The worker's clock and the time at which it was read. */
+    workerClock: { clockMs: number; at: number } | undefined;
+    running: Map<string, RunningTask & { since: number }>;
+    ended: EndedTask[];
+    /** Number of the latest end of this boot that was seen. */
+    lastEnd: number;
+    /** Ends up to this number of this boot are recorded. */
+    recorded: number;
+    starts: Map<string, StartAttempt>;
+    stops: Map<string, StopAttempt>;
+    /** Runs of an earlier boot whose start got no answer; the worker must be told to stop them. */
+    strayStarts: Map<string, StopOrder>;
+    /** Calls for lists in a row without an answer, and whether the last one found no listener. */
+    unansweredHolds: number;
+    isRefusingConnections: boolean;
+    /** When the lease was last renewed, or a renewal was tried. */
+    renewedAt: number;
+    listsAt: number;
+    holdsInFlight: number;
+    nextHold: TimerStop | undefined;
+    version: number;
+    poll: OpenPoll | undefined;
+}
+
+/** Holds without an answer after which the lease is left to run out. */
+export const SILENT_HOLDS = 3;
+/** Refused connections in a row after which the worker counts as gone. */
+const GONE_HOLDS = 2;
+
+/** A fresh state. */
+export function createAgentState(incarnation: string, now: number): AgentState {
+    return {
+        incarnation,
+        term: 0,
+        sequence: 0,
+        grant: undefined,
+        worker: undefined,
+        workerClock: undefined,
+        running: new Map(),
+        ended: [],
+        lastEnd: 0,
+        recorded: 0,
+        starts: new Map(),
+        stops: new Map(),
+        strayStarts: new Map(),
+        unansweredHolds: 0,
+        isRefusingConnections: false,
+        // A former incarnation may have renewed the lease just before this one started.
+        renewedAt: now,
+        listsAt: 0,
+        holdsInFlight: 0,
+        nextHold: undefined,
+        version: 1,
+        poll: undefined,
+    };
+}
+
+/** Whether the leader's permission to renew the worker's lease still holds. */
+export function isGranted(state: AgentState, clock: Clock): boolean {
+    return state.grant !== undefined && elapsedSince(clock, state.grant.stamp) < state.grant.ms;
+}
+
+/** The worker's clock now; undefined before it was first read. */
+export function workerNow(state: AgentState, clock: Clock): number | undefined {
+    const read = state.workerClock;
+    return read && read.clockMs + (clock.now() - read.at);
+}
+
+/** What the agent knows of the worker's condition. */
+export function conditionOf(state: AgentState): WorkerCondition {
+    const { worker } = state;
+    if (!worker || worker.hasLeft) {
+        return "gone";
+    }
+    if (state.isRefusingConnections && state.unansweredHolds >= GONE_HOLDS) {
+        return "gone";
+    }
+    if (state.unansweredHolds >= SILENT_HOLDS) {
+        return "silent";
+    }
+    return worker.heartbeat.isDraining ? "draining" : "ready";
+}
+
+/** Whether nothing can be running on the worker's boot any more. */
+export function hasLapsed(state: AgentState, clock: Clock, times: LeaseTimes): boolean {
+    if (state.worker?.hasLeft) {
+        return true;
+    }
+    const condition = conditionOf(state);
+    const isAway = condition === "gone" || condition === "silent";
+    return isAway && clock.now() - state.renewedAt > lapseAfterMs(times);
+}
+
+/** The worker as it is reported. */
+export function describeWorker(
+    state: AgentState,
+    clock: Clock,
+    times: LeaseTimes,
+): WorkerDescription | undefined {
+    const { worker } = state;
+    if (!worker) {
+        return undefined;
+    }
+    const { heartbeat, boot } = worker;
+    return {
+        boot,
+        service: heartbeat.service,
+        availabilityZone: heartbeat.availabilityZone,
+        rack: heartbeat.rack,
+        labels: heartbeat.labels,
+        capacity: heartbeat.capacity,
+        machine: heartbeat.machine,
+        condition: conditionOf(state),
+        remainingMs: heartbeat.remainingMs,
+        hasLapsed: hasLapsed(state, clock, times),
+    };
+}
+
+/** Forgets what belonged to an earlier boot; starts that may still be executed are remembered as stray. */
+export function beginBoot(state: AgentState): void {
+    for (const [key, { order, isUnanswered, state: progress }] of state.starts) {
+        if (isUnanswered || progress === "calling") {
+            state.strayStarts.set(key, { task: order.task, run: order.run, boot: order.boot });
+        }
+    }
+    state.running.clear();
+    state.ended = [];
+    state.lastEnd = 0;
+    state.recorded = 0;
+    state.starts.clear();
+    state.unansweredHolds = 0;
+    state.isRefusingConnections = false;
+    state.workerClock = undefined;
+}
+
+/** What has become of a listed stop. */
+export function isStopClosed(
+    state: AgentState,
+    attempt: StopAttempt,
+    clock: Clock,
+    times: LeaseTimes,
+): boolean {
+    if (attempt.state === "closed") {
+        return true;
+    }
+    const { worker } = state;
+    const isOtherName = worker !== undefined && worker.boot.id !== attempt.order.boot.id;
+    if (isOtherName && !sameBoot(worker.boot, attempt.order.boot)) {
+        // The call names the boot that it is for, so another one refuses it however late it comes.
+        return true;
+    }
+    if (hasLapsed(state, clock, times)) {
+        return true;
+    }
+    const isListedSince = attempt.state === "answered" && state.listsAt > attempt.answeredAt;
+    return isListedSince && !state.running.has(runKey(attempt.order));
+}
--- /dev/null
+++ b/packages/backend/src/agent/agentTask.ts
@@ -0,0 +1,515 @@
+import type { Either } from "purify-ts/Either";
+import { sameBoot } from "@tanagerdeck/decisions/job/progressTypes";
+import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
+import {
+    runKey,
+    type OrderState,
+    type RunName,
+    type StartOrder,
+    type StopOrder,
+    type SyncReply,
+    type SyncReport,
+    type SyncRequest,
+} from "@tanagerdeck/decisions/worker/workerReport";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+import {
+    beginBoot,
+    conditionOf,
+    createAgentState,
+    describeWorker,
+    isGranted,
+    isStopClosed,
+    SILENT_HOLDS,
+    workerNow,
+    type AgentState,
+    type StartAttempt,
+} from "./agentState.ts";
+import type { WorkerHeartbeat, WorkerLists, WorkerPort, WorkerRefusal } from "./workerPort.ts";
+
+type Accepted = { kind: "accepted" };
+
+/** Messages of the agent's task. */
+export type AgentMessage =
+    /** The reply says whether the heartbeat is acknowledged. */
+    | { kind: "heartbeat"; heartbeat: WorkerHeartbeat; reply: Reply<void> }
+    | { kind: "left"; id: string; reply: Reply<void> }
+    | { kind: "sync"; request: SyncRequest; reply: Reply<SyncReply> }
+    | { kind: "poll-ended"; reply: Reply<SyncReply> }
+    | { kind: "hold"; waitMs: number }
+    | { kind: "held"; sentAt: number; result: Either<Failure, WorkerLists | WorkerRefusal> }
+    | { kind: "call-start"; key: string }
+    | { kind: "start-answered"; key: string; result: Either<Failure, Accepted | WorkerRefusal> }
+    | { kind: "call-stop"; key: string }
+    | { kind: "stop-answered"; key: string; result: Either<Failure, Accepted | WorkerRefusal> }
+    | { kind: "stray-answered"; key: string; result: Either<Failure, Accepted | WorkerRefusal> }
+    | { kind: "last-hold"; reply: Reply<void> };
+
+/** Dependencies of the agent's task. */
+export interface AgentOptions {
+    port: WorkerPort;
+    times: LeaseTimes;
+    incarnation: string;
+    clock: Clock;
+    log: Log;
+}
+
+/** Time for which the worker may wait for an end before it answers. */
+const HOLD_WAIT_MS = 1_000;
+/** Least pause between two holds; the worker answers at once while it lists ends that are not recorded. */
+const HOLD_GAP_MS = 200;
+const RETRY_MS = 150;
+
+type Context = TaskContext<AgentMessage>;
+
+/**
+ * Starts the task that speaks to the worker beside this process for the leader: it renews the worker's lease
+ * within the leader's grant, carries out listed orders and reports what runs and what has ended.
+ */
+export function startAgentTask({ port, times, incarnation, clock, log }: AgentOptions): Task<AgentMessage> {
+    function touch(state: AgentState): void {
+        state.version += 1;
+        answerPoll(state);
+    }
+
+    function answerPoll(state: AgentState): void {
+        const { poll } = state;
+        if (!poll) {
+            return;
+        }
+        poll.stopTimer();
+        state.poll = undefined;
+        poll.reply({ kind: "report", report: reportOf(state) });
+    }
+
+    function reportOf(state: AgentState): SyncReport {
+        return {
+            stamp: { incarnation: state.incarnation, now: clock.now(), wall: clock.wall() },
+            version: state.version,
+            worker: describeWorker(state, clock, times),
+            running: [...state.running.values()].map(({ task, run, saved, percent }) => ({
+                task,
+                run,
+                saved,
+                percent,
+            })),
+            ended: state.ended,
+            starts: [...state.starts.values()].map(attempt => ({
+                run: nameOf(attempt.order),
+                state: startState(attempt),
+            })),
+            stops: [...state.stops.values()].map(attempt => ({
+                run: nameOf(attempt.order),
+                state: { kind: isStopClosed(state, attempt, clock, times) ? "closed" : "pending" },
+            })),
+        };
+    }
+
+    function takeStarts(state: AgentState, orders: StartOrder[], context: Context): void {
+        const listed = new Set(orders.map(runKey));
+        for (const [key, attempt] of state.starts) {
+            if (!listed.has(key) && attempt.state !== "calling") {
+                state.starts.delete(key);
+            }
+        }
+        for (const order of orders) {
+            const key = runKey(order);
+            if (!state.starts.has(key)) {
+                const listedAt = clock.now();
+                state.starts.set(key, { order, state: "idle", listedAt, isUnanswered: false });
+                context.post({ kind: "call-start", key });
+            }
+        }
+    }
+
+    function takeStops(state: AgentState, orders: StopOrder[], context: Context): void {
+        const listed = new Set(orders.map(runKey));
+        for (const [key, attempt] of state.stops) {
+            if (!listed.has(key) && attempt.state !== "calling") {
+                state.stops.delete(key);
+            }
+        }
+        for (const order of orders) {
+            const key = runKey(order);
+            if (!state.stops.has(key)) {
+                state.stops.set(key, { order, state: "idle", answeredAt: 0 });
+                context.post({ kind: "call-stop", key });
+            }
+        }
+    }
+
+    function hold(state: AgentState, waitMs: number, context: Context): void {
+        const now = workerNow(state, clock);
+        const mayRenew = isGranted(state, clock) && state.unansweredHolds < SILENT_HOLDS && now !== undefined;
+        if (mayRenew) {
+            state.renewedAt = clock.now();
+        }
+        const sentAt = clock.now();
+        state.holdsInFlight += 1;
+        context.start(
+            () =>
+                port.hold({
+                    id: state.worker?.boot.id,
+                    fence: state.term,
+                    recorded: state.recorded,
+                    deadlineMs: mayRenew ? Math.floor(now + times.leaseMs) : undefined,
+                    waitMs,
+                }),
+            result => ({ kind: "held", sentAt, result }),
+        );
+    }
+
+    function scheduleHold(state: AgentState, delayMs: number, context: Context): void {
+        state.nextHold?.();
+        state.nextHold = context.after(delayMs, { kind: "hold", waitMs: HOLD_WAIT_MS });
+    }
+
+    function applyLists(state: AgentState, lists: WorkerLists, sentAt: number): void {
+        state.workerClock = { clockMs: lists.clockMs, at: clock.now() };
+        const running: AgentState["running"] = new Map();
+        for (const row of lists.running) {
+            running.set(runKey(row), { ...row, since: sentAt });
+        }
+        for (const [key, row] of state.running) {
+            // A start that was answered after this call was sent may be missing from the lists.
+            if (!running.has(key) && row.since > sentAt) {
+                running.set(key, row);
+            }
+        }
+        const hasChanged = running.size !== state.running.size || lists.ended.length !== state.ended.length;
+        state.running = running;
+        state.ended = lists.ended.filter(row => row.number > state.recorded);
+        for (const row of state.ended) {
+            state.running.delete(runKey(row));
+        }
+        state.listsAt = Math.max(state.listsAt, sentAt);
+        const lastEnd = state.ended.at(-1)?.number ?? state.lastEnd;
+        if (lastEnd > state.lastEnd || hasChanged) {
+            state.lastEnd = Math.max(lastEnd, state.lastEnd);
+            touch(state);
+        }
+    }
+
+    function noteUnanswered(state: AgentState, problem: Failure): void {
+        const before = conditionOf(state);
+        state.unansweredHolds += 1;
+        state.isRefusingConnections = problem.verdict === "not-run";
+        const condition = conditionOf(state);
+        if (condition !== before) {
+            log.warn("The worker no longer answers.", { condition, detail: problem.detail });
+        }
+        touch(state);
+    }
+
+    function startCall(state: AgentState, key: string, attempt: StartAttempt, context: Context): void {
+        const { order } = attempt;
+        const now = workerNow(state, clock);
+        if (state.worker && !sameBoot(state.worker.boot, order.boot)) {
+            refuse(state, attempt, "other-boot");
+            return;
+        }
+        if (conditionOf(state) === "draining") {
+            refuse(state, attempt, "draining");
+            return;
+        }
+        const isLate = clock.now() - attempt.listedAt > times.startMs;
+        if (now === undefined || isLate || !isGranted(state, clock)) {
+            context.after(RETRY_MS, { kind: "call-start", key });
+            return;
+        }
+        attempt.state = "calling";
+        state.renewedAt = clock.now();
+        const { task, run, spec, saved } = order;
+        const deadlineMs = Math.floor(now + times.startMs);
+        context.start(
+            () => port.start({ id: order.boot.id, fence: state.term, task, run, spec, saved, deadlineMs }),
+            result => ({ kind: "start-answered", key, result }),
+        );
+    }
+
+    function refuse(state: AgentState, attempt: StartAttempt, reason: StartAttempt["reason"]): void {
+        attempt.state = "refused";
+        attempt.reason = reason;
+        log.info("A start was refused.", { task: attempt.order.task, run: attempt.order.run, reason });
+        touch(state);
+    }
+
+    function stopStrays(state: AgentState, context: Context): void {
+        for (const [key, { task, run, boot }] of state.strayStarts) {
+            if (!state.worker || state.worker.boot.id !== boot.id) {
+                state.strayStarts.delete(key);
+                continue;
+            }
+            context.start(
+                () => port.stop({ id: boot.id, fence: state.term, task, run }),
+                result => ({ kind: "stray-answered", key, result }),
+            );
+        }
+    }
+
+    return startTask<AgentState, AgentMessage>({
+        name: "agent",
+        clock,
+        report: (name, error) => log.error("A handler failed.", { task: name, error: String(error) }),
+        state: createAgentState(incarnation, clock.now()),
+        handlers: {
+            heartbeat(state, { heartbeat, reply }, context) {
+                reply();
+                const known = state.worker;
+                const isOlder =
+                    known &&
+                    (heartbeat.bornMs < known.boot.bornMs ||
+                        (heartbeat.bornMs === known.boot.bornMs &&
+                            heartbeat.sequence <= known.heartbeat.sequence));
+                if (isOlder) {
+                    return;
+                }
+                const boot = { id: heartbeat.id, bornMs: heartbeat.bornMs };
+                const before = conditionOf(state);
+                const isNewBoot = !known || !sameBoot(known.boot, boot);
+                if (isNewBoot) {
+                    beginBoot(state);
+                    log.info("The worker has started.", { worker: boot.id, bornMs: boot.bornMs });
+                }
+                state.worker = { boot, heartbeat, hasLeft: false };
+                state.workerClock ??= { clockMs: heartbeat.clockMs, at: clock.now() };
+                if (isNewBoot) {
+                    stopStrays(state, context);
+                    scheduleHold(state, 0, context);
+                }
+                const condition = conditionOf(state);
+                if (isNewBoot || condition !== before) {
+                    log.info("The worker's condition is known.", { worker: boot.id, condition });
+                    touch(state);
+                }
+            },
+            left(state, { id, reply }) {
+                reply();
+                if (state.worker?.boot.id === id && !state.worker.hasLeft) {
+                    state.worker.hasLeft = true;
+                    log.info("The worker has left.", { worker: id });
+                    touch(state);
+                }
+            },
+            sync(state, { request, reply }, context) {
+                const isStale =
+                    request.term < state.term ||
+                    (request.term === state.term && request.sequence <= state.sequence);
+                if (isStale) {
+                    reply({ kind: "stale", term: state.term });
+                    return;
+                }
+                answerPoll(state);
+                if (request.term > state.term) {
+                    log.info("A leader has taken over.", { term: request.term, before: state.term });
+                }
+                const isFirst = state.term === 0;
+                state.term = request.term;
+                state.sequence = request.sequence;
+                if (request.grant?.stamp.incarnation === state.incarnation) {
+                    const wasGranted = isGranted(state, clock);
+                    state.grant = request.grant;
+                    if (!wasGranted) {
+                        scheduleHold(state, 0, context);
+                    }
+                }
+                const { recorded } = request;
+                if (recorded && state.worker && sameBoot(recorded.boot, state.worker.boot)) {
+                    state.recorded = Math.max(state.recorded, recorded.number);
+                    state.ended = state.ended.filter(row => row.number > state.recorded);
+                }
+                takeStarts(state, request.starts, context);
+                takeStops(state, request.stops, context);
+                if (isFirst) {
+                    scheduleHold(state, 0, context);
+                }
+                const stopTimer = context.after(request.waitMs, { kind: "poll-ended", reply });
+                state.poll = { seenVersion: request.seenVersion, reply, stopTimer };
+                if (request.seenVersion < state.version) {
+                    answerPoll(state);
+                }
+            },
+            "poll-ended"(state, { reply }) {
+                if (state.poll?.reply === reply) {
+                    answerPoll(state);
+                }
+            },
+            hold(state, { waitMs }, context) {
+                if (state.term === 0 || (waitMs > 0 && state.holdsInFlight > 0)) {
+                    return;
+                }
+                hold(state, waitMs, context);
+            },
+            held(state, { sentAt, result }, context) {
+                state.holdsInFlight -= 1;
+                const tookMs = clock.now() - sentAt;
+                scheduleHold(state, Math.max(0, HOLD_GAP_MS - tookMs), context);
+                result.caseOf({
+                    Left: problem => noteUnanswered(state, problem),
+                    Right(lists) {
+                        if (lists.kind === "refused") {
+                            log.info("A hold was refused.", { reason: lists.reason, term: state.term });
+                            return;
+                        }
+                        const wasAway = state.unansweredHolds > 0;
+                        const before = conditionOf(state);
+                        state.unansweredHolds = 0;
+                        state.isRefusingConnections = false;
+                        const { worker } = state;
+                        if (worker && lists.bornMs > worker.boot.bornMs) {
+                            // Nothing is known of the new boot but its start; its heartbeat tells the rest.
+                            beginBoot(state);
+                            state.worker = undefined;
+                            touch(state);
+                            return;
+                        }
+                        if (worker && lists.bornMs < worker.boot.bornMs) {
+                            return;
+                        }
+                        if (sentAt >= state.listsAt) {
+                            applyLists(state, lists, sentAt);
+                        }
+                        if (wasAway && conditionOf(state) !== before) {
+                            log.info("The worker answers again.", { condition: conditionOf(state) });
+                            touch(state);
+                        }
+                        if (state.stops.size > 0) {
+                            touch(state);
+                        }
+                    },
+                });
+            },
+            "call-start"(state, { key }, context) {
+                const attempt = state.starts.get(key);
+                if (attempt?.state !== "idle") {
+                    return;
+                }
+                if (state.running.has(key) || state.ended.some(row => runKey(row) === key)) {
+                    attempt.state = "started";
+                    touch(state);
+                    return;
+                }
+                startCall(state, key, attempt, context);
+            },
+            "start-answered"(state, { key, result }, context) {
+                const attempt = state.starts.get(key);
+                if (!attempt) {
+                    return;
+                }
+                result.caseOf({
+                    Left(problem) {
+                        attempt.isUnanswered ||= problem.verdict !== "not-run";
+                        attempt.state = "idle";
+                        log.warn("A start got no answer.", {
+                            task: attempt.order.task,
+                            run: attempt.order.run,
+                        });
+                        context.after(RETRY_MS, { kind: "call-start", key });
+                    },
+                    Right(reply) {
+                        if (reply.kind === "refused") {
+                            refuse(state, attempt, reply.reason);
+                            return;
+                        }
+                        attempt.state = "started";
+                        const { task, run, saved } = attempt.order;
+                        if (!state.ended.some(row => runKey(row) === key)) {
+                            const since = clock.now();
+                            state.running.set(key, { task, run, saved, percent: 0, since });
+                        }
+                        touch(state);
+                    },
+                });
+            },
+            "call-stop"(state, { key }, context) {
+                const attempt = state.stops.get(key);
+                if (attempt?.state !== "idle") {
+                    return;
+                }
+                const { order } = attempt;
+                if (isStopClosed(state, attempt, clock, times)) {
+                    attempt.state = "closed";
+                    touch(state);
+                    return;
+                }
+                attempt.state = "calling";
+                context.start(
+                    () =>
+                        port.stop({
+                            id: order.boot.id,
+                            fence: state.term,
+                            task: order.task,
+                            run: order.run,
+                        }),
+                    result => ({ kind: "stop-answered", key, result }),
+                );
+            },
+            "stop-answered"(state, { key, result }, context) {
+                const attempt = state.stops.get(key);
+                if (!attempt) {
+                    return;
+                }
+                const reply = result.toMaybe().extract();
+                if (reply?.kind === "accepted") {
+                    attempt.state = "answered";
+                    attempt.answeredAt = clock.now();
+                    context.post({ kind: "hold", waitMs: 0 });
+                    return;
+                }
+                if (reply?.reason === "other-boot") {
+                    attempt.state = "closed";
+                    touch(state);
+                    return;
+                }
+                attempt.state = "idle";
+                context.after(RETRY_MS, { kind: "call-stop", key });
+            },
+            "stray-answered"(state, { key, result }, context) {
+                if (result.isRight()) {
+                    state.strayStarts.delete(key);
+                    return;
+                }
+                context.after(RETRY_MS, { kind: "hold", waitMs: 0 });
+            },
+            "last-hold"(state, { reply }, context) {
+                state.poll?.stopTimer();
+                answerPoll(state);
+                const now = workerNow(state, clock);
+                if (!isGranted(state, clock) || now === undefined) {
+                    reply();
+                    return;
+                }
+                context.start(
+                    async () => {
+                        const held = await port.hold({
+                            id: state.worker?.boot.id,
+                            fence: state.term,
+                            recorded: state.recorded,
+                            deadlineMs: Math.floor(now + times.leaseMs),
+                            waitMs: 0,
+                        });
+                        reply();
+                        return held;
+                    },
+                    result => ({ kind: "held", sentAt: clock.now(), result }),
+                );
+            },
+        },
+    });
+}
+
+function nameOf({ task, run }: RunName): RunName {
+    return { task, run };
+}
+
+function startState(attempt: StartAttempt): OrderState {
+    if (attempt.state === "started") {
+        return { kind: "started" };
+    }
+    if (attempt.state === "refused") {
+        return { kind: "refused", reason: attempt.reason ?? "invalid" };
+    }
+    return { kind: "pending" };
+}
--- /dev/null
+++ b/packages/caller/src/desk/deskTask.ts
@@ -0,0 +1,229 @@
+import { Right, type Either } from "purify-ts/Either";
+import type { Job, JobRequest } from "@tanagerdeck/decisions/job/jobTypes";
+import { shownState, type JobRecord } from "@tanagerdeck/decisions/job/jobState";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+import type { Change, CommitReply, Item, KeyValueStore } from "@tanagerdeck/store/keyvalue/keyValueTypes";
+import { commitSettled } from "@tanagerdeck/store/keyvalue/settledCommit";
+import { decodeContent, encodeContent } from "@tanagerdeck/store/replica/recordCodec";
+import { jobKey, jobPrefix, parseStoreKey } from "@tanagerdeck/store/replica/storeKeys";
+import type { CallerCall, CancelReply, Desk, StateReply, SubmitReply } from "./deskTypes.ts";
+import { applyToIndex, countWaiting, findRecord, type JobIndex } from "./jobIndex.ts";
+
+/** Messages of the desk's task. */
+export type DeskMessage =
+    | { kind: "changed"; change: Change }
+    | {
+          kind: "submit";
+          call: CallerCall;
+          request: JobRequest;
+          waitMs: number;
+          reply: Reply<SubmitReply>;
+      }
+    | { kind: "state"; call: CallerCall; id: string; reply: Reply<StateReply> }
+    | { kind: "cancel"; call: CallerCall; id: string; waitMs: number; reply: Reply<CancelReply> }
+    | { kind: "waiting"; call: CallerCall; reply: Reply<number> }
+    | { kind: "answered" };
+
+/** Dependencies of the desk's task. */
+export interface DeskOptions {
+    store: KeyValueStore;
+    clock: Clock;
+    log: Log;
+    newWriteId: () => string;
+    /** Tells this process and the leader of an item that was just written. */
+    announce: (item: Item) => void;
+    /** Whether the store has not answered for a while, so that a call to it is not worth its time. */
+    isStoreAway: () => boolean;
+}
+
+/** Longest time for which a refused or unclear write is repeated; then the caller is told to come back. */
+const SETTLE_LIMIT_MS = 700;
+/** When a caller may come back while the store is away. */
+const RETRY_AFTER_MS = 1_000;
+
+type Found = Either<Failure, JobRecord | undefined>;
+
+/** Starts the task that accepts jobs into the store and answers from the replicated changes. */
+export function startDeskTask(options: DeskOptions): Task<DeskMessage> {
+    const { store, clock, log, newWriteId, announce, isStoreAway } = options;
+
+    async function put(
+        key: string,
+        value: string,
+        absent: string[],
+        waitMs: number,
+    ): Promise<Either<Failure, CommitReply>> {
+        const expected = [key, ...absent].map(name => ({ key: name, revision: 0 }));
+        const giveUpAt = clock.now() + Math.min(waitMs, SETTLE_LIMIT_MS);
+        const transaction = { expected, puts: [{ key, value }], removes: [] };
+        const reply = await commitSettled(store, transaction, { clock, giveUpAt });
+        return reply.ifRight(result => {
+            if (result.kind === "committed") {
+                announce({ key, value, revision: result.revision });
+            }
+        });
+    }
+
+    /** Looks a job up in the index, and in the store if it is not there. */
+    async function find(known: JobRecord | undefined, id: string): Promise<Found> {
+        if (known) {
+            return Right(known);
+        }
+        const page = await store.page(jobPrefix(id), undefined, false);
+        return page.map(({ items }) => {
+            const index: JobIndex = new Map();
+            for (const item of items) {
+                applyToIndex(index, item);
+            }
+            return findRecord(index, id);
+        });
+    }
+
+    async function submit(call: CallerCall, request: JobRequest, waitMs: number): Promise<SubmitReply> {
+        const { queue, clientAccount } = call;
+        const fields = { job: request.id, queue: queue.name, clientAccount };
+        if (isStoreAway()) {
+            log.warn("A job is refused because the store is away.", fields);
+            return storeUnavailable();
+        }
+        const job = acceptedJob(call, request, clock.wall());
+        const key = jobKey(request.id, "definition");
+        const value = encodeContent("definition", job, newWriteId());
+        const reply = await put(key, value, [jobKey(request.id, "cancel")], waitMs);
+        return reply.caseOf<SubmitReply>({
+            Left({ verdict, detail }) {
+                log.warn("A job could not be stored.", { ...fields, verdict, detail });
+                return verdict === "not-run" ? storeUnavailable() : { kind: "unclear" };
+            },
+            Right(result) {
+                if (result.kind === "committed") {
+                    log.info("A job was accepted.", { ...fields, revision: result.revision });
+                    return { kind: "accepted" };
+                }
+                const outcome = readConflict(result.kind === "conflict" ? result.items : [], job);
+                log.info("A job's id is taken.", { ...fields, outcome: outcome.kind });
+                return outcome;
+            },
+        });
+    }
+
+    async function showState(
+        known: JobRecord | undefined,
+        call: CallerCall,
+        id: string,
+    ): Promise<StateReply> {
+        const found = await find(known, id);
+        return found.caseOf<StateReply>({
+            Left: () => ({ kind: "unavailable", retryAfterMs: RETRY_AFTER_MS }),
+            Right(record) {
+                if (!record) {
+                    return { kind: "unknown-job" };
+                }
+                return isDenied(record.job, call)
+                    ? { kind: "denied" }
+                    : { kind: "state", state: shownState(record) };
+            },
+        });
+    }
+
+    async function cancel(
+        known: JobRecord | undefined,
+        call: CallerCall,
+        id: string,
+        waitMs: number,
+    ): Promise<CancelReply> {
+        const found = await find(known, id);
+        const record = found.toMaybe().extract();
+        if (found.isLeft()) {
+            log.warn("A cancellation could not be looked up.", { job: id });
+            return { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS };
+        }
+        if (record && isDenied(record.job, call)) {
+            return { kind: "denied" };
+        }
+        // Also for an unknown job: its submission may be under way and must then be refused.
+        const value = encodeContent("cancel", { atMs: clock.wall() }, newWriteId());
+        const reply = await put(jobKey(id, "cancel"), value, [], waitMs);
+        if (reply.isLeft()) {
+            log.warn("A cancellation could not be stored.", { job: id });
+            return { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS };
+        }
+        log.info("A cancellation was stored.", { job: id, isKnown: record !== undefined });
+        return record ? { kind: "cancelled" } : { kind: "unknown-job" };
+    }
+
+    function answer<R>(context: TaskContext<DeskMessage>, work: () => Promise<R>, reply: Reply<R>): void {
+        context.start(
+            async () => reply(await work()),
+            () => ({ kind: "answered" }),
+        );
+    }
+
+    return startTask<JobIndex, DeskMessage>({
+        name: "desk",
+        clock,
+        report: (name, error) => log.error("A handler failed.", { task: name, error: String(error) }),
+        state: new Map(),
+        handlers: {
+            changed: (index, { change }) => applyToIndex(index, change),
+            submit: (_index, { call, request, waitMs, reply }, context) =>
+                answer(context, () => submit(call, request, waitMs), reply),
+            state: (index, { call, id, reply }, context) =>
+                answer(context, () => showState(findRecord(index, id), call, id), reply),
+            cancel: (index, { call, id, waitMs, reply }, context) =>
+                answer(context, () => cancel(findRecord(index, id), call, id, waitMs), reply),
+            waiting: (index, { call, reply }) => reply(countWaiting(index, call.queue.name)),
+            answered() {},
+        },
+    });
+}
+
+/** The desk as listeners use it. */
+export function deskOf(task: Task<DeskMessage>): Desk {
+    return {
+        submit: (call, request, waitMs) =>
+            task.ask((reply: Reply<SubmitReply>) => ({ kind: "submit", call, request, waitMs, reply })),
+        state: (call, id) => task.ask((reply: Reply<StateReply>) => ({ kind: "state", call, id, reply })),
+        cancel: (call, id, waitMs) =>
+            task.ask((reply: Reply<CancelReply>) => ({ kind: "cancel", call, id, waitMs, reply })),
+        waiting: call => task.ask((reply: Reply<number>) => ({ kind: "waiting", call, reply })),
+    };
+}
+
+function storeUnavailable(): SubmitReply {
+    return { kind: "refused", reason: "store-unavailable", retryAfterMs: RETRY_AFTER_MS };
+}
+
+function acceptedJob({ queue, clientAccount }: CallerCall, request: JobRequest, wallMs: number): Job {
+    return {
+        ...request,
+        queue: queue.name,
+        service: queue.service,
+        clientAccount,
+        terms: queue.terms,
+        acceptedAtMs: wallMs,
+    };
+}
+
+/** A job with the same id is the same submission, unless its content differs or it was cancelled before. */
+function readConflict(items: Item[], job: Job): SubmitReply {
+    for (const item of items) {
+        const key = parseStoreKey(item.key);
+        if (key?.kind !== "job" || key.part !== "definition") {
+            continue;
+        }
+        const known = decodeContent("definition", item.value);
+        if (known?.queue === job.queue && known.spec === job.spec) {
+            return { kind: "accepted" };
+        }
+        return { kind: "refused", reason: "conflict", retryAfterMs: RETRY_AFTER_MS };
+    }
+    return { kind: "refused", reason: "cancelled", retryAfterMs: RETRY_AFTER_MS };
+}
+
+function isDenied(job: Job, { clientAccount }: CallerCall): boolean {
+    return job.clientAccount !== undefined && job.clientAccount !== clientAccount;
+}
--- /dev/null
+++ b/packages/caller/src/desk/jobIndex.ts
@@ -0,0 +1,58 @@
+import type { Job } from "@tanagerdeck/decisions/job/jobTypes";
+import { shownState, type JobRecord } from "@tanagerdeck/decisions/job/jobState";
+import { emptyProgress, type Progress } from "@tanagerdeck/decisions/job/progressTypes";
+import type { Change } from "@tanagerdeck/store/keyvalue/keyValueTypes";
+import { decodeContent } from "@tanagerdeck/store/replica/recordCodec";
+import { parseStoreKey } from "@tanagerdeck/store/replica/storeKeys";
+
+/** What is known of a job; parts may arrive in any order. */
+interface KnownParts {
+    job?: Job | undefined;
+    progress?: Progress | undefined;
+    cancelled: boolean;
+}
+
+/** The stored jobs by id. */
+export type JobIndex = Map<string, KnownParts>;
+
+/** Applies a change of the store; keys that are not a job's change nothing. */
+export function applyToIndex(index: JobIndex, { key, value }: Pick<Change, "key" | "value">): void {
+    const parsed = parseStoreKey(key);
+    if (parsed?.kind !== "job") {
+        return;
+    }
+    const parts: KnownParts = index.get(parsed.id) ?? { cancelled: false };
+    if (parsed.part === "cancel") {
+        parts.cancelled = value !== undefined;
+    } else if (parsed.part === "definition") {
+        parts.job = value === undefined ? undefined : decodeContent("definition", value);
+    } else {
+        parts.progress = value === undefined ? undefined : decodeContent("progress", value);
+    }
+    if (!parts.job && !parts.progress && !parts.cancelled) {
+        index.delete(parsed.id);
+        return;
+    }
+    index.set(parsed.id, parts);
+}
+
+/** The record of a job; undefined if no such job is known. */
+export function findRecord(index: JobIndex, id: string): JobRecord | undefined {
+    const parts = index.get(id);
+    if (!parts?.job) {
+        return undefined;
+    }
+    return { job: parts.job, progress: parts.progress ?? emptyProgress(), cancelled: parts.cancelled };
+}
+
+/** Number of a queue's accepted jobs of which nothing has started. */
+export function countWaiting(index: JobIndex, queue: string): number {
+    let count = 0;
+    for (const id of index.keys()) {
+        const record = findRecord(index, id);
+        if (record?.job.queue === queue && shownState(record) === "queued") {
+            count += 1;
+        }
+    }
+    return count;
+}
--- /dev/null
+++ b/packages/decisions/src/job/jobState.ts
@@ -0,0 +1,48 @@
+import type { Job, JobState } from "./jobTypes.ts";
+import type { Progress } from "./progressTypes.ts";
+import { groupProgress } from "./progressChange.ts";
+import { occurrencesOf, taskGroupsOf } from "./taskGroups.ts";
+
+/** What is stored of one job. */
+export interface JobRecord {
+    job: Job;
+    progress: Progress;
+    /** Whether its caller has cancelled it. */
+    cancelled: boolean;
+}
+
+/** The state shown to the job's caller. */
+export function shownState(record: JobRecord): JobState {
+    const { progress, cancelled } = record;
+    if (progress.final) {
+        return progress.final;
+    }
+    if (cancelled) {
+        return "cancelled";
+    }
+    return progress.begun ? "running" : "queued";
+}
+
+/** The final state that the groups imply; undefined while the job goes on. */
+export function impliedFinal(record: JobRecord): Progress["final"] {
+    const { job, progress, cancelled } = record;
+    let allDone = true;
+    for (let occurrence = 0; occurrence < occurrencesOf(job); occurrence++) {
+        for (const group of taskGroupsOf(job, occurrence)) {
+            const { phase } = groupProgress(progress, group.key);
+            if (phase === "failed") {
+                return cancelled ? "cancelled" : "failed";
+            }
+            allDone &&= phase === "done";
+        }
+    }
+    if (allDone) {
+        return "completed";
+    }
+    return cancelled ? "cancelled" : undefined;
+}
+
+/** Whether the job counts as waiting in its queue: accepted, not begun and not ended. */
+export function isWaiting(record: JobRecord): boolean {
+    return shownState(record) === "queued";
+}
--- /dev/null
+++ b/packages/decisions/src/job/taskGroups.ts
@@ -0,0 +1,74 @@
+import type { Job, Step } from "./jobTypes.ts";
+
+/** Tasks that are placed together: all tasks of a gang, otherwise one task. */
+export interface TaskGroup {
+    /** Unique within the job: `occurrence.step` for a gang, `occurrence.step.index` otherwise. */
+    key: string;
+    occurrence: number;
+    /** Position of the step in the job. */
+    stepIndex: number;
+    step: Step;
+    /** Positions of the group's tasks in the step. */
+    indexes: number[];
+}
+
+/** Identity of one task. */
+export interface TaskAddress {
+    job: string;
+    occurrence: number;
+    stepIndex: number;
+    index: number;
+}
+
+/** Number of times that the job's steps run. */
+export function occurrencesOf(job: Job): number {
+    return job.schedule?.occurrences ?? 1;
+}
+
+/** Wall-clock time before which an occurrence must not start; 0 for a job without a schedule. */
+export function dueAtMs(job: Job, occurrence: number): number {
+    return job.schedule ? job.schedule.firstDueMs + occurrence * job.schedule.intervalMs : 0;
+}
+
+/** The groups of one occurrence, in the order of the steps. */
+export function taskGroupsOf(job: Job, occurrence: number): TaskGroup[] {
+    const groups: TaskGroup[] = [];
+    for (const [stepIndex, step] of job.steps.entries()) {
+        const indexes = Array.from({ length: step.count }, (_, index) => index);
+        if (step.gang) {
+            groups.push({ key: `${occurrence}.${stepIndex}`, occurrence, stepIndex, step, indexes });
+            continue;
+        }
+        for (const index of indexes) {
+            const key = `${occurrence}.${stepIndex}.${index}`;
+            groups.push({ key, occurrence, stepIndex, step, indexes: [index] });
+        }
+    }
+    return groups;
+}
+
+/** The key of the group that a task belongs to; undefined if the job has no such task. */
+export function groupKeyOf(job: Job, address: TaskAddress): string | undefined {
+    const step = job.steps[address.stepIndex];
+    if (!step || address.index >= step.count || address.occurrence >= occurrencesOf(job)) {
+        return undefined;
+    }
+    const key = `${address.occurrence}.${address.stepIndex}`;
+    return step.gang ? key : `${key}.${address.index}`;
+}
+
+/** The task's name in orders and reports: `JOB.OCCURRENCE.STEP.INDEX`. */
+export function taskName(address: TaskAddress): string {
+    return `${address.job}.${address.occurrence}.${address.stepIndex}.${address.index}`;
+}
+
+const TASK_NAME = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/;
+
+/** Reads a task's name; undefined if it has another form. */
+export function parseTaskName(name: string): TaskAddress | undefined {
+    const [, job, occurrence, stepIndex, index] = TASK_NAME.exec(name) ?? [];
+    if (job === undefined) {
+        return undefined;
+    }
+    return { job, occurrence: Number(occurrence), stepIndex: Number(stepIndex), index: Number(index) };
+}
--- /dev/null
+++ b/packages/decisions/src/plan/planBook.ts
@@ -0,0 +1,173 @@
+import type { Job } from "../job/jobTypes.ts";
+import { groupProgress, type GroupRules } from "../job/progressChange.ts";
+import { emptyProgress, type GroupProgress, type Placement, type Progress } from "../job/progressTypes.ts";
+import { occurrencesOf, taskGroupsOf, type TaskGroup } from "../job/taskGroups.ts";
+import type { RunName, SyncReport, WorkerDescription } from "../worker/workerReport.ts";
+
+/** What the leader knows of one task of an open run. */
+export interface TaskWatch {
+    percent: number;
+    /** Time at which the share of done work last rose, on the leader's clock. */
+    progressedAt: number;
+    saved?: string | undefined;
+}
+
+/** What the leader remembers of an open run besides its record. */
+export interface RunWatch {
+    /** Version of the job at which the run was opened; starts are ordered once it is recorded. */
+    version: number;
+    openedAt: number;
+    /** Tasks that were reported as running, by index. */
+    tasks: Map<number, TaskWatch>;
+}
+
+/** A job in the leader's book. */
+export interface JobEntry {
+    job: Job;
+    groups: TaskGroup[];
+    progress: Progress;
+    isCancelled: boolean;
+    /** Store revision of the recorded progress; 0 if there is none. */
+    progressRevision: number;
+    /** Rises with each change of the progress. */
+    version: number;
+    recordedVersion: number;
+    isWriting: boolean;
+    /** Open runs by group. */
+    runs: Map<string, RunWatch>;
+}
+
+/** An agent and its worker in the leader's book. */
+export interface WorkerEntry {
+    name: string;
+    description: WorkerDescription | undefined;
+    report: SyncReport | undefined;
+    /** Time of the latest report on the leader's clock; the start of the term before the first one. */
+    heardAt: number;
+    hasReported: boolean;
+    /** Ends that were listed, with the job's version that must be recorded before they are forgotten. */
+    ends: Map<number, { job: string | undefined; version: number }>;
+    /** Runs that the worker lists and the leader did not open. */
+    strays: RunName[];
+    /** Times of recent failures on the leader's clock. */
+    faults: number[];
+}
+
+/** Everything that the leader plans with. */
+export interface PlanBook {
+    jobs: Map<string, JobEntry>;
+    workers: Map<string, WorkerEntry>;
+    /** Jobs that were cancelled before they were accepted. */
+    cancelledEarly: Set<string>;
+}
+
+/** An empty book. */
+export function createPlanBook(): PlanBook {
+    return { jobs: new Map(), workers: new Map(), cancelledEarly: new Set() };
+}
+
+/** Adds an accepted job with its recorded progress. */
+export function addJob(
+    book: PlanBook,
+    job: Job,
+    recorded: { progress: Progress; revision: number } | undefined,
+    now: number,
+): JobEntry {
+    const groups: TaskGroup[] = [];
+    for (let occurrence = 0; occurrence < occurrencesOf(job); occurrence++) {
+        groups.push(...taskGroupsOf(job, occurrence));
+    }
+    const entry: JobEntry = {
+        job,
+        groups,
+        progress: recorded?.progress ?? emptyProgress(),
+        isCancelled: book.cancelledEarly.has(job.id),
+        progressRevision: recorded?.revision ?? 0,
+        version: 0,
+        recordedVersion: 0,
+        isWriting: false,
+        runs: new Map(),
+    };
+    for (const { key } of groups) {
+        if (groupProgress(entry.progress, key).placements.length > 0) {
+            entry.runs.set(key, { version: 0, openedAt: now, tasks: new Map() });
+        }
+    }
+    book.jobs.set(job.id, entry);
+    return entry;
+}
+
+/** The entry of a worker, which is made if it is new. */
+export function workerEntry(book: PlanBook, name: string, now: number): WorkerEntry {
+    const known = book.workers.get(name);
+    if (known) {
+        return known;
+    }
+    const entry: WorkerEntry = {
+        name,
+        description: undefined,
+        report: undefined,
+        heardAt: now,
+        hasReported: false,
+        ends: new Map(),
+        strays: [],
+        faults: [],
+    };
+    book.workers.set(name, entry);
+    return entry;
+}
+
+/** Replaces the progress of a group, which makes the job's record outdated. */
+export function changeGroup(entry: JobEntry, key: string, next: GroupProgress): boolean {
+    if (groupProgress(entry.progress, key) === next) {
+        return false;
+    }
+    entry.progress = { ...entry.progress, groups: { ...entry.progress.groups, [key]: next } };
+    entry.version += 1;
+    if (next.placements.length === 0) {
+        entry.runs.delete(key);
+    }
+    return true;
+}
+
+/** Rules of a group's step and queue. */
+export function rulesOf(entry: JobEntry, group: TaskGroup): GroupRules {
+    return {
+        gang: group.step.gang,
+        longRunning: group.step.longRunning,
+        attempts: entry.job.terms.attempts,
+    };
+}
+
+/** Whether nothing of the job may start any more. */
+export function isClosed(entry: JobEntry): boolean {
+    return entry.isCancelled || entry.progress.final !== undefined;
+}
+
+/** An open placement with what it belongs to. */
+export interface OpenPlacement {
+    entry: JobEntry;
+    group: TaskGroup;
+    progress: GroupProgress;
+    placement: Placement;
+}
+
+/** All open placements, of all workers or of one. */
+export function* openPlacements(book: PlanBook, worker?: string): Generator<OpenPlacement> {
+    for (const entry of book.jobs.values()) {
+        if (entry.runs.size === 0) {
+            continue;
+        }
+        for (const group of entry.groups) {
+            if (!entry.runs.has(group.key)) {
+                continue;
+            }
+            const progress = groupProgress(entry.progress, group.key);
+            for (const placement of progress.placements) {
+                if (worker === undefined || placement.worker === worker) {
+                    yield { entry, group, progress, placement };
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/schedule/placementSearch.ts
@@ -0,0 +1,149 @@
+import { subtractResources, timesFitting, type Resources } from "../job/jobTypes.ts";
+import { stepKey, type TaskPlace, type WaitingGroup, type WorkerView } from "./scheduleTypes.ts";
+
+/** Which capacity of a worker counts as available. */
+export type AvailableCapacity = (worker: WorkerView) => Resources;
+
+/** A way to place a group. */
+export interface GroupPlan {
+    places: TaskPlace[];
+    /** Whether tasks run far from their data or apart from each other and are slower. */
+    isFar: boolean;
+}
+
+/** A worker with the number of the group's tasks that it can take. */
+interface Candidate {
+    worker: WorkerView;
+    slots: number;
+    /** What would be left of the worker's scarcest resource if it took as many tasks as possible. */
+    leftover: number;
+}
+
+/** Finds the places of a group within the available capacity: near each other and near its data if possible. */
+export function findPlaces(
+    waiting: WaitingGroup,
+    workers: WorkerView[],
+    available: AvailableCapacity,
+): GroupPlan | undefined {
+    const { step, indexes } = waiting.group;
+    const candidates = findCandidates(waiting, workers, available);
+    const near = step.dataRack
+        ? candidates.filter(candidate => candidate.worker.rack === step.dataRack)
+        : candidates;
+    const isRackBound = step.sameRack && indexes.length > 1;
+    const nearPlan = isRackBound ? fillOneRack(near, indexes) : fill(near, indexes);
+    if (nearPlan) {
+        return { places: nearPlan, isFar: false };
+    }
+    const anywhere = fill(candidates, indexes);
+    return anywhere && { places: anywhere, isFar: isRackBound || step.dataRack !== undefined };
+}
+
+/** The workers that can take at least one task of the group. */
+function findCandidates(
+    waiting: WaitingGroup,
+    workers: WorkerView[],
+    available: AvailableCapacity,
+): Candidate[] {
+    const { job, group } = waiting;
+    const { step } = group;
+    const candidates: Candidate[] = [];
+    for (const worker of workers) {
+        if (!worker.isOpen || worker.service !== job.service) {
+            continue;
+        }
+        if (step.requiredLabel !== undefined && !worker.labels.includes(step.requiredLabel)) {
+            continue;
+        }
+        const free = available(worker);
+        const slots = Math.min(
+            timesFitting(free, step.resources),
+            slotsLeft(worker, waiting),
+            group.indexes.length,
+        );
+        if (slots > 0) {
+            candidates.push({ worker, slots, leftover: leftoverOf(worker, free, step.resources, slots) });
+        }
+    }
+    return candidates.sort(compareCandidates);
+}
+
+/** Trusted workers first, then the tightest fit, so that whole workers stay free for large tasks. */
+function compareCandidates(left: Candidate, right: Candidate): number {
+    return (
+        left.worker.suspicion - right.worker.suspicion ||
+        left.leftover - right.leftover ||
+        right.slots - left.slots ||
+        (left.worker.name < right.worker.name ? -1 : 1)
+    );
+}
+
+function slotsLeft(worker: WorkerView, { job, group }: WaitingGroup): number {
+    const { maxPerWorker } = group.step;
+    if (maxPerWorker === undefined) {
+        return Number.MAX_SAFE_INTEGER;
+    }
+    return maxPerWorker - (worker.tasksByStep.get(stepKey(job.id, group)) ?? 0);
+}
+
+function leftoverOf(worker: WorkerView, free: Resources, needed: Resources, slots: number): number {
+    const taken = {
+        cpuMillis: needed.cpuMillis * slots,
+        memoryMb: needed.memoryMb * slots,
+        gpus: needed.gpus * slots,
+    };
+    const left = subtractResources(free, taken);
+    return (
+        share(left.gpus, worker.capacity.gpus) +
+        share(left.cpuMillis, worker.capacity.cpuMillis) +
+        share(left.memoryMb, worker.capacity.memoryMb)
+    );
+}
+
+function share(part: number, whole: number): number {
+    return whole > 0 ? part / whole : 0;
+}
+
+/** Fills the rack that has room for all tasks, with the least trust lost and the least room left. */
+function fillOneRack(candidates: Candidate[], indexes: number[]): TaskPlace[] | undefined {
+    const racks = new Map<string, Candidate[]>();
+    for (const candidate of candidates) {
+        const rack = candidate.worker.rack ?? candidate.worker.name;
+        racks.set(rack, [...(racks.get(rack) ?? []), candidate]);
+    }
+    let best: { places: TaskPlace[]; suspicion: number; slots: number } | undefined;
+    for (const members of racks.values()) {
+        const places = fill(members, indexes);
+        if (!places) {
+            continue;
+        }
+        const used = new Set(places.map(place => place.worker));
+        let suspicion = 0;
+        let slots = 0;
+        for (const { worker, slots: workerSlots } of members) {
+            suspicion += used.has(worker.name) ? worker.suspicion : 0;
+            slots += workerSlots;
+        }
+        const isBetter =
+            !best || suspicion < best.suspicion || (suspicion === best.suspicion && slots < best.slots);
+        if (isBetter) {
+            best = { places, suspicion, slots };
+        }
+    }
+    return best?.places;
+}
+
+/** Gives the tasks to the candidates in their order; undefined if not all fit. */
+function fill(candidates: Candidate[], indexes: number[]): TaskPlace[] | undefined {
+    const places: TaskPlace[] = [];
+    for (const { worker, slots } of candidates) {
+        for (let slot = 0; slot < slots; slot++) {
+            const index = indexes[places.length];
+            if (index === undefined) {
+                return places;
+            }
+            places.push({ index, worker: worker.name });
+        }
+    }
+    return places.length === indexes.length ? places : undefined;
+}
--- /dev/null
+++ b/packages/peer/src/planner/recording.ts
@@ -0,0 +1,96 @@
+import type { Either } from "purify-ts/Either";
+import { impliedFinal } from "@tanagerdeck/decisions/job/jobState";
+import type { JobEntry, PlanBook } from "@tanagerdeck/decisions/plan/planBook";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { CommitReply, Transaction } from "@tanagerdeck/store/keyvalue/keyValueTypes";
+import { encodeContent } from "@tanagerdeck/store/replica/recordCodec";
+import { jobKey, LEADER_KEY } from "@tanagerdeck/store/replica/storeKeys";
+
+/** A transaction under way, with the versions of the jobs that it records. */
+export interface RecordWrite {
+    transaction: Transaction;
+    versions: Map<string, number>;
+}
+
+/** Result of a record write. */
+export type RecordResult = Either<Failure, CommitReply>;
+
+/** The store takes 32 entries in a transaction: one for the leader and three for each job. */
+const JOBS_PER_WRITE = 10;
+
+/** Sets the final state of jobs whose groups imply one, once nothing of them is open. */
+export function settleFinals(book: PlanBook, wallMs: number): JobEntry[] {
+    const settled: JobEntry[] = [];
+    for (const entry of book.jobs.values()) {
+        if (entry.progress.final !== undefined || entry.version === entry.recordedVersion) {
+            continue;
+        }
+        const { job, progress, isCancelled } = entry;
+        const final = impliedFinal({ job, progress, cancelled: isCancelled });
+        if (final === undefined || (final === "cancelled" && entry.runs.size > 0)) {
+            continue;
+        }
+        entry.progress = { ...progress, final, endedAtMs: wallMs };
+        entry.version += 1;
+        settled.push(entry);
+    }
+    return settled;
+}
+
+/** The writes for all jobs whose record is outdated and not being written; marks them as being written. */
+export function takeWrites(book: PlanBook, term: number, newWriteId: () => string): RecordWrite[] {
+    const outdated: JobEntry[] = [];
+    for (const entry of book.jobs.values()) {
+        if (entry.version > entry.recordedVersion && !entry.isWriting) {
+            outdated.push(entry);
+        }
+    }
+    const writes: RecordWrite[] = [];
+    for (let start = 0; start < outdated.length; start += JOBS_PER_WRITE) {
+        writes.push(writeOf(outdated.slice(start, start + JOBS_PER_WRITE), term, newWriteId));
+    }
+    return writes;
+}
+
+/**
+ * The transaction holds only while this term lasts, while nobody else has written the progress and, for jobs that
+ * are not known as cancelled, while there is no cancellation.
+ */
+function writeOf(entries: JobEntry[], term: number, newWriteId: () => string): RecordWrite {
+    const transaction: Transaction = {
+        expected: [{ key: LEADER_KEY, revision: term }],
+        puts: [],
+        removes: [],
+    };
+    const versions = new Map<string, number>();
+    for (const entry of entries) {
+        const { id } = entry.job;
+        const key = jobKey(id, "progress");
+        entry.isWriting = true;
+        versions.set(id, entry.version);
+        transaction.expected.push({ key, revision: entry.progressRevision });
+        if (!entry.isCancelled) {
+            transaction.expected.push({ key: jobKey(id, "cancel"), revision: 0 });
+        }
+        transaction.puts.push({ key, value: encodeContent("progress", entry.progress, newWriteId()) });
+    }
+    return { transaction, versions };
+}
+
+/** Notes a committed write; the runs that it records can be ordered from now on. */
+export function noteRecorded(book: PlanBook, write: RecordWrite, revision: number, now: number): void {
+    for (const [id, version] of write.versions) {
+        const entry = book.jobs.get(id);
+        if (!entry) {
+            continue;
+        }
+        for (const run of entry.runs.values()) {
+            if (run.version > entry.recordedVersion && run.version <= version) {
+                run.openedAt = now;
+            }
+        }
+        entry.isWriting = false;
+        entry.recordedVersion = version;
+        entry.progressRevision = revision;
+    }
+}
--- /dev/null
+++ b/packages/peer/src/session/planClients.ts
@@ -0,0 +1,75 @@
+import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { Either, Left, Right } from "purify-ts/Either";
+import { Agent } from "undici";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { SyncReply, SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
+import type { Item, SendStoreCall } from "@tanagerdeck/store/keyvalue/keyValueTypes";
+import { peerCall } from "../link/peerCall.ts";
+import { createPooledFetch, type CallOptions } from "../link/watchedFetch.ts";
+import type { AgentPlanRouter, EntryPlanRouter } from "./planRouters.ts";
+
+const CONNECT_TIMEOUT_MS = 500;
+const KEEP_ALIVE_MS = 20_000;
+const CONNECTIONS_PER_ADDRESS = 4;
+/** Added to the store's own time limit for the way to the forwarding process. */
+const RELAY_EXTRA_MS = 200;
+const LEARN_TIMEOUT_MS = 1_000;
+
+/** Calls to the system's other processes, by `ip:port`. Owns the connection pool. */
+export interface PlanClients {
+    sync(address: string, request: SyncRequest, timeoutMs: number): Promise<Either<Failure, SyncReply>>;
+    learn(address: string, item: Item): Promise<Either<Failure, void>>;
+    /** Sends a store call through another process. */
+    relay(address: string): SendStoreCall;
+    close(): Promise<void>;
+}
+
+/** Builds the clients; `token` is what the processes show each other. */
+export function createPlanClients(token: string): PlanClients {
+    const dispatcher = new Agent({
+        connections: CONNECTIONS_PER_ADDRESS,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        keepAliveTimeout: KEEP_ALIVE_MS,
+    });
+    const pooled = createPooledFetch(dispatcher);
+    const agents = new Map<string, TRPCClient<AgentPlanRouter>>();
+    const entries = new Map<string, TRPCClient<EntryPlanRouter>>();
+
+    function link(address: string) {
+        return httpLink({
+            url: `http://${address}`,
+            headers: { authorization: `Bearer ${token}` },
+            fetch: (url, options) => pooled(String(url), options as CallOptions),
+        });
+    }
+
+    function agent(address: string): TRPCClient<AgentPlanRouter> {
+        const client = agents.get(address) ?? createTRPCClient<AgentPlanRouter>({ links: [link(address)] });
+        agents.set(address, client);
+        return client;
+    }
+
+    function entry(address: string): TRPCClient<EntryPlanRouter> {
+        const client = entries.get(address) ?? createTRPCClient<EntryPlanRouter>({ links: [link(address)] });
+        entries.set(address, client);
+        return client;
+    }
+
+    return {
+        sync: (address, request, timeoutMs) =>
+            peerCall(timeoutMs, signal => agent(address).sync.mutate(request, { signal })),
+        learn: (address, item) =>
+            peerCall(LEARN_TIMEOUT_MS, signal => entry(address).learn.mutate(item, { signal })),
+        relay: address => async call => {
+            const sent = await peerCall(call.timeoutMs + RELAY_EXTRA_MS, signal =>
+                entry(address).relay.mutate(call, { signal }),
+            );
+            return sent.chain(reply =>
+                reply.kind === "reply"
+                    ? Right(reply.reply)
+                    : Left(failure(reply.verdict, "platform-unavailable", reply.detail)),
+            );
+        },
+        close: () => dispatcher.destroy(),
+    };
+}
--- /dev/null
+++ b/packages/peer/src/session/sessionTask.ts
@@ -0,0 +1,176 @@
+import type { Either } from "purify-ts/Either";
+import type {
+    Stamp,
+    StartOrder,
+    StopOrder,
+    SyncReply,
+    SyncReport,
+    SyncRequest,
+} from "@tanagerdeck/decisions/worker/workerReport";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import { startTask, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+
+/** What the leader wants of an agent. */
+export interface AgentOrders {
+    starts: StartOrder[];
+    stops: StopOrder[];
+    recorded: SyncRequest["recorded"];
+}
+
+/** Messages of a session. */
+export type SessionMessage =
+    | { kind: "order"; orders: AgentOrders }
+    /** Whether the leader may give grants. */
+    | { kind: "grants"; isAllowed: boolean }
+    | { kind: "address"; address: string }
+    | { kind: "call" }
+    | { kind: "answered"; address: string; result: Either<Failure, SyncReply> };
+
+/** Dependencies of a session. */
+export interface SessionOptions {
+    agent: string;
+    address: string;
+    term: number;
+    grantMs: number;
+    clock: Clock;
+    log: Log;
+    sync: (address: string, request: SyncRequest, timeoutMs: number) => Promise<Either<Failure, SyncReply>>;
+    /** Called with each report, in the order of the agent's versions. */
+    reported: (report: SyncReport) => void;
+    /** Called when another leader's term is newer. */
+    outdated: (term: number) => void;
+}
+
+interface SessionState {
+    address: string;
+    orders: AgentOrders;
+    mayGrant: boolean;
+    sequence: number;
+    inFlight: number;
+    stamp: Stamp | undefined;
+    seenVersion: number;
+    failures: number;
+}
+
+/** Time for which the agent may wait for news; unsettled orders are repeated sooner. */
+const IDLE_WAIT_MS = 1_000;
+const BUSY_WAIT_MS = 300;
+/** Added to the wait for the way there and back. */
+const ANSWER_EXTRA_MS = 500;
+const RETRY_MS = 150;
+
+/** Starts the task that keeps one agent informed of the leader's orders and receives its reports. */
+export function startSessionTask(options: SessionOptions): Task<SessionMessage> {
+    const { agent, term, grantMs, clock, log, sync, reported, outdated } = options;
+
+    function call(state: SessionState, context: TaskContext<SessionMessage>): void {
+        const { orders, address, stamp } = state;
+        const isBusy = orders.starts.length > 0 || orders.stops.length > 0;
+        const waitMs = isBusy ? BUSY_WAIT_MS : IDLE_WAIT_MS;
+        const sequence = ++state.sequence;
+        const request: SyncRequest = {
+            term,
+            sequence,
+            grant: state.mayGrant && stamp ? { stamp, ms: grantMs } : undefined,
+            recorded: orders.recorded,
+            starts: orders.starts,
+            stops: orders.stops,
+            seenVersion: state.seenVersion,
+            // Without a stamp no grant can be given, so the first report is wanted at once.
+            waitMs: stamp ? waitMs : 0,
+        };
+        state.inFlight += 1;
+        context.start(
+            () => sync(address, request, waitMs + ANSWER_EXTRA_MS),
+            result => ({ kind: "answered", address, result }),
+        );
+    }
+
+    function take(state: SessionState, report: SyncReport): void {
+        const { stamp } = report;
+        const isNewIncarnation = stamp.incarnation !== state.stamp?.incarnation;
+        if (isNewIncarnation) {
+            state.seenVersion = 0;
+            state.stamp = undefined;
+        }
+        if (report.version < state.seenVersion) {
+            return;
+        }
+        state.seenVersion = report.version;
+        if (!state.stamp || stamp.now > state.stamp.now) {
+            state.stamp = stamp;
+        }
+        reported(report);
+    }
+
+    const task = startTask<SessionState, SessionMessage>({
+        name: `session ${agent}`,
+        clock,
+        report: (name, error) => log.error("A handler failed.", { task: name, error: String(error) }),
+        state: {
+            address: options.address,
+            orders: { starts: [], stops: [], recorded: undefined },
+            mayGrant: true,
+            sequence: 0,
+            inFlight: 0,
+            stamp: undefined,
+            seenVersion: 0,
+            failures: 0,
+        },
+        handlers: {
+            order(state, { orders }, context) {
+                state.orders = orders;
+                call(state, context);
+            },
+            grants(state, { isAllowed }) {
+                state.mayGrant = isAllowed;
+            },
+            address(state, { address }, context) {
+                if (state.address !== address) {
+                    state.address = address;
+                    call(state, context);
+                }
+            },
+            call(state, _message, context) {
+                if (state.inFlight === 0) {
+                    call(state, context);
+                }
+            },
+            answered(state, { address, result }, context) {
+                state.inFlight -= 1;
+                result.caseOf({
+                    Left(problem) {
+                        if (address === state.address) {
+                            state.failures += 1;
+                        }
+                        if (state.failures === 1) {
+                            log.warn("An agent does not answer.", { agent, detail: problem.detail });
+                        }
+                        context.after(RETRY_MS, { kind: "call" });
+                    },
+                    Right(reply) {
+                        if (state.failures > 0) {
+                            log.info("An agent answers again.", { agent, failures: state.failures });
+                            state.failures = 0;
+                        }
+                        if (reply.kind === "stale") {
+                            if (reply.term > term) {
+                                outdated(reply.term);
+                                return;
+                            }
+                            // A later call of this session overtook the one answered here.
+                            context.after(RETRY_MS, { kind: "call" });
+                            return;
+                        }
+                        take(state, reply.report);
+                        context.post({ kind: "call" });
+                    },
+                });
+            },
+        },
+    });
+    task.send({ kind: "call" });
+    return task;
+}
--- /dev/null
+++ b/packages/store/src/manifest/manifestTask.ts
@@ -0,0 +1,116 @@
+import type { Either } from "purify-ts/Either";
+import type { Manifest } from "@tanagerdeck/decisions/manifest/manifestTypes";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+import type { Item, KeyValueStore, Page, WatchReply } from "../keyvalue/keyValueTypes.ts";
+
+/** Messages of the manifest task. */
+export type ManifestMessage =
+    | { kind: "read" }
+    | { kind: "read-done"; result: Either<Failure, Page> }
+    | { kind: "watched"; result: Either<Failure, WatchReply> }
+    | { kind: "get"; reply: Reply<Manifest | undefined> };
+
+/** Dependencies of the manifest task. */
+export interface ManifestOptions {
+    store: KeyValueStore;
+    /** Key under which the operators write their declaration. */
+    key: string;
+    /** Reads the operators' text; a failure names what is wrong. */
+    decode: (item: Item) => Either<string, Manifest>;
+    clock: Clock;
+    log: Log;
+    adopted: (manifest: Manifest) => void;
+}
+
+interface ManifestState {
+    manifest: Manifest | undefined;
+    /** Revision from which the watch continues. */
+    revision: number;
+}
+
+/** Bounds the time for which a watch that is silent goes unnoticed; a change must be in force within 2.5 s. */
+const WATCH_WAIT_MS = 1_000;
+const RETRY_MS = 150;
+
+/** Starts the task that keeps the newest manifest; an adopted manifest never gives way to an older one. */
+export function startManifestTask(options: ManifestOptions): Task<ManifestMessage> {
+    const { store, key, decode, clock, log, adopted } = options;
+
+    function adopt(state: ManifestState, item: Item): void {
+        state.revision = Math.max(state.revision, item.revision);
+        if (state.manifest && item.revision <= state.manifest.revision) {
+            return;
+        }
+        decode(item).caseOf({
+            Left: problem =>
+                log.error("The manifest is unreadable and changes nothing.", {
+                    revision: item.revision,
+                    problem,
+                }),
+            Right(manifest) {
+                state.manifest = manifest;
+                log.info("A manifest is in force.", {
+                    version: manifest.version,
+                    revision: manifest.revision,
+                    queues: manifest.queues.length,
+                });
+                adopted(manifest);
+            },
+        });
+    }
+
+    function read(context: TaskContext<ManifestMessage>): void {
+        context.start(
+            () => store.page(key, undefined, false),
+            result => ({ kind: "read-done", result }),
+        );
+    }
+
+    function watch(state: ManifestState, context: TaskContext<ManifestMessage>): void {
+        context.start(
+            () => store.watch(key, state.revision, WATCH_WAIT_MS),
+            result => ({ kind: "watched", result }),
+        );
+    }
+
+    const task = startTask<ManifestState, ManifestMessage>({
+        name: "manifest",
+        clock,
+        report: (name, error) => log.error("A handler failed.", { task: name, error: String(error) }),
+        state: { manifest: undefined, revision: 0 },
+        handlers: {
+            read: (_state, _message, context) => read(context),
+            "read-done"(state, { result }, context) {
+                const page = result.toMaybe().extract();
+                const item = page?.items.find(candidate => candidate.key === key);
+                if (!page || !item) {
+                    context.after(RETRY_MS, { kind: "read" });
+                    return;
+                }
+                adopt(state, item);
+                state.revision = Math.max(state.revision, page.revision);
+                watch(state, context);
+            },
+            watched(state, { result }, context) {
+                const reply = result.toMaybe().extract();
+                if (reply?.kind !== "changes") {
+                    context.after(reply ? 0 : RETRY_MS, { kind: "read" });
+                    return;
+                }
+                for (const { key: changed, revision, value } of reply.changes) {
+                    if (changed === key && value !== undefined) {
+                        adopt(state, { key, revision, value });
+                    }
+                }
+                state.revision = Math.max(state.revision, reply.revision);
+                watch(state, context);
+            },
+            get: (state, { reply }) => reply(state.manifest),
+        },
+    });
+    task.send({ kind: "read" });
+    return task;
+}
--- /dev/null
+++ b/packages/store/src/presence/presenceTask.ts
@@ -0,0 +1,110 @@
+import { Left, Right, type Either } from "purify-ts/Either";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import { startTask, type Reply, type Task } from "@tanagerdeck/runtime/task/task";
+import type { KeepReply, KeyValueStore } from "../keyvalue/keyValueTypes.ts";
+import { encodeContent, type Registration } from "../replica/recordCodec.ts";
+
+/** Messages of the presence task. */
+export type PresenceMessage =
+    | { kind: "register" }
+    | { kind: "registered"; result: Either<Failure, number> }
+    | { kind: "renew"; lease: number }
+    | { kind: "renewed"; lease: number; result: Either<Failure, KeepReply> }
+    | { kind: "leave"; reply: Reply<void> };
+
+/** Dependencies of the presence task. */
+export interface PresenceOptions {
+    store: KeyValueStore;
+    key: string;
+    own: Registration;
+    clock: Clock;
+    log: Log;
+    newWriteId: () => string;
+}
+
+/** Time to live of a registration whose process no longer renews it. */
+const LEASE_TTL_MS = 6_000;
+/** A lapsed registration is noticed and made again within this time after the store's return. */
+const RENEW_MS = 1_500;
+const RETRY_MS = 400;
+
+/** Starts the task that keeps a process registered under a lease. */
+export function startPresenceTask(options: PresenceOptions): Task<PresenceMessage> {
+    const { store, key, own, clock, log, newWriteId } = options;
+
+    /** Conditional, so that a write that is executed late cannot bind the key to an earlier lease. */
+    async function register(): Promise<Either<Failure, number>> {
+        const [found, granted] = await Promise.all([store.get(key), store.grantLease(LEASE_TTL_MS)]);
+        if (found.isLeft() || granted.isLeft()) {
+            return found.isLeft() ? found : granted;
+        }
+        const lease = granted.unsafeCoerce();
+        const expected = [{ key, revision: found.unsafeCoerce()?.revision ?? 0 }];
+        const value = encodeContent("registration", own, newWriteId());
+        const reply = await store.commit({ expected, puts: [{ key, value, lease }], removes: [] });
+        return reply.chain(({ kind }) =>
+            kind === "committed"
+                ? Right(lease)
+                : Left(failure("not-run", "revision-conflict", `The registration met a ${kind}.`)),
+        );
+    }
+
+    const task = startTask<{ lease: number | undefined; hasLeft: boolean }, PresenceMessage>({
+        name: "presence",
+        clock,
+        report: (name, error) => log.error("A handler failed.", { task: name, error: String(error) }),
+        state: { lease: undefined, hasLeft: false },
+        handlers: {
+            register(state, _message, context) {
+                if (!state.hasLeft) {
+                    context.start(register, result => ({ kind: "registered", result }));
+                }
+            },
+            registered(state, { result }, context) {
+                result.caseOf<void>({
+                    Left: () => void context.after(RETRY_MS, { kind: "register" }),
+                    Right(lease) {
+                        state.lease = lease;
+                        context.after(RENEW_MS, { kind: "renew", lease });
+                    },
+                });
+            },
+            renew(state, { lease }, context) {
+                if (!state.hasLeft) {
+                    context.start(
+                        () => store.keepLease(lease),
+                        result => ({ kind: "renewed", lease, result }),
+                    );
+                }
+            },
+            renewed(_state, { lease, result }, context) {
+                const reply = result.toMaybe().extract();
+                if (reply === "ended") {
+                    log.warn("The registration has lapsed; registering again.", { key });
+                    context.post({ kind: "register" });
+                    return;
+                }
+                context.after(reply === "kept" ? RENEW_MS : RETRY_MS, { kind: "renew", lease });
+            },
+            leave(state, { reply }, context) {
+                state.hasLeft = true;
+                const { lease } = state;
+                if (lease === undefined) {
+                    reply();
+                    return;
+                }
+                context.start(
+                    async () => {
+                        await store.endLease(lease);
+                        reply();
+                    },
+                    () => ({ kind: "register" }),
+                );
+            },
+        },
+    });
+    task.send({ kind: "register" });
+    return task;
+}
--- /dev/null
+++ b/packages/store/src/replica/replicaTask.ts
@@ -0,0 +1,164 @@
+import type { Either } from "purify-ts/Either";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+import type { Change, Item, KeyValueStore, WatchReply } from "../keyvalue/keyValueTypes.ts";
+import { listAll, type Listing } from "../keyvalue/listing.ts";
+
+/** Messages of the replica task. */
+export type ReplicaMessage =
+    | { kind: "list" }
+    | { kind: "listed"; result: Either<Failure, Listing> }
+    | { kind: "watch" }
+    | { kind: "watched"; result: Either<Failure, WatchReply> }
+    /** An item that this process has written or read itself. */
+    | { kind: "learned"; item: Item }
+    | { kind: "get"; key: string; reply: Reply<Item | undefined> }
+    | { kind: "snapshot"; reply: Reply<Item[]> };
+
+/** Dependencies of the replica task. */
+export interface ReplicaOptions {
+    store: KeyValueStore;
+    /** Keys that are replicated. */
+    prefix: string;
+    clock: Clock;
+    log: Log;
+    /** Called for each change, in the order of the revisions of its key. */
+    changed: (change: Change) => void;
+    /** Called once after the first complete listing. */
+    loaded: () => void;
+}
+
+interface ReplicaState {
+    items: Map<string, Item>;
+    /** Revision up to which the watch has delivered. */
+    revision: number;
+    isLoaded: boolean;
+    isLost: boolean;
+}
+
+/** Short, so that a watch whose connection went silent is replaced soon. */
+const WATCH_WAIT_MS = 1_000;
+const RETRY_MS = 250;
+
+/** Starts the task that keeps a copy of the items below a prefix by listing and watching the store. */
+export function startReplicaTask(options: ReplicaOptions): Task<ReplicaMessage> {
+    const { store, prefix, clock, log, changed, loaded } = options;
+
+    function apply(state: ReplicaState, change: Change): void {
+        const known = state.items.get(change.key);
+        if (known && known.revision >= change.revision) {
+            return;
+        }
+        if (change.value === undefined) {
+            if (!known) {
+                return;
+            }
+            state.items.delete(change.key);
+        } else {
+            const { key, revision, value } = change;
+            state.items.set(key, { key, revision, value });
+        }
+        changed(change);
+    }
+
+    function applyListing(state: ReplicaState, listing: Listing): void {
+        const listed = new Set(listing.items.map(item => item.key));
+        for (const known of [...state.items.values()]) {
+            if (!listed.has(known.key) && known.revision <= listing.revision) {
+                apply(state, { key: known.key, revision: listing.revision, value: undefined });
+            }
+        }
+        for (const item of listing.items) {
+            apply(state, item);
+        }
+        state.revision = Math.max(state.revision, listing.revision);
+    }
+
+    function watch(state: ReplicaState, context: TaskContext<ReplicaMessage>): void {
+        context.start(
+            () => store.watch(prefix, state.revision, WATCH_WAIT_MS),
+            result => ({ kind: "watched", result }),
+        );
+    }
+
+    function noteFailure(state: ReplicaState, problem: Failure): void {
+        if (!state.isLost) {
+            state.isLost = true;
+            log.warn("The store cannot be watched.", { detail: problem.detail, revision: state.revision });
+        }
+    }
+
+    function noteSuccess(state: ReplicaState): void {
+        if (state.isLost) {
+            state.isLost = false;
+            log.info("The store is watched again.", { revision: state.revision });
+        }
+    }
+
+    const task = startTask<ReplicaState, ReplicaMessage>({
+        name: "replica",
+        clock,
+        report: (name, error) => log.error("A handler failed.", { task: name, error: String(error) }),
+        state: { items: new Map(), revision: 0, isLoaded: false, isLost: false },
+        handlers: {
+            list(_state, _message, context) {
+                context.start(
+                    () => listAll(store, prefix),
+                    result => ({ kind: "listed", result }),
+                );
+            },
+            listed(state, { result }, context) {
+                result.caseOf({
+                    Left(problem) {
+                        noteFailure(state, problem);
+                        context.after(RETRY_MS, { kind: "list" });
+                    },
+                    Right(listing) {
+                        noteSuccess(state);
+                        applyListing(state, listing);
+                        if (!state.isLoaded) {
+                            state.isLoaded = true;
+                            loaded();
+                        }
+                        watch(state, context);
+                    },
+                });
+            },
+            watch: (state, _message, context) => watch(state, context),
+            watched(state, { result }, context) {
+                result.caseOf({
+                    Left(problem) {
+                        noteFailure(state, problem);
+                        context.after(RETRY_MS, { kind: "watch" });
+                    },
+                    Right(reply) {
+                        if (reply.kind === "compacted") {
+                            log.info("The store has dropped its history; listing again.", {
+                                revision: state.revision,
+                            });
+                            context.post({ kind: "list" });
+                            return;
+                        }
+                        noteSuccess(state);
+                        for (const change of reply.changes) {
+                            apply(state, change);
+                        }
+                        state.revision = Math.max(state.revision, reply.revision);
+                        watch(state, context);
+                    },
+                });
+            },
+            learned(state, { item }) {
+                if (item.revision > state.revision || state.items.has(item.key)) {
+                    apply(state, item);
+                }
+            },
+            get: (state, { key, reply }) => reply(state.items.get(key)),
+            snapshot: (state, { reply }) => reply([...state.items.values()]),
+        },
+    });
+    task.send({ kind: "list" });
+    return task;
+}
--- /dev/null
+++ b/packages/store/src/replica/storeKeys.ts
@@ -0,0 +1,56 @@
+/** Everything below it belongs to tanagerdeck. */
+export const ROOT_PREFIX = "tanagerdeck/";
+
+/** Parts of what is stored of a job. */
+export type JobPart = "definition" | "cancel" | "progress";
+
+/** What a key below the root holds. */
+export type StoreKey =
+    | { kind: "job"; id: string; part: JobPart }
+    | { kind: "entry"; name: string }
+    | { kind: "agent"; name: string }
+    | { kind: "leader" };
+
+/** Key of the process that plans; it exists under that process's lease. */
+export const LEADER_KEY = `${ROOT_PREFIX}leader`;
+
+/** Key of one part of a job. */
+export function jobKey(id: string, part: JobPart): string {
+    return `${jobPrefix(id)}${part}`;
+}
+
+/** Prefix of all parts of a job. */
+export function jobPrefix(id: string): string {
+    return `${ROOT_PREFIX}job/${id}/`;
+}
+
+/** Key of an entry's registration. */
+export function entryKey(name: string): string {
+    return `${ROOT_PREFIX}entry/${name}`;
+}
+
+/** Key of an agent's registration. */
+export function agentKey(name: string): string {
+    return `${ROOT_PREFIX}agent/${name}`;
+}
+
+/** Reads a key; undefined if it has none of these forms. */
+export function parseStoreKey(key: string): StoreKey | undefined {
+    if (key === LEADER_KEY) {
+        return { kind: "leader" };
+    }
+    if (!key.startsWith(ROOT_PREFIX)) {
+        return undefined;
+    }
+    const [kind, name, part] = key.slice(ROOT_PREFIX.length).split("/");
+    if (name === undefined || name === "") {
+        return undefined;
+    }
+    if (kind === "job" && (part === "definition" || part === "cancel" || part === "progress")) {
+        return { kind, id: name, part };
+    }
+    if ((kind === "entry" || kind === "agent") && part === undefined) {
+        return { kind, name };
+    }
+    return undefined;
+}
--- a/packages/tanagerdeck/src/main.ts
+++ b/packages/tanagerdeck/src/main.ts
@@ -1,10 +1,13 @@
 import { cac } from "cac";
 import { readSettings } from "@tanagerdeck/runtime/settings/settingsFile";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
+import { platformAgentSchema, platformEntrySchema } from "./platform/platformSettings.ts";
 import { agentSettingsSchema, entrySettingsSchema } from "./settings/settingsSchema.ts";
 
 /** Commands that run a process of the system. */
-const PROCESS_COMMANDS = new Set(["entry", "agent"]);
+const PROCESS_COMMANDS = new Set(["entry", "agent", "platform-entry", "platform-agent"]);
+/** Names the settings file on the users' platform. */
+const SETTINGS_VARIABLE = "TANAGERDECK_NODE_FILE";
 const EXIT_INTERNAL = 1;
 const EXIT_USAGE = 2;
 
@@ -30,6 +33,26 @@
     });
 });
 
+cli.command("platform-entry", "Run an entry on the users' platform").action(async () => {
+    await readSettings(process.env[SETTINGS_VARIABLE] ?? "", platformEntrySchema).caseOf({
+        Left: async problem => exitWithUsageError(problem),
+        Right: async settings => {
+            const { startPlatformEntry } = await import("./platform/platformEntry.ts");
+            serveUntilSignal(await startPlatformEntry(settings));
+        },
+    });
+});
+
+cli.command("platform-agent", "Run an agent on the users' platform").action(async () => {
+    await readSettings(process.env[SETTINGS_VARIABLE] ?? "", platformAgentSchema).caseOf({
+        Left: async problem => exitWithUsageError(problem),
+        Right: async settings => {
+            const { startPlatformAgent } = await import("./platform/platformAgent.ts");
+            serveUntilSignal(await startPlatformAgent(settings));
+        },
+    });
+});
+
 cli.command("", "Show the commands").action(() => {
     cli.outputHelp();
     process.exitCode = EXIT_USAGE;
--- /dev/null
+++ b/packages/tanagerdeck/src/platform/platformAgent.ts
@@ -0,0 +1,89 @@
+import { nanoid } from "nanoid";
+import { leaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
+import type { SyncReply } from "@tanagerdeck/decisions/worker/workerReport";
+import { startAgentTask } from "@tanagerdeck/backend/agent/agentTask";
+import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
+import { createPlanClients } from "@tanagerdeck/peer/session/planClients";
+import { createAgentPlanRouter } from "@tanagerdeck/peer/session/planRouters";
+import { startRegistrationListener } from "@tanagerdeck/platform/registration/registrationListener";
+import { createPlatformWorker } from "@tanagerdeck/platform/worker/platformWorker";
+import { systemClock } from "@tanagerdeck/runtime/clock/clock";
+import { createLog } from "@tanagerdeck/runtime/log/log";
+import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
+import type { Reply } from "@tanagerdeck/runtime/task/task";
+import { startAgentPresenceTask } from "@tanagerdeck/store/presence/agentPresenceTask";
+import { agentKey } from "@tanagerdeck/store/replica/storeKeys";
+import { PLATFORM_PEER_TOKEN } from "./peerToken.ts";
+import type { PlatformAgentSettings } from "./platformSettings.ts";
+import { openStoreAccess } from "./storeAccess.ts";
+
+/** Starts the agent beside a worker on the users' platform and wires its tasks. */
+export async function startPlatformAgent(settings: PlatformAgentSettings): Promise<RunningProcess> {
+    const clock = systemClock;
+    const log = createLog(settings.name, "info");
+    const clients = createPlanClients(PLATFORM_PEER_TOKEN);
+    const peerAddress = `${settings.ip}:${settings.peerPort}`;
+    const incarnation = nanoid(10);
+    const access = openStoreAccess({
+        address: settings.storeAddress,
+        relays: () => settings.seeds.map(seed => `${seed.split(":")[0]}:${settings.peerPort}`),
+        clients,
+        clock,
+        log: log.part("store"),
+    });
+    const worker = createPlatformWorker(settings.workerAddress);
+    const agent = startAgentTask({
+        port: worker,
+        times: leaseTimes(settings.longestHoldMs),
+        incarnation,
+        clock,
+        log: log.part("agent"),
+    });
+    const presence = startAgentPresenceTask({
+        store: access.store,
+        key: agentKey(settings.name),
+        own: {
+            name: settings.name,
+            address: peerAddress,
+            availabilityZone: settings.availabilityZone,
+            incarnation,
+        },
+        clock,
+        log: log.part("presence"),
+        newWriteId: () => nanoid(12),
+    });
+    const peerListener = await startPeerListener(
+        peerAddress,
+        PLATFORM_PEER_TOKEN,
+        createAgentPlanRouter({
+            relay: access.relay,
+            sync(request) {
+                presence.send({ kind: "heard" });
+                return agent.ask((reply: Reply<SyncReply>) => ({ kind: "sync", request, reply }));
+            },
+        }),
+    );
+    const registration = await startRegistrationListener({
+        address: settings.registrationAddress,
+        heartbeat: heartbeat => agent.ask((reply: Reply<void>) => ({ kind: "heartbeat", heartbeat, reply })),
+        left: id => agent.ask((reply: Reply<void>) => ({ kind: "left", id, reply })),
+        log: log.part("registration"),
+    });
+    log.info("The agent is serving.", { peerAddress, worker: settings.workerAddress });
+
+    return {
+        addresses: { peerAddress },
+        async stop() {
+            log.info("The agent is stopping.");
+            // The worker's lease then outlasts the restart of this process.
+            await agent.ask((reply: Reply<void>) => ({ kind: "last-hold", reply }));
+            await peerListener.close();
+            await registration.close();
+            await agent.stop();
+            await presence.stop();
+            await worker.close();
+            await access.close();
+            await clients.close();
+        },
+    };
+}
--- /dev/null
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -0,0 +1,254 @@
+import { nanoid } from "nanoid";
+import { closedAfterMs, leaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
+import { checkAccess, indexManifest, type ManifestIndex } from "@tanagerdeck/decisions/manifest/access";
+import { scheduleRound } from "@tanagerdeck/decisions/schedule/schedulingRound";
+import { deskOf, startDeskTask } from "@tanagerdeck/caller/desk/deskTask";
+import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
+import { startPlannerTask, type PlannerMessage } from "@tanagerdeck/peer/planner/plannerTask";
+import { createPlanClients } from "@tanagerdeck/peer/session/planClients";
+import { createEntryPlanRouter } from "@tanagerdeck/peer/session/planRouters";
+import { startJobListener } from "@tanagerdeck/platform/ingress/jobListener";
+import { startReadyListener } from "@tanagerdeck/platform/ingress/readyListener";
+import { decodeManifest, MANIFEST_KEY } from "@tanagerdeck/platform/manifest/manifestCodec";
+import { systemClock } from "@tanagerdeck/runtime/clock/clock";
+import { createLog } from "@tanagerdeck/runtime/log/log";
+import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
+import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
+import type { Change, Item } from "@tanagerdeck/store/keyvalue/keyValueTypes";
+import { listAll } from "@tanagerdeck/store/keyvalue/listing";
+import { commitSettled } from "@tanagerdeck/store/keyvalue/settledCommit";
+import { startLeadershipTask, type LeadershipEvent } from "@tanagerdeck/store/leadership/leadershipTask";
+import { startManifestTask } from "@tanagerdeck/store/manifest/manifestTask";
+import { startPresenceTask } from "@tanagerdeck/store/presence/presenceTask";
+import { decodeContent, type Registration } from "@tanagerdeck/store/replica/recordCodec";
+import { startReplicaTask } from "@tanagerdeck/store/replica/replicaTask";
+import { entryKey, parseStoreKey, ROOT_PREFIX } from "@tanagerdeck/store/replica/storeKeys";
+import { PLATFORM_PEER_TOKEN } from "./peerToken.ts";
+import type { PlatformEntrySettings } from "./platformSettings.ts";
+import { createSessionSet, type SessionSet } from "./sessionSet.ts";
+import { openStoreAccess } from "./storeAccess.ts";
+
+/** Time for which one unclear record write is repeated before the planner logs it and goes on repeating. */
+const RECORD_LIMIT_MS = 2_000;
+/** Ended jobs are kept this much longer than promised. */
+const KEEP_EXTRA_MS = 30_000;
+const CAMPAIGN_SPREAD_MS = 60;
+/** The platform takes a process out of rotation after two missed checks, one a second. */
+const ROTATION_MS = 2_500;
+
+/** The planning of one term. */
+interface Term {
+    planner: Task<PlannerMessage>;
+    sessions: SessionSet;
+}
+
+/** Starts an entry on the users' platform and wires its tasks. */
+export async function startPlatformEntry(settings: PlatformEntrySettings): Promise<RunningProcess> {
+    const clock = systemClock;
+    const log = createLog(settings.name, "info");
+    const times = leaseTimes(settings.longestHoldMs);
+    const clients = createPlanClients(PLATFORM_PEER_TOKEN);
+    const peerAddress = `${settings.ip}:${settings.peerPort}`;
+    const own: Registration = {
+        name: settings.name,
+        address: peerAddress,
+        availabilityZone: settings.availabilityZone,
+        incarnation: nanoid(10),
+    };
+    const newWriteId = () => nanoid(12);
+    const entries = new Map<string, Registration>();
+    let index: ManifestIndex | undefined;
+    let leaderAddress: string | undefined;
+    let term: Term | undefined;
+    let isStopping = false;
+
+    const access = openStoreAccess({
+        address: settings.storeAddress,
+        relays: () => relayAddresses(settings, entries, peerAddress),
+        clients,
+        clock,
+        log: log.part("store"),
+    });
+    const { store } = access;
+
+    const desk = startDeskTask({
+        store,
+        clock,
+        log: log.part("desk"),
+        newWriteId,
+        announce,
+        isStoreAway: access.isAway,
+    });
+
+    function announce(item: Item): void {
+        replica.send({ kind: "learned", item });
+        if (leaderAddress !== undefined && leaderAddress !== peerAddress) {
+            // The leader also watches the store; this only spares it the wait.
+            void clients.learn(leaderAddress, item);
+        }
+    }
+
+    function changed(change: Change): void {
+        desk.send({ kind: "changed", change });
+        term?.planner.send({ kind: "changed", change });
+        const key = parseStoreKey(change.key);
+        if (key?.kind === "entry") {
+            const registration =
+                change.value === undefined ? undefined : decodeContent("registration", change.value);
+            if (registration) {
+                entries.set(key.name, registration);
+            } else {
+                entries.delete(key.name);
+            }
+            if (key.name === own.name && change.value === undefined) {
+                presence.send({ kind: "register" });
+            }
+        }
+        if (key?.kind === "leader") {
+            leaderAddress =
+                change.value === undefined ? undefined : decodeContent("leader", change.value)?.address;
+            leadership.send({ kind: "leader-changed", change });
+        }
+    }
+
+    function beginTerm(number: number): void {
+        const sessions = createSessionSet({
+            term: number,
+            grantMs: times.grantMs,
+            clock,
+            log: log.part("session"),
+            sync: clients.sync,
+            reported: (agent, report) => planner.send({ kind: "report", agent, report }),
+            outdated: newer => log.warn("An agent knows a newer leader.", { term: number, newer }),
+        });
+        const planner = startPlannerTask({
+            term: number,
+            times,
+            clock,
+            log: log.part("planner"),
+            newWriteId,
+            list: () => listAll(store, ROOT_PREFIX),
+            commit: transaction =>
+                commitSettled(store, transaction, { clock, giveUpAt: clock.now() + RECORD_LIMIT_MS }),
+            sessions,
+            schedule: scheduleRound,
+            termEnded: () => log.warn("The store shows that the term has ended.", { term: number }),
+            keepMs: settings.keepJobsSeconds * 1_000 + KEEP_EXTRA_MS,
+        });
+        if (index) {
+            planner.send({ kind: "manifest", index });
+        }
+        term = { planner, sessions };
+        log.info("Planning begins.", { term: number, closedAfterMs: closedAfterMs(times) });
+    }
+
+    function endTerm(): void {
+        const ended = term;
+        term = undefined;
+        if (ended) {
+            void ended.planner.ask((reply: Reply<void>) => ({ kind: "halt", reply }));
+            void ended.planner.stop();
+            void ended.sessions.close();
+        }
+    }
+
+    function notify(event: LeadershipEvent): void {
+        if (event.kind === "lead") {
+            endTerm();
+            beginTerm(event.term);
+        } else if (event.kind === "lost") {
+            endTerm();
+        } else {
+            term?.planner.send({ kind: event.kind });
+        }
+    }
+
+    const leadership = startLeadershipTask({
+        store,
+        own,
+        clock,
+        log: log.part("leadership"),
+        newWriteId,
+        campaignDelayMs: () => Math.random() * CAMPAIGN_SPREAD_MS,
+        notify,
+    });
+    const replica = startReplicaTask({
+        store,
+        prefix: ROOT_PREFIX,
+        clock,
+        log: log.part("replica"),
+        changed,
+        loaded: () => leadership.send({ kind: "loaded" }),
+    });
+    const presence = startPresenceTask({
+        store,
+        key: entryKey(own.name),
+        own,
+        clock,
+        log: log.part("presence"),
+        newWriteId,
+    });
+    const manifest = startManifestTask({
+        store,
+        key: MANIFEST_KEY,
+        decode: decodeManifest,
+        clock,
+        log: log.part("manifest"),
+        adopted(adopted) {
+            index = indexManifest(adopted);
+            term?.planner.send({ kind: "manifest", index });
+        },
+    });
+
+    const peerListener = await startPeerListener(
+        peerAddress,
+        PLATFORM_PEER_TOKEN,
+        createEntryPlanRouter({
+            relay: access.relay,
+            learn: async item => replica.send({ kind: "learned", item }),
+        }),
+    );
+    const readyListener = await startReadyListener(
+        settings.readyAddress,
+        () => index !== undefined && !isStopping && !access.isAway(),
+    );
+    const jobListener = await startJobListener({
+        address: settings.callerAddress,
+        desk: deskOf(desk),
+        access: call => index && checkAccess(index, call),
+        bodyLimitBytes: () => index?.manifest.bodyLimitBytes ?? 0,
+        isStopping: () => isStopping,
+        log: log.part("ingress"),
+    });
+    log.info("The entry is serving.", { callerAddress: settings.callerAddress, peerAddress });
+
+    return {
+        addresses: { callerAddress: jobListener.address, peerAddress },
+        async stop() {
+            isStopping = true;
+            log.info("The entry is stopping.");
+            await leadership.ask((reply: Reply<void>) => ({ kind: "resign", reply }));
+            await new Promise<void>(resolve => clock.startTimer(ROTATION_MS, resolve));
+            await jobListener.close();
+            await presence.ask((reply: Reply<void>) => ({ kind: "leave", reply }));
+            log.info("The entry has stopped.");
+            await readyListener.close();
+            await peerListener.close();
+            await Promise.all([desk.stop(), replica.stop(), presence.stop(), manifest.stop()]);
+            await leadership.stop();
+            await access.close();
+            await clients.close();
+        },
+    };
+}
+
+/** Peer addresses of the other entries: those registered, else the seeds. */
+function relayAddresses(
+    { seeds, peerPort }: PlatformEntrySettings,
+    entries: Map<string, Registration>,
+    own: string,
+): string[] {
+    const registered = [...entries.values()].map(entry => entry.address);
+    const known = registered.length > 1 ? registered : seeds.map(seed => `${seed.split(":")[0]}:${peerPort}`);
+    return known.filter(address => address !== own);
+}
--- /dev/null
+++ b/packages/tanagerdeck/src/platform/sessionSet.ts
@@ -0,0 +1,52 @@
+import type { SyncReport } from "@tanagerdeck/decisions/worker/workerReport";
+import type { Sessions } from "@tanagerdeck/peer/planner/plannerTask";
+import {
+    startSessionTask,
+    type SessionMessage,
+    type SessionOptions,
+} from "@tanagerdeck/peer/session/sessionTask";
+import type { Task } from "@tanagerdeck/runtime/task/task";
+
+/** The sessions of one term. */
+export interface SessionSet extends Sessions {
+    close(): Promise<void>;
+}
+
+/** What the sessions of a term share. */
+export interface SessionSetOptions extends Omit<SessionOptions, "agent" | "address" | "reported"> {
+    reported: (agent: string, report: SyncReport) => void;
+}
+
+/** Keeps one session for each agent. */
+export function createSessionSet(options: SessionSetOptions): SessionSet {
+    const sessions = new Map<string, Task<SessionMessage>>();
+    let mayGrant = true;
+    return {
+        open(agent, address) {
+            const known = sessions.get(agent);
+            if (known) {
+                known.send({ kind: "address", address });
+                return;
+            }
+            const { reported, ...shared } = options;
+            const session = startSessionTask({
+                ...shared,
+                agent,
+                address,
+                reported: report => reported(agent, report),
+            });
+            session.send({ kind: "grants", isAllowed: mayGrant });
+            sessions.set(agent, session);
+        },
+        order: (agent, orders) => sessions.get(agent)?.send({ kind: "order", orders }),
+        grants(isAllowed) {
+            mayGrant = isAllowed;
+            for (const session of sessions.values()) {
+                session.send({ kind: "grants", isAllowed });
+            }
+        },
+        async close() {
+            await Promise.all([...sessions.values()].map(session => session.stop()));
+        },
+    };
+}
--- /dev/null
+++ b/packages/tanagerdeck/src/platform/storeAccess.ts
@@ -0,0 +1,78 @@
+import { createDirectSend } from "@tanagerdeck/platform/store/directSend";
+import { createPlatformStore } from "@tanagerdeck/platform/store/platformStore";
+import type { RelayReply } from "@tanagerdeck/peer/session/planRouters";
+import type { PlanClients } from "@tanagerdeck/peer/session/planClients";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { KeyValueStore, SendStoreCall, StoreCall } from "@tanagerdeck/store/keyvalue/keyValueTypes";
+import { createRoutedSend } from "@tanagerdeck/store/relay/routedSend";
+
+/** A process's way to the store. */
+export interface StoreAccess {
+    store: KeyValueStore;
+    /** Sends a call for another process, from here only. */
+    relay(call: StoreCall): Promise<RelayReply>;
+    /** Whether no call has been answered for a while. */
+    isAway(): boolean;
+    close(): Promise<void>;
+}
+
+/** Dependencies of the store access. */
+export interface StoreAccessOptions {
+    address: string;
+    /** Peer addresses of processes that can forward calls. */
+    relays: () => string[];
+    clients: PlanClients;
+    clock: Clock;
+    log: Log;
+}
+
+/** Time without an answered call, while calls fail, after which the store counts as away. */
+const AWAY_MS = 400;
+
+/** Opens the connections to the store and the ways around them. */
+export function openStoreAccess({ address, relays, clients, clock, log }: StoreAccessOptions): StoreAccess {
+    const direct = createDirectSend(address);
+    const routed = createRoutedSend({
+        direct: direct.send,
+        relays: () => relays().map(relay => ({ name: relay, send: clients.relay(relay) })),
+        clock,
+        log,
+    });
+    let failingSince: number | undefined;
+
+    const observed: SendStoreCall = async call => {
+        const result = await routed(call);
+        const isAnswered = result.caseOf({
+            Left: () => false,
+            Right: ({ status }) => status !== 503 && status !== 429,
+        });
+        if (isAnswered) {
+            if (failingSince !== undefined) {
+                log.info("The store answers again.", { awayMs: Math.round(clock.now() - failingSince) });
+            }
+            failingSince = undefined;
+        } else if (failingSince === undefined) {
+            failingSince = clock.now();
+            log.warn("The store does not answer.");
+        }
+        return result;
+    };
+
+    return {
+        store: createPlatformStore(observed),
+        async relay(call) {
+            const result = await direct.send(call);
+            return result.caseOf<RelayReply>({
+                Left: ({ verdict, detail }) => ({
+                    kind: "failed",
+                    verdict: verdict === "not-run" ? "not-run" : "may-have-run",
+                    detail,
+                }),
+                Right: reply => ({ kind: "reply", reply }),
+            });
+        },
+        isAway: () => failingSince !== undefined && clock.now() - failingSince > AWAY_MS,
+        close: direct.close,
+    };
+}
