--- a/packages/tanagerdeck/src/main.ts
+++ b/packages/tanagerdeck/src/main.ts
@@ -34,21 +34,23 @@
 });
 
 cli.command("platform-entry", "Run an entry on the users' platform").action(async () => {
-    await readSettings(process.env[SETTINGS_VARIABLE] ?? "", platformEntrySchema).caseOf({
+    const read = () => readSettings(process.env[SETTINGS_VARIABLE] ?? "", platformEntrySchema);
+    await read().caseOf({
         Left: async problem => exitWithUsageError(problem),
         Right: async settings => {
             const { startPlatformEntry } = await import("./platform/platformEntry.ts");
-            serveUntilSignal(await startPlatformEntry(settings));
+            serveUntilSignal(await startPlatformEntry(settings, read));
         },
     });
 });
 
 cli.command("platform-agent", "Run an agent on the users' platform").action(async () => {
-    await readSettings(process.env[SETTINGS_VARIABLE] ?? "", platformAgentSchema).caseOf({
+    const read = () => readSettings(process.env[SETTINGS_VARIABLE] ?? "", platformAgentSchema);
+    await read().caseOf({
         Left: async problem => exitWithUsageError(problem),
         Right: async settings => {
             const { startPlatformAgent } = await import("./platform/platformAgent.ts");
-            serveUntilSignal(await startPlatformAgent(settings));
+            serveUntilSignal(await startPlatformAgent(settings, read));
         },
     });
 });
@@ -70,6 +72,8 @@
     const stop = () => void running.stop();
     process.once("SIGTERM", stop);
     process.once("SIGINT", stop);
+    // Without a handler the signal would end the process.
+    process.on("SIGHUP", () => running.reload?.());
 }
 
 /** Registers the operators' and callers' commands, whose code an entry or an agent need not load. */
--- a/packages/tanagerdeck/src/platform/platformAgent.ts
+++ b/packages/tanagerdeck/src/platform/platformAgent.ts
@@ -1,3 +1,4 @@
+import type { Either } from "purify-ts/Either";
 import { nanoid } from "nanoid";
 import { leaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import type { SyncReply } from "@tanagerdeck/decisions/worker/workerReport";
@@ -15,10 +16,15 @@
 import { agentKey } from "@tanagerdeck/store/replica/storeKeys";
 import { PLATFORM_PEER_TOKEN } from "./peerToken.ts";
 import type { PlatformAgentSettings } from "./platformSettings.ts";
+import { reloadSettings } from "./reloadSettings.ts";
 import { openStoreAccess } from "./storeAccess.ts";
 
 /** Starts the agent beside a worker on the users' platform and wires its tasks. */
-export async function startPlatformAgent(settings: PlatformAgentSettings): Promise<RunningProcess> {
+export async function startPlatformAgent(
+    initial: PlatformAgentSettings,
+    read: () => Either<string, PlatformAgentSettings>,
+): Promise<RunningProcess> {
+    let settings = initial;
     const clock = systemClock;
     const log = createLog(settings.name, "info");
     const clients = createPlanClients(PLATFORM_PEER_TOKEN);
@@ -73,6 +79,9 @@
 
     return {
         addresses: { peerAddress },
+        reload() {
+            settings = reloadSettings(settings, read, log);
+        },
         async stop() {
             log.info("The agent is stopping.");
             // The worker's lease then outlasts the restart of this process.
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -1,3 +1,4 @@
+import type { Either } from "purify-ts/Either";
 import { nanoid } from "nanoid";
 import { closedAfterMs, leaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import { checkAccess, indexManifest, type ManifestIndex } from "@tanagerdeck/decisions/manifest/access";
@@ -26,6 +27,7 @@
 import { PLATFORM_PEER_TOKEN } from "./peerToken.ts";
 import type { PlatformEntrySettings } from "./platformSettings.ts";
 import { createSessionSet, type SessionSet } from "./sessionSet.ts";
+import { reloadSettings } from "./reloadSettings.ts";
 import { openStoreAccess } from "./storeAccess.ts";
 
 /** Time for which one unclear record write is repeated before the planner logs it and goes on repeating. */
@@ -43,7 +45,11 @@
 }
 
 /** Starts an entry on the users' platform and wires its tasks. */
-export async function startPlatformEntry(settings: PlatformEntrySettings): Promise<RunningProcess> {
+export async function startPlatformEntry(
+    initial: PlatformEntrySettings,
+    read: () => Either<string, PlatformEntrySettings>,
+): Promise<RunningProcess> {
+    let settings = initial;
     const clock = systemClock;
     const log = createLog(settings.name, "info");
     const times = leaseTimes(settings.longestHoldMs);
@@ -224,6 +230,9 @@
 
     return {
         addresses: { callerAddress: jobListener.address, peerAddress },
+        reload() {
+            settings = reloadSettings(settings, read, log);
+        },
         async stop() {
             isStopping = true;
             log.info("The entry is stopping.");
