Test the job model and the access to queues

Cause: the core came without tests. Each test names the failure that it guards against: a group restarted while a task still runs, an attempt counted twice, a late end that frees a worker in use.

--- /dev/null
+++ b/packages/decisions/src/job/progressChange.spec.ts
@@ -0,0 +1,95 @@
+import { expect } from "chai";
+import { bootOf } from "../testing/planFixture.ts";
+import { closeRun, endTask, openRun, type GroupRules } from "./progressChange.ts";
+import { emptyGroupProgress, type GroupProgress, type TaskEnd } from "./progressTypes.ts";
+
+describe("the progress of a group", () => {
+    const rules: GroupRules = { gang: true, longRunning: false, attempts: 2 };
+
+    function placed(indexes: number[], from: GroupProgress = emptyGroupProgress()): GroupProgress {
+        return openRun(
+            from,
+            indexes.map(index => ({ index, worker: `worker-${index}`, boot: bootOf(`i-${index}`) })),
+        );
+    }
+
+    function end(group: GroupProgress, index: number, how: TaskEnd, run = group.run): GroupProgress {
+        return endTask(group, { index, run, end: how }, rules);
+    }
+
+    describe("when a task of a gang is done", () => {
+        it("is done as a whole, and the other task still occupies its worker", () => {
+            const after = end(placed([0, 1]), 0, "done");
+            expect(after.phase).to.equal("done");
+            expect(after.placements.map(placement => placement.index)).to.deep.equal([1]);
+        });
+
+        it("stays done when the other task ends another way, which must not start a second run", () => {
+            expect(end(end(placed([0, 1]), 0, "done"), 1, "lost").phase).to.equal("done");
+        });
+    });
+
+    describe("when a run fails", () => {
+        it("waits for all tasks to end before it can run again, so that no task runs twice at a time", () => {
+            const closing = end(placed([0, 1]), 0, "failed");
+            expect(closing.phase).to.equal("closing");
+            expect(end(closing, 1, "broken").phase).to.equal("waiting");
+        });
+
+        it("counts one failed attempt for all failed tasks of the run", () => {
+            expect(end(end(placed([0, 1]), 0, "failed"), 1, "failed").failures).to.equal(1);
+        });
+
+        it("fails for good once the attempts are used up", () => {
+            const second = placed([0], end(placed([0]), 0, "failed"));
+            expect(second.run).to.equal(2);
+            expect(end(second, 0, "failed").phase).to.equal("failed");
+        });
+
+        it("does not count other ends as attempts", () => {
+            let group = emptyGroupProgress();
+            for (const how of ["stopped", "lapsed", "lost", "alone", "broken"] as TaskEnd[]) {
+                group = end(placed([0], group), 0, how);
+            }
+            expect(group).to.include({ failures: 0, phase: "waiting" });
+        });
+    });
+
+    describe("when a report is late or repeated", () => {
+        it("ignores ends of an earlier run, which would free a worker that is in use", () => {
+            const second = placed([0], end(placed([0]), 0, "stopped"));
+            expect(end(second, 0, "done", 1)).to.equal(second);
+        });
+
+        it("ignores a repeated end", () => {
+            const done = end(placed([0]), 0, "done");
+            expect(end(done, 0, "failed")).to.equal(done);
+        });
+    });
+
+    describe("when its run is closed", () => {
+        it("keeps the checkpoint of a stopped task for the next run", () => {
+            const closing = closeRun(placed([0]));
+            const after = endTask(closing, { index: 0, run: 1, end: "stopped", saved: "c1" }, rules);
+            expect(after).to.include({ phase: "waiting", saved: "c1" });
+        });
+
+        it("changes nothing if no run is open", () => {
+            const waiting = emptyGroupProgress();
+            expect(closeRun(waiting)).to.equal(waiting);
+        });
+    });
+
+    describe("of a long-running step", () => {
+        it("waits again however a task ends", () => {
+            for (const how of ["done", "failed", "lapsed"] as TaskEnd[]) {
+                const after = endTask(
+                    placed([0]),
+                    { index: 0, run: 1, end: how },
+                    { ...rules, longRunning: true },
+                );
+                expect(after.phase).to.equal("waiting");
+            }
+        });
+    });
+});
--- /dev/null
+++ b/packages/decisions/src/testing/planFixture.ts
@@ -0,0 +1,76 @@
+import type { Job, Resources, Step } from "../job/jobTypes.ts";
+import type { Boot } from "../job/progressTypes.ts";
+import type { EndedTask, RunningTask, SyncReport, WorkerDescription } from "../worker/workerReport.ts";
+
+/** A boot of a test worker. */
+export function bootOf(id: string, bornMs = 1_000): Boot {
+    return { id, bornMs };
+}
+
+/** Resources of a task: cores, then accelerators. */
+export function resourcesOf(cores: number, gpus: number): Resources {
+    return { cpuMillis: cores * 1_000, memoryMb: 1_000, gpus };
+}
+
+/** A step of one plain task, changed as wanted. */
+export function stepOf(changes: Partial<Step> = {}): Step {
+    return {
+        count: 1,
+        resources: resourcesOf(4, 1),
+        estimateMs: 5_000,
+        after: [],
+        gang: false,
+        sameRack: false,
+        checkpointing: false,
+        speculative: false,
+        longRunning: false,
+        ...changes,
+    };
+}
+
+/** A job with the given steps. */
+export function jobOf(id: string, steps: Step[], changes: Partial<Job> = {}): Job {
+    return {
+        id,
+        spec: `spec of ${id}`,
+        steps,
+        queue: "queue",
+        service: "desk",
+        clientAccount: "okahandja",
+        terms: { priority: 1, attempts: 2, stretch: 2, latencyTargetMs: 1_000 },
+        acceptedAtMs: 0,
+        ...changes,
+    };
+}
+
+/** A ready worker of 64 cores and 8 accelerators. */
+export function descriptionOf(name: string, changes: Partial<WorkerDescription> = {}): WorkerDescription {
+    return {
+        boot: bootOf(`i-${name}`),
+        service: "desk",
+        availabilityZone: "zone",
+        rack: "r1",
+        labels: ["a", "r1"],
+        capacity: { cpuMillis: 64_000, memoryMb: 128_000, gpus: 8 },
+        condition: "ready",
+        hasLapsed: false,
+        ...changes,
+    };
+}
+
+/** An agent's report of a worker. */
+export function reportOf(
+    worker: WorkerDescription | undefined,
+    lists: { running?: RunningTask[]; ended?: EndedTask[] } & Partial<SyncReport> = {},
+): SyncReport {
+    return {
+        stamp: { incarnation: "first", now: 0, wall: 0 },
+        version: 1,
+        worker,
+        running: [],
+        ended: [],
+        starts: [],
+        stops: [],
+        ...lists,
+    };
+}
--- /dev/null
+++ b/standins/src/keyvalue/memoryStore.ts
@@ -0,0 +1,221 @@
+import { Left, Right, type Either } from "purify-ts/Either";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type {
+    Change,
+    CommitReply,
+    Item,
+    KeyValueStore,
+    Page,
+    Transaction,
+    WatchReply,
+} from "@tanagerdeck/store/keyvalue/keyValueTypes";
+
+/**
+ * How the store treats the next calls.
+ * - `refuse`: nothing is done, and the caller is told so.
+ * - `lose-reply`: writes are done, and no call is answered.
+ * - `late`: writes are done after `lateMs` if their condition still holds; nothing is answered.
+ * - `silent`: nothing is done and nothing is answered.
+ */
+export type StoreFault = "none" | "refuse" | "lose-reply" | "late" | "silent";
+
+/** A key-value store in memory with the faults of the platform's store. */
+export interface MemoryStore extends KeyValueStore {
+    faults: { mode: StoreFault; lateMs: number };
+    /** Drops the history, so that watches from an earlier revision answer `compacted`. */
+    compact(): void;
+    /** Puts an item as another writer would. */
+    write(key: string, value: string): number;
+    item(key: string): Item | undefined;
+    revision(): number;
+    /** Number of calls by kind. */
+    calls: Map<string, number>;
+}
+
+interface Lease {
+    ttlMs: number;
+    endsAt: number;
+}
+
+/** Builds an empty store; leases run on the given clock. */
+export function createMemoryStore(clock: Clock): MemoryStore {
+    const items = new Map<string, Item & { lease: number }>();
+    const leases = new Map<number, Lease>();
+    const history: Change[] = [];
+    const watchers = new Set<() => void>();
+    const calls = new Map<string, number>();
+    const faults: MemoryStore["faults"] = { mode: "none", lateMs: 3_000 };
+    let revision = 1;
+    let compactedTo = 0;
+    let nextLease = 100;
+
+    function count(kind: string): void {
+        calls.set(kind, (calls.get(kind) ?? 0) + 1);
+    }
+
+    function change(key: string, value: string | undefined, lease: number): void {
+        if (value === undefined) {
+            items.delete(key);
+        } else {
+            items.set(key, { key, value, revision, lease });
+        }
+        history.push({ key, value, revision });
+    }
+
+    function notify(): void {
+        for (const watcher of [...watchers]) {
+            watcher();
+        }
+    }
+
+    function expire(): void {
+        for (const [id, lease] of leases) {
+            if (clock.now() >= lease.endsAt) {
+                endLease(id);
+            }
+        }
+    }
+
+    function endLease(id: number): void {
+        if (!leases.delete(id)) {
+            return;
+        }
+        const held = [...items.values()].filter(item => item.lease === id);
+        if (held.length === 0) {
+            return;
+        }
+        revision += 1;
+        for (const { key } of held) {
+            change(key, undefined, 0);
+        }
+        notify();
+    }
+
+    function apply({ expected, puts, removes }: Transaction): CommitReply {
+        expire();
+        for (const { lease } of puts) {
+            if (lease !== undefined && !leases.has(lease)) {
+                return { kind: "lease-ended" };
+            }
+        }
+        const isMet = expected.every(one => (items.get(one.key)?.revision ?? 0) === one.revision);
+        if (!isMet) {
+            const found = expected.flatMap(one => items.get(one.key) ?? []);
+            return {
+                kind: "conflict",
+                items: found.map(({ key, value, revision: at }) => ({ key, value, revision: at })),
+            };
+        }
+        revision += 1;
+        for (const { key, value, lease } of puts) {
+            change(key, value, lease ?? 0);
+        }
+        for (const key of removes) {
+            if (items.has(key)) {
+                change(key, undefined, 0);
+            }
+        }
+        notify();
+        return { kind: "committed", revision };
+    }
+
+    /** Answers after one turn of the event loop, as a remote store would. */
+    async function call<T>(kind: string, isWrite: boolean, work: () => T): Promise<Either<Failure, T>> {
+        count(kind);
+        await new Promise<void>(resolve => setImmediate(resolve));
+        if (faults.mode === "refuse") {
+            return Left(failure("not-run", "platform-unavailable", "The store refuses calls."));
+        }
+        if (faults.mode === "late" && isWrite) {
+            clock.startTimer(faults.lateMs, () => work());
+        }
+        if (faults.mode === "lose-reply" && isWrite) {
+            work();
+        }
+        if (faults.mode !== "none") {
+            return Left(failure("may-have-run", "platform-unavailable", "The store does not answer."));
+        }
+        return Right(work());
+    }
+
+    return {
+        faults,
+        calls,
+        compact() {
+            compactedTo = revision;
+            notify();
+        },
+        write(key, value) {
+            apply({ expected: [], puts: [{ key, value }], removes: [] });
+            return revision;
+        },
+        item: key => items.get(key),
+        revision: () => revision,
+        get: key =>
+            call("get", false, () => {
+                expire();
+                return items.get(key);
+            }),
+        page: (prefix, after) =>
+            call("page", false, (): Page => {
+                expire();
+                const found = [...items.values()].filter(
+                    item => item.key.startsWith(prefix) && (after === undefined || item.key > after),
+                );
+                found.sort((left, right) => (left.key < right.key ? -1 : 1));
+                return { items: found, more: false, revision };
+            }),
+        async watch(prefix, after, waitMs) {
+            count("watch");
+            const read = (): WatchReply | undefined => {
+                expire();
+                if (after < compactedTo) {
+                    return { kind: "compacted" };
+                }
+                const changes = history.filter(one => one.revision > after && one.key.startsWith(prefix));
+                return changes.length > 0 ? { kind: "changes", changes, revision } : undefined;
+            };
+            return new Promise<Either<Failure, WatchReply>>(resolve => {
+                const settle = (reply: WatchReply | undefined): void => {
+                    if (faults.mode !== "none") {
+                        finish(Left(failure("may-have-run", "platform-unavailable", "The watch was cut.")));
+                    } else if (reply) {
+                        finish(Right(reply));
+                    }
+                };
+                const onChange = () => settle(read());
+                const stopTimer = clock.startTimer(waitMs, () =>
+                    settle(read() ?? { kind: "changes", changes: [], revision }),
+                );
+                function finish(result: Either<Failure, WatchReply>): void {
+                    watchers.delete(onChange);
+                    stopTimer();
+                    resolve(result);
+                }
+                watchers.add(onChange);
+                onChange();
+            });
+        },
+        commit: transaction => call("commit", true, () => apply(transaction)),
+        grantLease: ttlMs =>
+            call("grant", true, () => {
+                const id = nextLease++;
+                leases.set(id, { ttlMs, endsAt: clock.now() + ttlMs });
+                clock.startTimer(ttlMs, expire);
+                return id;
+            }),
+        keepLease: id =>
+            call("keep", true, () => {
+                expire();
+                const lease = leases.get(id);
+                if (!lease) {
+                    return "ended";
+                }
+                lease.endsAt = clock.now() + lease.ttlMs;
+                clock.startTimer(lease.ttlMs, expire);
+                return "kept";
+            }),
+        endLease: id => call("end", true, () => endLease(id)),
+    };
+}
