Order a worker's lists by its own clock and keep them over the first heartbeat

A restarted agent reads the lists before the first heartbeat; the heartbeat then counted as a new boot and cleared the lists, so that runs being stopped counted as closed and were started elsewhere 50 ms before their end. Change: the lists belong to the start time that they name; replies are ordered by the worker's clock, so that a waiting call's answer is not dropped for a shorter one that was sent later. Ruled out: stops missing from the running list (they are listed until they end).

--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -1,4 +1,4 @@
-import { sameBoot, type Boot } from "@tanagerdeck/decisions/job/progressTypes";
+import type { Boot } from "@tanagerdeck/decisions/job/progressTypes";
 import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import { lapseAfterMs } from "@tanagerdeck/decisions/lease/leaseTimes";
 import {
@@ -31,8 +31,9 @@
 /** A stop that the leader lists, and how far it got. */
 export interface StopAttempt {
     order: StopOrder;
-    state: "idle" | "calling" | "answered" | "closed";
-    answeredAt: number;
+    state: "idle" | "calling" | "answered" | "other-boot";
+    /** The worker's clock when it answered. */
+    answeredClockMs: number;
 }
 
 /** A call of the leader that waits for news. */
@@ -57,9 +58,12 @@
     sequence: number;
     grant: { stamp: Stamp; ms: number } | undefined;
     worker: KnownWorker | undefined;
+    /** Start of the boot that the lists below belong to; 0 before any is known. */
+    bornMs: number;
     /** The worker's clock and the time at which it was read. */
     workerClock: { clockMs: number; at: number } | undefined;
-    running: Map<string, RunningTask & { since: number }>;
+    /** Running tasks; `sinceClockMs` is the worker's clock when it listed or started them. */
+    running: Map<string, RunningTask & { sinceClockMs: number }>;
     ended: EndedTask[];
     /** Number of the latest end of this boot that was seen. */
     lastEnd: number;
@@ -74,7 +78,8 @@
     isRefusingConnections: boolean;
     /** When the lease was last renewed, or a renewal was tried. */
     renewedAt: number;
-    listsAt: number;
+    /** The worker's clock in the latest lists; replies may overtake each other. */
+    listsClockMs: number;
     holdsInFlight: number;
     nextHold: TimerStop | undefined;
     version: number;
@@ -94,6 +99,7 @@
         sequence: 0,
         grant: undefined,
         worker: undefined,
+        bornMs: 0,
         workerClock: undefined,
         running: new Map(),
         ended: [],
@@ -106,7 +112,7 @@
         isRefusingConnections: false,
         // A former incarnation may have renewed the lease just before this one started.
         renewedAt: now,
-        listsAt: 0,
+        listsClockMs: 0,
         holdsInFlight: 0,
         nextHold: undefined,
         version: 1,
@@ -176,7 +182,8 @@
 }
 
 /** Forgets what belonged to an earlier boot; starts that may still be executed are remembered as stray. */
-export function beginBoot(state: AgentState): void {
+export function beginBoot(state: AgentState, bornMs: number): void {
+    state.bornMs = bornMs;
     for (const [key, { order, isUnanswered, state: progress }] of state.starts) {
         if (isUnanswered || progress === "calling") {
             state.strayStarts.set(key, { task: order.task, run: order.run, boot: order.boot });
@@ -186,31 +193,31 @@
     state.ended = [];
     state.lastEnd = 0;
     state.recorded = 0;
+    state.listsClockMs = 0;
     state.starts.clear();
     state.unansweredHolds = 0;
     state.isRefusingConnections = false;
     state.workerClock = undefined;
 }
 
-/** What has become of a listed stop. */
-export function isStopClosed(
+/** Why a stopped run can neither be running nor start any more. */
+export type Closure = "other-boot" | "lapsed" | "not-listed";
+
+/** How a listed stop is settled; undefined while the run may still be running or may yet start. */
+export function closureOf(
     state: AgentState,
-    attempt: StopAttempt,
+    { order, state: progress, answeredClockMs }: StopAttempt,
     clock: Clock,
     times: LeaseTimes,
-): boolean {
-    if (attempt.state === "closed") {
-        return true;
-    }
+): Closure | undefined {
     const { worker } = state;
-    const isOtherName = worker !== undefined && worker.boot.id !== attempt.order.boot.id;
-    if (isOtherName && !sameBoot(worker.boot, attempt.order.boot)) {
+    if (progress === "other-boot" || (worker && worker.boot.id !== order.boot.id)) {
         // The call names the boot that it is for, so another one refuses it however late it comes.
-        return true;
+        return "other-boot";
     }
     if (hasLapsed(state, clock, times)) {
-        return true;
+        return "lapsed";
     }
-    const isListedSince = attempt.state === "answered" && state.listsAt > attempt.answeredAt;
-    return isListedSince && !state.running.has(runKey(attempt.order));
+    const isListedSince = progress === "answered" && state.listsClockMs > answeredClockMs;
+    return isListedSince && !state.running.has(runKey(order)) ? "not-listed" : undefined;
 }
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -17,19 +17,24 @@
 import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import {
     beginBoot,
+    closureOf,
     conditionOf,
     createAgentState,
     describeWorker,
     isGranted,
-    isStopClosed,
     SILENT_HOLDS,
     workerNow,
     type AgentState,
     type StartAttempt,
+    type StopAttempt,
 } from "./agentState.ts";
-import type { WorkerHeartbeat, WorkerLists, WorkerPort, WorkerRefusal } from "./workerPort.ts";
-
-type Accepted = { kind: "accepted" };
+import type {
+    WorkerAcceptance,
+    WorkerHeartbeat,
+    WorkerLists,
+    WorkerPort,
+    WorkerRefusal,
+} from "./workerPort.ts";
 
 /** Messages of the agent's task. */
 export type AgentMessage =
@@ -41,10 +46,10 @@
     | { kind: "hold"; waitMs: number }
     | { kind: "held"; sentAt: number; result: Either<Failure, WorkerLists | WorkerRefusal> }
     | { kind: "call-start"; key: string }
-    | { kind: "start-answered"; key: string; result: Either<Failure, Accepted | WorkerRefusal> }
+    | { kind: "start-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
     | { kind: "call-stop"; key: string }
-    | { kind: "stop-answered"; key: string; result: Either<Failure, Accepted | WorkerRefusal> }
-    | { kind: "stray-answered"; key: string; result: Either<Failure, Accepted | WorkerRefusal> }
+    | { kind: "stop-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
+    | { kind: "stray-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
     | { kind: "last-hold"; reply: Reply<void> };
 
 /** Dependencies of the agent's task. */
@@ -61,6 +66,7 @@
 /** Least pause between two holds; the worker answers at once while it lists ends that are not recorded. */
 const HOLD_GAP_MS = 200;
 const RETRY_MS = 150;
+const LOOK_AGAIN_MS = 10;
 
 type Context = TaskContext<AgentMessage>;
 
@@ -102,11 +108,20 @@
             })),
             stops: [...state.stops.values()].map(attempt => ({
                 run: nameOf(attempt.order),
-                state: { kind: isStopClosed(state, attempt, clock, times) ? "closed" : "pending" },
+                state: stopState(state, attempt),
             })),
         };
     }
 
+    function stopState(state: AgentState, attempt: StopAttempt): OrderState {
+        const closure = closureOf(state, attempt, clock, times);
+        if (closure) {
+            const { task, run } = attempt.order;
+            log.info("A stopped run is closed.", { task, run, closure });
+        }
+        return { kind: closure ? "closed" : "pending" };
+    }
+
     function takeStarts(state: AgentState, orders: StartOrder[], context: Context): void {
         const listed = new Set(orders.map(runKey));
         for (const [key, attempt] of state.starts) {
@@ -134,7 +149,7 @@
         for (const order of orders) {
             const key = runKey(order);
             if (!state.stops.has(key)) {
-                state.stops.set(key, { order, state: "idle", answeredAt: 0 });
+                state.stops.set(key, { order, state: "idle", answeredClockMs: 0 });
                 context.post({ kind: "call-stop", key });
             }
         }
@@ -166,15 +181,19 @@
         state.nextHold = context.after(delayMs, { kind: "hold", waitMs: HOLD_WAIT_MS });
     }
 
-    function applyLists(state: AgentState, lists: WorkerLists, sentAt: number): void {
+    function applyLists(state: AgentState, lists: WorkerLists): void {
+        if (lists.clockMs < state.listsClockMs) {
+            return;
+        }
+        state.listsClockMs = lists.clockMs;
         state.workerClock = { clockMs: lists.clockMs, at: clock.now() };
         const running: AgentState["running"] = new Map();
         for (const row of lists.running) {
-            running.set(runKey(row), { ...row, since: sentAt });
+            running.set(runKey(row), { ...row, sinceClockMs: lists.clockMs });
         }
         for (const [key, row] of state.running) {
-            // A start that was answered after this call was sent may be missing from the lists.
-            if (!running.has(key) && row.since > sentAt) {
+            // A start that was answered after these lists were made is missing from them.
+            if (!running.has(key) && row.sinceClockMs >= lists.clockMs) {
                 running.set(key, row);
             }
         }
@@ -184,7 +203,6 @@
         for (const row of state.ended) {
             state.running.delete(runKey(row));
         }
-        state.listsAt = Math.max(state.listsAt, sentAt);
         const lastEnd = state.ended.at(-1)?.number ?? state.lastEnd;
         if (lastEnd > state.lastEnd || hasChanged) {
             state.lastEnd = Math.max(lastEnd, state.lastEnd);
@@ -192,6 +210,16 @@
         }
     }
 
+    /** Lists made in the same millisecond as a stop's answer do not settle it. */
+    function lookAgain(state: AgentState, context: Context): void {
+        for (const attempt of state.stops.values()) {
+            if (attempt.state === "answered" && attempt.answeredClockMs >= state.listsClockMs) {
+                context.after(LOOK_AGAIN_MS, { kind: "hold", waitMs: 0 });
+                return;
+            }
+        }
+    }
+
     function noteUnanswered(state: AgentState, problem: Failure): void {
         const before = conditionOf(state);
         state.unansweredHolds += 1;
@@ -206,7 +234,12 @@
     function startCall(state: AgentState, key: string, attempt: StartAttempt, context: Context): void {
         const { order } = attempt;
         const now = workerNow(state, clock);
-        if (state.worker && !sameBoot(state.worker.boot, order.boot)) {
+        if (!state.worker) {
+            // Without a heartbeat the boot is not known, and the worker may start again under the same name.
+            context.after(RETRY_MS, { kind: "call-start", key });
+            return;
+        }
+        if (!sameBoot(state.worker.boot, order.boot)) {
             refuse(state, attempt, "other-boot");
             return;
         }
@@ -259,28 +292,29 @@
                 reply();
                 const known = state.worker;
                 const isOlder =
-                    known &&
-                    (heartbeat.bornMs < known.boot.bornMs ||
-                        (heartbeat.bornMs === known.boot.bornMs &&
-                            heartbeat.sequence <= known.heartbeat.sequence));
+                    heartbeat.bornMs < state.bornMs ||
+                    (heartbeat.bornMs === known?.boot.bornMs &&
+                        heartbeat.sequence <= known.heartbeat.sequence);
                 if (isOlder) {
                     return;
                 }
                 const boot = { id: heartbeat.id, bornMs: heartbeat.bornMs };
                 const before = conditionOf(state);
-                const isNewBoot = !known || !sameBoot(known.boot, boot);
-                if (isNewBoot) {
-                    beginBoot(state);
-                    log.info("The worker has started.", { worker: boot.id, bornMs: boot.bornMs });
+                const isNews = !known || !sameBoot(known.boot, boot);
+                if (state.bornMs !== boot.bornMs) {
+                    beginBoot(state, boot.bornMs);
+                }
+                if (isNews) {
+                    log.info("The worker is known.", { worker: boot.id, bornMs: boot.bornMs });
                 }
                 state.worker = { boot, heartbeat, hasLeft: false };
                 state.workerClock ??= { clockMs: heartbeat.clockMs, at: clock.now() };
-                if (isNewBoot) {
+                if (isNews) {
                     stopStrays(state, context);
                     scheduleHold(state, 0, context);
                 }
                 const condition = conditionOf(state);
-                if (isNewBoot || condition !== before) {
+                if (isNews || condition !== before) {
                     log.info("The worker's condition is known.", { worker: boot.id, condition });
                     touch(state);
                 }
@@ -357,20 +391,19 @@
                         const before = conditionOf(state);
                         state.unansweredHolds = 0;
                         state.isRefusingConnections = false;
-                        const { worker } = state;
-                        if (worker && lists.bornMs > worker.boot.bornMs) {
-                            // Nothing is known of the new boot but its start; its heartbeat tells the rest.
-                            beginBoot(state);
-                            state.worker = undefined;
-                            touch(state);
+                        if (lists.bornMs < state.bornMs) {
                             return;
                         }
-                        if (worker && lists.bornMs < worker.boot.bornMs) {
-                            return;
+                        if (lists.bornMs > state.bornMs) {
+                            beginBoot(state, lists.bornMs);
                         }
-                        if (sentAt >= state.listsAt) {
-                            applyLists(state, lists, sentAt);
+                        if (state.worker && state.worker.boot.bornMs < lists.bornMs) {
+                            // Nothing is known of the new boot but its start; its heartbeat tells the rest.
+                            state.worker = undefined;
+                            touch(state);
                         }
+                        applyLists(state, lists);
+                        lookAgain(state, context);
                         if (wasAway && conditionOf(state) !== before) {
                             log.info("The worker answers again.", { condition: conditionOf(state) });
                             touch(state);
@@ -416,8 +449,8 @@
                         attempt.state = "started";
                         const { task, run, saved } = attempt.order;
                         if (!state.ended.some(row => runKey(row) === key)) {
-                            const since = clock.now();
-                            state.running.set(key, { task, run, saved, percent: 0, since });
+                            const sinceClockMs = reply.clockMs;
+                            state.running.set(key, { task, run, saved, percent: 0, sinceClockMs });
                         }
                         touch(state);
                     },
@@ -429,8 +462,7 @@
                     return;
                 }
                 const { order } = attempt;
-                if (isStopClosed(state, attempt, clock, times)) {
-                    attempt.state = "closed";
+                if (closureOf(state, attempt, clock, times)) {
                     touch(state);
                     return;
                 }
@@ -454,12 +486,12 @@
                 const reply = result.toMaybe().extract();
                 if (reply?.kind === "accepted") {
                     attempt.state = "answered";
-                    attempt.answeredAt = clock.now();
+                    attempt.answeredClockMs = reply.clockMs;
                     context.post({ kind: "hold", waitMs: 0 });
                     return;
                 }
                 if (reply?.reason === "other-boot") {
-                    attempt.state = "closed";
+                    attempt.state = "other-boot";
                     touch(state);
                     return;
                 }
--- a/packages/backend/src/agent/workerPort.ts
+++ b/packages/backend/src/agent/workerPort.ts
@@ -46,6 +46,12 @@
     ended: EndedTask[];
 }
 
+/** A call that the worker executed, with its clock at that time. */
+export interface WorkerAcceptance {
+    kind: "accepted";
+    clockMs: number;
+}
+
 /** A call that the worker answered without executing it. */
 export interface WorkerRefusal {
     kind: "refused";
@@ -57,8 +63,8 @@
  * later; one with `not-run` that no connection was made.
  */
 export interface WorkerPort {
-    start(order: WorkerStart): Promise<Either<Failure, { kind: "accepted" } | WorkerRefusal>>;
-    stop(order: WorkerStop): Promise<Either<Failure, { kind: "accepted" } | WorkerRefusal>>;
+    start(order: WorkerStart): Promise<Either<Failure, WorkerAcceptance | WorkerRefusal>>;
+    stop(order: WorkerStop): Promise<Either<Failure, WorkerAcceptance | WorkerRefusal>>;
     hold(order: WorkerHold): Promise<Either<Failure, WorkerLists | WorkerRefusal>>;
 }
 
@@ -72,10 +78,10 @@
     availabilityZone: string;
     isDraining: boolean;
     remainingMs?: number | undefined;
-    rack: string | undefined;
+    rack?: string | undefined;
     labels: string[];
     capacity: { cpuMillis: number; memoryMb: number; gpus: number };
-    machine: string | undefined;
+    machine?: string | undefined;
     /** The worker's clock when it sent the heartbeat. */
     clockMs: number;
 }
--- /dev/null
+++ b/standins/src/agent/scriptedWorker.ts
@@ -0,0 +1,89 @@
+import { Left, Right, type Either } from "purify-ts/Either";
+import type {
+    WorkerAcceptance,
+    WorkerHold,
+    WorkerLists,
+    WorkerPort,
+    WorkerRefusal,
+    WorkerStart,
+    WorkerStop,
+} from "@tanagerdeck/backend/agent/workerPort";
+import type { EndedTask, RunningTask, StartRefusal } from "@tanagerdeck/decisions/worker/workerReport";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+
+/** How the worker treats the next calls: it answers, it is silent, or nobody listens. */
+export type WorkerMood = "answers" | "silent" | "refuses-connections";
+
+/** A worker whose lists and answers a test sets; it notes the calls that it gets. */
+export interface ScriptedWorker extends WorkerPort {
+    mood: WorkerMood;
+    bornMs: number;
+    running: RunningTask[];
+    ended: EndedTask[];
+    /** Reason with which starts are refused. */
+    refusal: StartRefusal | undefined;
+    starts: WorkerStart[];
+    stops: WorkerStop[];
+    holds: WorkerHold[];
+    clockMs(): number;
+}
+
+/** Time after which an unanswered call fails. */
+const TIMEOUT_MS = 600;
+
+/** Builds a worker; its clock starts at 5,000,000 and runs with the given one. */
+export function createScriptedWorker(clock: Clock): ScriptedWorker {
+    function answer<T>(read: () => T): Promise<Either<Failure, T>> {
+        if (worker.mood === "refuses-connections") {
+            return Promise.resolve(Left(failure("not-run", "unreachable", "Nobody listens.")));
+        }
+        if (worker.mood === "silent") {
+            return new Promise(resolve =>
+                clock.startTimer(TIMEOUT_MS, () =>
+                    resolve(Left(failure("may-have-run", "unreachable", "No answer."))),
+                ),
+            );
+        }
+        return Promise.resolve(Right(read()));
+    }
+
+    const accepted = (): WorkerAcceptance => ({ kind: "accepted", clockMs: worker.clockMs() });
+    const worker: ScriptedWorker = {
+        mood: "answers",
+        bornMs: 1_000,
+        running: [],
+        ended: [],
+        refusal: undefined,
+        starts: [],
+        stops: [],
+        holds: [],
+        clockMs: () => 5_000_000 + clock.now(),
+        start(order) {
+            worker.starts.push(order);
+            return answer((): WorkerAcceptance | WorkerRefusal =>
+                worker.refusal ? { kind: "refused", reason: worker.refusal } : accepted(),
+            );
+        },
+        stop(order) {
+            worker.stops.push(order);
+            return answer(accepted);
+        },
+        async hold(order) {
+            worker.holds.push(order);
+            const lists = (): WorkerLists => ({
+                kind: "lists",
+                clockMs: worker.clockMs(),
+                bornMs: worker.bornMs,
+                running: worker.running,
+                ended: worker.ended.filter(row => row.number > order.recorded),
+            });
+            const hasEnds = worker.ended.some(row => row.number > order.recorded);
+            if (order.waitMs > 0 && worker.mood === "answers" && !hasEnds) {
+                await new Promise<void>(resolve => clock.startTimer(order.waitMs, resolve));
+            }
+            return answer(lists);
+        },
+    };
+    return worker;
+}
