Serve waiting groups by apparent tardiness cost and close stalled runs

Change: urgency is worth by work lowered by slack; blocked groups get planned places that longer tasks may not delay; a group runs far only if that is sooner; preemption beyond guarantees needs a gain above its cost; runs without progress are closed.

--- a/packages/caller/src/desk/deskTask.ts
+++ b/packages/caller/src/desk/deskTask.ts
@@ -100,7 +100,12 @@
             },
             Right(result) {
                 if (result.kind === "committed") {
-                    log.info("A job was accepted.", { ...fields, revision: result.revision });
+                    log.info("A job was accepted.", {
+                        ...fields,
+                        revision: result.revision,
+                        priority: queue.terms.priority,
+                        shape: describeShape(request),
+                    });
                     return { kind: "accepted" };
                 }
                 const outcome = readConflict(result.kind === "conflict" ? result.items : [], job);
@@ -193,6 +198,17 @@
     };
 }
 
+/** The steps as `tasks x gpus`, with the kind of step, for the log. */
+function describeShape({ steps, schedule }: JobRequest): string {
+    const parts: string[] = [];
+    for (const { count, resources, gang, sameRack, longRunning, dataRack, requiredLabel } of steps) {
+        const kind = `${gang ? " gang" : ""}${sameRack ? " rack" : ""}${longRunning ? " long-running" : ""}`;
+        const where = `${dataRack ? ` near ${dataRack}` : ""}${requiredLabel ? ` on ${requiredLabel}` : ""}`;
+        parts.push(`${count}x${resources.gpus}gpu${kind}${where}`);
+    }
+    return parts.join(", ") + (schedule ? `, ${schedule.occurrences} times` : "");
+}
+
 function storeUnavailable(): SubmitReply {
     return { kind: "refused", reason: "store-unavailable", retryAfterMs: RETRY_AFTER_MS };
 }
--- a/packages/decisions/src/plan/planBook.ts
+++ b/packages/decisions/src/plan/planBook.ts
@@ -2,6 +2,7 @@
 import { groupProgress, type GroupRules } from "../job/progressChange.ts";
 import { emptyProgress, type GroupProgress, type Placement, type Progress } from "../job/progressTypes.ts";
 import { occurrencesOf, taskGroupsOf, type TaskGroup } from "../job/taskGroups.ts";
+import { workOf } from "../schedule/jobValue.ts";
 import type { RunName, SyncReport, WorkerDescription } from "../worker/workerReport.ts";
 
 /** What the leader knows of one task of an open run. */
@@ -25,6 +26,8 @@
 export interface JobEntry {
     job: Job;
     groups: TaskGroup[];
+    /** Expected work in core-seconds. */
+    work: number;
     progress: Progress;
     isCancelled: boolean;
     /** Store revision of the recorded progress; 0 if there is none. */
@@ -80,6 +83,7 @@
     const entry: JobEntry = {
         job,
         groups,
+        work: workOf(job.steps),
         progress: recorded?.progress ?? emptyProgress(),
         isCancelled: book.cancelledEarly.has(job.id),
         progressRevision: recorded?.revision ?? 0,
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -4,6 +4,7 @@
 import { dueAtMs, type TaskGroup } from "../job/taskGroups.ts";
 import type { QueueTerms } from "../job/jobTypes.ts";
 import { guaranteedJobs } from "../schedule/guarantees.ts";
+import { coresOf, estimateOf, valueOf, type JobValue } from "../schedule/jobValue.ts";
 import {
     stepKey,
     type Decision,
@@ -18,6 +19,7 @@
     openPlacements,
     type JobEntry,
     type PlanBook,
+    type RunWatch,
     type WorkerEntry,
 } from "./planBook.ts";
 
@@ -28,6 +30,7 @@
     wallMs: number;
     termsOf: (entry: JobEntry) => QueueTerms;
     guaranteedGpus: (clientAccount: string) => number;
+    farFactor: number;
 }
 
 /** Silence after which a worker takes no new tasks. */
@@ -47,27 +50,45 @@
         open.map(({ entry, terms }) => ({ job: entry.job, priority: terms.priority })),
         context.guaranteedGpus,
     );
+    const values = valuesOf(book, context);
     const waiting: WaitingGroup[] = [];
     for (const { entry, terms } of open) {
         for (const group of entry.groups) {
             if (isReady(entry, group, context.wallMs)) {
-                const { failures } = groupProgress(entry.progress, group.key);
                 waiting.push({
                     job: entry.job,
                     group,
                     isGuaranteed: guaranteed.has(entry.job.id),
                     priority: terms.priority,
-                    sinceMs: Math.max(entry.job.acceptedAtMs, dueAtMs(entry.job, group.occurrence)),
-                    failures,
-                    attempts: terms.attempts,
+                    value: values(entry, group),
                 });
             }
         }
     }
     return {
+        nowMs: context.wallMs,
         workers: workerViews(book, context),
         waiting,
-        placed: placedGroups(book, guaranteed, context),
+        placed: placedGroups(book, guaranteed, values, context),
+        farFactor: context.farFactor,
+    };
+}
+
+type Values = (entry: JobEntry, group: TaskGroup) => JobValue;
+
+/** Values of the jobs, measured against the mean work of their queue's jobs. */
+function valuesOf(book: PlanBook, context: RoundContext): Values {
+    const sums = new Map<string, { work: number; count: number }>();
+    for (const { job, work } of book.jobs.values()) {
+        const sum = sums.get(job.queue) ?? { work: 0, count: 0 };
+        sum.work += work;
+        sum.count += 1;
+        sums.set(job.queue, sum);
+    }
+    return (entry, group) => {
+        const sum = sums.get(entry.job.queue);
+        const sinceMs = Math.max(entry.job.acceptedAtMs, dueAtMs(entry.job, group.occurrence));
+        return valueOf(entry.job, context.termsOf(entry), sum ? sum.work / sum.count : 0, sinceMs);
     };
 }
 
@@ -140,7 +161,12 @@
     return isHeard && worker.description?.condition === "ready" && worker.strays.length === 0;
 }
 
-function placedGroups(book: PlanBook, guaranteed: Set<string>, context: RoundContext): PlacedGroup[] {
+function placedGroups(
+    book: PlanBook,
+    guaranteed: Set<string>,
+    values: Values,
+    context: RoundContext,
+): PlacedGroup[] {
     const placed: PlacedGroup[] = [];
     for (const entry of book.jobs.values()) {
         for (const group of entry.groups) {
@@ -149,8 +175,8 @@
                 continue;
             }
             const progress = groupProgress(entry.progress, group.key);
-            const size = group.step.resources.gpus * 8_000 + group.step.resources.cpuMillis;
-            const elapsedMs = group.step.checkpointing ? 0 : context.now - run.openedAt;
+            const lostMs = group.step.checkpointing ? 0 : context.now - run.openedAt;
+            const cores = coresOf(group.step.resources) * progress.placements.length;
             placed.push({
                 job: entry.job,
                 group,
@@ -158,13 +184,34 @@
                 priority: context.termsOf(entry).priority,
                 workers: progress.placements.map(placement => placement.worker),
                 isClosing: progress.phase !== "placed" || isClosed(entry),
-                lossMs: (elapsedMs * size * progress.placements.length) / 1_000,
+                value: values(entry, group),
+                remainingMs: remainingOf(group, run, context.now),
+                lostCoreSeconds: (cores * lostMs) / 1_000,
+                lostMs,
             });
         }
     }
     return placed;
 }
 
+/** Share of the work from which on the pace so far tells more than the submitter's estimate. */
+const TELLING_PERCENT = 10;
+
+/** Expected time until a run ends, from its slowest task. */
+function remainingOf({ step }: TaskGroup, run: RunWatch, now: number): number {
+    const elapsedMs = now - run.openedAt;
+    let percent = 100;
+    for (const task of run.tasks.values()) {
+        percent = Math.min(percent, task.percent);
+    }
+    if (run.tasks.size > 0 && percent >= TELLING_PERCENT) {
+        return (elapsedMs * (100 - percent)) / percent;
+    }
+    return Math.max(LEAST_REMAINING_MS, estimateOf(step) - elapsedMs);
+}
+
+const LEAST_REMAINING_MS = 500;
+
 /** Carries a round's decision into the book. */
 export function applyDecision(book: PlanBook, decision: Decision, now: number): void {
     const entry = book.jobs.get(decision.job);
--- /dev/null
+++ b/packages/decisions/src/plan/planStalls.ts
@@ -0,0 +1,90 @@
+import { closeRun, groupProgress } from "../job/progressChange.ts";
+import type { TaskGroup } from "../job/taskGroups.ts";
+import { estimateOf } from "../schedule/jobValue.ts";
+import { changeGroup, type JobEntry, type PlanBook, type RunWatch } from "./planBook.ts";
+
+/** A run that was closed because it did not progress. */
+export interface StalledRun {
+    job: string;
+    group: string;
+    /** Workers on which nothing progresses. */
+    workers: string[];
+    stalledMs: number;
+}
+
+/** Least time without progress; reports are up to two seconds apart. */
+const STALL_MS = 3_000;
+/** A slow worker takes several times the estimate for each hundredth of the work. */
+const SLOW_FACTOR = 12;
+/** Work that a restart would throw away is waited for, for this part of its time. */
+const RESTART_LOSS_PART = 0.5;
+
+/** Closes runs that stand still for so long that another worker is likely to be done sooner. */
+export function closeStalled(book: PlanBook, now: number): StalledRun[] {
+    const stalled: StalledRun[] = [];
+    for (const entry of book.jobs.values()) {
+        for (const group of entry.groups) {
+            const run = entry.runs.get(group.key);
+            const progress = groupProgress(entry.progress, group.key);
+            if (!run || progress.phase !== "placed" || group.step.longRunning) {
+                continue;
+            }
+            const stalledMs = stalledFor(run, progress.placements.length, now);
+            if (stalledMs <= limitOf(group, run, now)) {
+                continue;
+            }
+            const workers = standingWorkers(book, entry, group, now);
+            for (const name of workers) {
+                book.workers.get(name)?.faults.push(now, now);
+            }
+            changeGroup(entry, group.key, closeRun(progress));
+            stalled.push({ job: entry.job.id, group: group.key, workers, stalledMs });
+        }
+    }
+    return stalled;
+}
+
+/** Time since the task that progressed last did so; 0 if not all tasks have started. */
+function stalledFor(run: RunWatch, tasks: number, now: number): number {
+    if (run.tasks.size < tasks) {
+        return 0;
+    }
+    let latest = 0;
+    for (const task of run.tasks.values()) {
+        latest = Math.max(latest, task.progressedAt);
+    }
+    return now - latest;
+}
+
+function limitOf({ step }: TaskGroup, run: RunWatch, now: number): number {
+    const perPercentMs = (estimateOf(step) / 100) * SLOW_FACTOR;
+    let percent = 100;
+    let latest = 0;
+    for (const task of run.tasks.values()) {
+        percent = Math.min(percent, task.percent);
+        latest = Math.max(latest, task.progressedAt);
+    }
+    const workedMs =
+        step.checkpointing || percent === 0 ? 0 : Math.max(0, Math.min(now, latest) - run.openedAt);
+    return Math.max(STALL_MS, perPercentMs) + workedMs * RESTART_LOSS_PART;
+}
+
+/** Of the group's workers those on which nothing else progresses either. */
+function standingWorkers(book: PlanBook, stalled: JobEntry, group: TaskGroup, now: number): string[] {
+    const names = new Set<string>();
+    for (const { worker } of groupProgress(stalled.progress, group.key).placements) {
+        names.add(worker);
+    }
+    for (const entry of book.jobs.values()) {
+        for (const [key, run] of entry.runs) {
+            for (const { index, worker } of groupProgress(entry.progress, key).placements) {
+                const progressedAt = run.tasks.get(index)?.progressedAt ?? 0;
+                const isOther = entry !== stalled || key !== group.key;
+                if (isOther && now - progressedAt < STALL_MS) {
+                    names.delete(worker);
+                }
+            }
+        }
+    }
+    return [...names];
+}
--- /dev/null
+++ b/packages/decisions/src/schedule/jobValue.ts
@@ -0,0 +1,106 @@
+import type { Job, QueueTerms, Resources, Step } from "../job/jobTypes.ts";
+
+/** What a job is worth and until when, for one scheduling round. */
+export interface JobValue {
+    /** Worth of a completion within the objective. */
+    worth: number;
+    /** Expected time from the start of its first step to its completion, in milliseconds. */
+    chainMs: number;
+    /** Expected work in core-seconds; an accelerator counts as several cores. */
+    workCoreSeconds: number;
+    /** Wall clock at which the objective ends. */
+    objectiveAtMs: number;
+    /** Wall clock after which a completion is worth nothing. */
+    worthlessAtMs: number;
+}
+
+/** Worth of a job of mean size by its queue's priority; lower priorities count as the last one. */
+const WORTH_BY_PRIORITY = [4, 3, 1];
+/** Part of the worth that does not depend on the job's size, and the largest size that counts. */
+const SIZELESS_PART = 0.3;
+const LARGEST_SIZE = 4;
+/** Part of the worth that a late completion keeps, and how many objectives late is at most. */
+const LATE_PART = 0.3;
+const LATE_OBJECTIVES = 3;
+/** Cores that an accelerator counts for in work that is thrown away. */
+export const CORES_PER_GPU = 8;
+/** Estimate for tasks whose submitter gives none, in milliseconds. */
+const DEFAULT_ESTIMATE_MS = 5_000;
+/** Time scale on which slack lowers a job's urgency, in milliseconds. */
+const SLACK_SCALE_MS = 8_000;
+
+/** The submitter's estimate of a task, or a default. */
+export function estimateOf(step: Step): number {
+    return step.estimateMs > 0 ? step.estimateMs : DEFAULT_ESTIMATE_MS;
+}
+
+/** Cores that a task's resources count for. */
+export function coresOf(resources: Resources): number {
+    return resources.cpuMillis / 1_000 + resources.gpus * CORES_PER_GPU;
+}
+
+/** The longest chain of steps, in milliseconds. */
+export function chainOf(steps: Step[]): number {
+    const endsAt: number[] = [];
+    for (const step of steps) {
+        let startsAt = 0;
+        for (const earlier of step.after) {
+            startsAt = Math.max(startsAt, endsAt[earlier] ?? 0);
+        }
+        endsAt.push(startsAt + estimateOf(step));
+    }
+    return Math.max(0, ...endsAt);
+}
+
+/** The work of all steps in core-seconds. */
+export function workOf(steps: Step[]): number {
+    let work = 0;
+    for (const step of steps) {
+        work += step.count * coresOf(step.resources) * (estimateOf(step) / 1_000);
+    }
+    return work;
+}
+
+/** The value of a job, or of one occurrence, that counts from `sinceMs`. */
+export function valueOf(job: Job, terms: QueueTerms, meanWork: number, sinceMs: number): JobValue {
+    const chainMs = chainOf(job.steps);
+    const workCoreSeconds = workOf(job.steps);
+    const size = meanWork > 0 ? Math.min(LARGEST_SIZE, workCoreSeconds / meanWork) : 1;
+    const worth = worthOfPriority(terms.priority) * (SIZELESS_PART + (1 - SIZELESS_PART) * size);
+    const objectiveMs = terms.stretch * chainMs + terms.latencyTargetMs;
+    return {
+        worth,
+        chainMs,
+        workCoreSeconds,
+        objectiveAtMs: sinceMs + objectiveMs,
+        worthlessAtMs: sinceMs + LATE_OBJECTIVES * objectiveMs,
+    };
+}
+
+/** What a completion at a time is worth. */
+export function worthAt(value: JobValue, completionMs: number): number {
+    if (completionMs <= value.objectiveAtMs) {
+        return value.worth;
+    }
+    return completionMs <= value.worthlessAtMs ? LATE_PART * value.worth : 0;
+}
+
+/** Time for which the job can still wait before its completion is worth less. */
+export function slackOf(value: JobValue, nowMs: number): number {
+    const inTime = value.objectiveAtMs - value.chainMs - nowMs;
+    return inTime >= 0 ? inTime : Math.max(0, value.worthlessAtMs - value.chainMs - nowMs);
+}
+
+/**
+ * Index by which waiting jobs are served: worth by work, lowered by the slack that is left. It is the apparent
+ * tardiness cost rule (Vepsalainen and Morton, 1987).
+ */
+export function urgencyOf(value: JobValue, nowMs: number): number {
+    const worth = worthAt(value, nowMs + value.chainMs);
+    const density = worth / Math.max(1, value.workCoreSeconds);
+    return density * Math.exp(-slackOf(value, nowMs) / SLACK_SCALE_MS);
+}
+
+function worthOfPriority(priority: number): number {
+    return WORTH_BY_PRIORITY[priority] ?? WORTH_BY_PRIORITY.at(-1) ?? 1;
+}
--- a/packages/decisions/src/schedule/placementSearch.ts
+++ b/packages/decisions/src/schedule/placementSearch.ts
@@ -4,39 +4,44 @@
 /** Which capacity of a worker counts as available. */
 export type AvailableCapacity = (worker: WorkerView) => Resources;
 
-/** A way to place a group. */
-export interface GroupPlan {
-    places: TaskPlace[];
-    /** Whether tasks run far from their data or apart from each other and are slower. */
-    isFar: boolean;
-}
-
 /** A worker with the number of the group's tasks that it can take. */
 interface Candidate {
     worker: WorkerView;
     slots: number;
-    /** What would be left of the worker's scarcest resource if it took as many tasks as possible. */
+    /** What would be left of the worker if it took as many tasks as possible; smaller is a tighter fit. */
     leftover: number;
 }
 
-/** Finds the places of a group within the available capacity: near each other and near its data if possible. */
-export function findPlaces(
+/** Whether tasks of the group are slower on some workers than on others. */
+export function dependsOnPlace({ group }: Pick<WaitingGroup, "group">): boolean {
+    return group.step.dataRack !== undefined || isRackBound(group);
+}
+
+/** Finds places near each other and near the data, where no task is slowed down. */
+export function findNearPlaces(
     waiting: WaitingGroup,
     workers: WorkerView[],
     available: AvailableCapacity,
-): GroupPlan | undefined {
+): TaskPlace[] | undefined {
     const { step, indexes } = waiting.group;
     const candidates = findCandidates(waiting, workers, available);
     const near = step.dataRack
         ? candidates.filter(candidate => candidate.worker.rack === step.dataRack)
         : candidates;
-    const isRackBound = step.sameRack && indexes.length > 1;
-    const nearPlan = isRackBound ? fillOneRack(near, indexes) : fill(near, indexes);
-    if (nearPlan) {
-        return { places: nearPlan, isFar: false };
-    }
-    const anywhere = fill(candidates, indexes);
-    return anywhere && { places: anywhere, isFar: isRackBound || step.dataRack !== undefined };
+    return isRackBound(waiting.group) ? fillOneRack(near, indexes) : fill(near, indexes);
+}
+
+/** Finds places anywhere. */
+export function findAnyPlaces(
+    waiting: WaitingGroup,
+    workers: WorkerView[],
+    available: AvailableCapacity,
+): TaskPlace[] | undefined {
+    return fill(findCandidates(waiting, workers, available), waiting.group.indexes);
+}
+
+function isRackBound({ step, indexes }: WaitingGroup["group"]): boolean {
+    return step.sameRack && indexes.length > 1;
 }
 
 /** The workers that can take at least one task of the group. */
@@ -87,12 +92,11 @@
 }
 
 function leftoverOf(worker: WorkerView, free: Resources, needed: Resources, slots: number): number {
-    const taken = {
+    const left = subtractResources(free, {
         cpuMillis: needed.cpuMillis * slots,
         memoryMb: needed.memoryMb * slots,
         gpus: needed.gpus * slots,
-    };
-    const left = subtractResources(free, taken);
+    });
     return (
         share(left.gpus, worker.capacity.gpus) +
         share(left.cpuMillis, worker.capacity.cpuMillis) +
--- a/packages/decisions/src/schedule/scheduleTypes.ts
+++ b/packages/decisions/src/schedule/scheduleTypes.ts
@@ -1,5 +1,6 @@
 import type { Job, Resources } from "../job/jobTypes.ts";
 import type { TaskGroup } from "../job/taskGroups.ts";
+import type { JobValue } from "./jobValue.ts";
 
 /** A worker as the scheduling round sees it. */
 export interface WorkerView {
@@ -28,12 +29,7 @@
     /** Whether the client account's guarantee covers the job. */
     isGuaranteed: boolean;
     priority: number;
-    /** Wall clock from which its latency counts. */
-    sinceMs: number;
-    /** Failed runs so far. */
-    failures: number;
-    /** Failed runs after which it fails for good. */
-    attempts: number;
+    value: JobValue;
 }
 
 /** A group with open placements. */
@@ -46,8 +42,13 @@
     workers: string[];
     /** Whether it is already being closed. */
     isClosing: boolean;
-    /** Work that a stop would throw away, in accelerator-milliseconds or the like; lower is cheaper. */
-    lossMs: number;
+    value: JobValue;
+    /** Expected time until its run ends, in milliseconds. */
+    remainingMs: number;
+    /** Work that a stop would throw away, in core-seconds. */
+    lostCoreSeconds: number;
+    /** Time that a stop would throw away, in milliseconds. */
+    lostMs: number;
 }
 
 /** Where one task is to run. */
@@ -58,7 +59,8 @@
 
 /** One decision of a round. */
 export type Decision =
-    | { kind: "place"; job: string; group: string; places: TaskPlace[] }
+    /** `isFar` says that tasks run away from their data or from each other and are slower. */
+    | { kind: "place"; job: string; group: string; places: TaskPlace[]; isFar: boolean }
     /** Closes a group's run to make room for another one. */
     | { kind: "preempt"; job: string; group: string; for: string };
 
--- a/packages/decisions/src/schedule/schedulingRound.ts
+++ b/packages/decisions/src/schedule/schedulingRound.ts
@@ -1,5 +1,7 @@
 import { addResources, subtractResources, type Resources } from "../job/jobTypes.ts";
-import { findPlaces, type AvailableCapacity } from "./placementSearch.ts";
+import { estimateOf, urgencyOf, worthAt } from "./jobValue.ts";
+import { dependsOnPlace, findAnyPlaces, findNearPlaces, type AvailableCapacity } from "./placementSearch.ts";
+import { findPlannedPlace, type PlaceSearch, type PlannedPlace } from "./plannedPlace.ts";
 import {
     stepKey,
     type Decision,
@@ -8,95 +10,246 @@
     type WaitingGroup,
     type WorkerView,
 } from "./scheduleTypes.ts";
-import { findVictims } from "./victimSearch.ts";
+import { findVictims, type VictimPlan } from "./victimSearch.ts";
 
 /** What a round decides about. */
 export interface RoundInput {
+    /** The leader's wall clock. */
+    nowMs: number;
     workers: WorkerView[];
     waiting: WaitingGroup[];
     placed: PlacedGroup[];
+    /** How many times slower tasks run far from their data or from each other. */
+    farFactor: number;
 }
 
-/** The order in which waiting groups are served: guaranteed ones first, then by priority and age. */
-export function compareWaiting(left: WaitingGroup, right: WaitingGroup): number {
-    return (
-        Number(right.isGuaranteed) - Number(left.isGuaranteed) ||
-        left.priority - right.priority ||
-        left.sinceMs - right.sinceMs ||
-        (left.job.id < right.job.id ? -1 : Number(left.job.id > right.job.id)) ||
-        left.group.stepIndex - right.group.stepIndex
-    );
+/** What a round has decided so far. */
+interface Round {
+    input: RoundInput;
+    decisions: Decision[];
+    /** Capacity that the round has given away, by worker. */
+    given: Map<string, Resources>;
+    /** Capacity that is left to long tasks beside the planned places, by worker. */
+    besidePlanned: Map<string, { left: Resources; afterMs: number }>;
+    plannedGroups: number;
+    victims: Set<PlacedGroup>;
+    /** Waiting groups by job, as a job is worth nothing before all are done. */
+    waitingOfJob: Map<string, number>;
 }
 
-/** Decides which waiting groups start where, and which placed ones give way to guaranteed ones. */
-export function scheduleRound({ workers, waiting, placed }: RoundInput): Decision[] {
-    const decisions: Decision[] = [];
-    const views = new Map(workers.map(worker => [worker.name, worker]));
-    // What this round has set aside on each worker, for groups that were placed or that wait for a closing one.
-    const reserved = new Map<string, Resources>();
-    const victims = new Set<PlacedGroup>();
+/** Blocked groups for which places are planned, so that others do not take them again and again. */
+const PLANNED_GROUPS = 2;
+/** A victim's place is taken if the gain exceeds the cost by this factor, as estimates are rough. */
+const GAIN_FACTOR = 1.5;
+/** Expected time until a victim's place is free. */
+const STOP_MS = 1_000;
 
-    const free: AvailableCapacity = worker => {
-        const taken = reserved.get(worker.name);
-        return taken ? subtractResources(worker.free, taken) : worker.free;
+/** Decides which waiting groups start where, and which placed ones give way. */
+export function scheduleRound(input: RoundInput): Decision[] {
+    const round: Round = {
+        input,
+        decisions: [],
+        given: new Map(),
+        besidePlanned: new Map(),
+        plannedGroups: 0,
+        victims: new Set(),
+        waitingOfJob: new Map(),
     };
-    const soonFree: AvailableCapacity = worker => addResources(free(worker), worker.closing);
-
-    function reserve({ group, job }: WaitingGroup, places: TaskPlace[]): void {
-        for (const { worker } of places) {
-            const before = reserved.get(worker);
-            const { resources } = group.step;
-            reserved.set(worker, before ? addResources(before, resources) : resources);
-            const view = views.get(worker);
-            const key = stepKey(job.id, group);
-            view?.tasksByStep.set(key, (view.tasksByStep.get(key) ?? 0) + 1);
-        }
+    for (const { job } of input.waiting) {
+        round.waitingOfJob.set(job.id, (round.waitingOfJob.get(job.id) ?? 0) + 1);
     }
+    for (const candidate of sortWaiting(input)) {
+        serve(round, candidate);
+    }
+    return round.decisions;
+}
+
+/** The order in which waiting groups are served: guaranteed ones first, then by urgency. */
+export function sortWaiting({ waiting, nowMs }: Pick<RoundInput, "waiting" | "nowMs">): WaitingGroup[] {
+    const ranked = waiting.map(group => ({ group, urgency: urgencyOf(group.value, nowMs) }));
+    ranked.sort(
+        (left, right) =>
+            Number(right.group.isGuaranteed) - Number(left.group.isGuaranteed) ||
+            right.urgency - left.urgency ||
+            left.group.value.objectiveAtMs - right.group.value.objectiveAtMs ||
+            compareNames(left.group.job.id, right.group.job.id),
+    );
+    return ranked.map(({ group }) => group);
+}
+
+function compareNames(left: string, right: string): number {
+    return left < right ? -1 : Number(left > right);
+}
+
+function serve(round: Round, candidate: WaitingGroup): void {
+    const { workers } = round.input;
+    const durationMs = estimateOf(candidate.group.step);
+    const near = findNearPlaces(candidate, workers, freeFor(round, durationMs));
+    if (near) {
+        place(round, candidate, near, false);
+        return;
+    }
+    if (candidate.isGuaranteed) {
+        serveGuaranteed(round, candidate);
+        return;
+    }
+    serveBlocked(round, candidate);
+}
 
-    function serveGuaranteed(candidate: WaitingGroup): void {
-        const later = findPlaces(candidate, workers, soonFree);
-        if (later) {
-            reserve(candidate, later.places);
+/** A guaranteed group gets places now, even if others have to give way. */
+function serveGuaranteed(round: Round, candidate: WaitingGroup): void {
+    const { workers } = round.input;
+    const searches: PlaceSearch[] = dependsOnPlace(candidate)
+        ? [findNearPlaces, findAnyPlaces]
+        : [findNearPlaces];
+    for (const search of searches) {
+        const now = search(candidate, workers, freeNow(round));
+        if (now) {
+            place(round, candidate, now, search !== findNearPlaces);
             return;
         }
-        const remaining = placed.filter(group => !victims.has(group));
-        const plan = findVictims(candidate, workers, remaining, soonFree);
-        if (!plan) {
+        const soon = search(candidate, workers, freeSoon(round));
+        if (soon) {
+            give(round, candidate, soon);
             return;
         }
-        for (const victim of plan.victims) {
-            victims.add(victim);
-            for (const name of victim.workers) {
-                const view = views.get(name);
-                if (view) {
-                    view.closing = addResources(view.closing, victim.group.step.resources);
-                }
+        const plan = planVictims(round, candidate, search, group => !group.isGuaranteed);
+        if (plan) {
+            preempt(round, candidate, plan);
+            return;
+        }
+    }
+}
+
+/** A group without a near place waits for one, runs far away or takes the place of less urgent ones. */
+function serveBlocked(round: Round, candidate: WaitingGroup): void {
+    const { workers, placed, farFactor } = round.input;
+    const durationMs = estimateOf(candidate.group.step);
+    const planned = findPlannedPlace(candidate, workers, placed, freeNow(round), findNearPlaces);
+    if (dependsOnPlace(candidate)) {
+        const farMs = durationMs * farFactor;
+        const isFarSooner = !planned || farMs < planned.afterMs + durationMs;
+        const far = isFarSooner ? findAnyPlaces(candidate, workers, freeFor(round, farMs)) : undefined;
+        if (far) {
+            place(round, candidate, far, true);
+            return;
+        }
+    }
+    const isUrgent = (group: PlacedGroup) => !group.isGuaranteed && group.priority > candidate.priority;
+    const plan = planVictims(round, candidate, findNearPlaces, isUrgent);
+    if (plan && gainOf(round, candidate, planned) > plan.cost * GAIN_FACTOR) {
+        preempt(round, candidate, plan);
+        return;
+    }
+    if (planned && round.plannedGroups < PLANNED_GROUPS) {
+        round.plannedGroups += 1;
+        keepPlanned(round, candidate, planned);
+    }
+}
+
+/** What it is worth to start the group now instead of at its planned place, as its share of the job. */
+function gainOf(round: Round, { job, value }: WaitingGroup, planned: PlannedPlace | undefined): number {
+    const { nowMs } = round.input;
+    const soon = worthAt(value, nowMs + STOP_MS + value.chainMs);
+    const later = planned ? worthAt(value, nowMs + planned.afterMs + value.chainMs) : 0;
+    return (soon - later) / (round.waitingOfJob.get(job.id) ?? 1);
+}
+
+function planVictims(
+    round: Round,
+    waiting: WaitingGroup,
+    search: PlaceSearch,
+    mayGiveWay: (group: PlacedGroup) => boolean,
+): VictimPlan | undefined {
+    const { workers, placed, nowMs } = round.input;
+    const candidates = placed.filter(
+        group => !group.isClosing && !round.victims.has(group) && mayGiveWay(group),
+    );
+    return findVictims({ waiting, workers, candidates, available: freeSoon(round), search, nowMs });
+}
+
+function preempt(round: Round, candidate: WaitingGroup, plan: VictimPlan): void {
+    const views = new Map(round.input.workers.map(worker => [worker.name, worker]));
+    for (const victim of plan.victims) {
+        round.victims.add(victim);
+        for (const name of victim.workers) {
+            const view = views.get(name);
+            if (view) {
+                view.closing = addResources(view.closing, victim.group.step.resources);
             }
-            decisions.push({
-                kind: "preempt",
-                job: victim.job.id,
-                group: victim.group.key,
-                for: candidate.job.id,
-            });
         }
-        reserve(candidate, plan.places);
+        const { job, group } = victim;
+        round.decisions.push({ kind: "preempt", job: job.id, group: group.key, for: candidate.job.id });
     }
+    give(round, candidate, plan.places);
+}
 
-    for (const candidate of [...waiting].sort(compareWaiting)) {
-        const plan = findPlaces(candidate, workers, free);
-        if (plan) {
-            reserve(candidate, plan.places);
-            decisions.push({
-                kind: "place",
-                job: candidate.job.id,
-                group: candidate.group.key,
-                places: plan.places,
+function place(round: Round, candidate: WaitingGroup, places: TaskPlace[], isFar: boolean): void {
+    give(round, candidate, places);
+    round.decisions.push({ kind: "place", job: candidate.job.id, group: candidate.group.key, places, isFar });
+}
+
+/** Keeps later groups of the round from taking the places. */
+function give(round: Round, { group, job }: WaitingGroup, places: TaskPlace[]): void {
+    const views = new Map(round.input.workers.map(worker => [worker.name, worker]));
+    const key = stepKey(job.id, group);
+    for (const { worker } of places) {
+        const before = round.given.get(worker);
+        const { resources } = group.step;
+        round.given.set(worker, before ? addResources(before, resources) : resources);
+        const view = views.get(worker);
+        view?.tasksByStep.set(key, (view.tasksByStep.get(key) ?? 0) + 1);
+    }
+}
+
+/** Keeps tasks that would outlast the wait from taking the planned places. */
+function keepPlanned(round: Round, { group }: WaitingGroup, planned: PlannedPlace): void {
+    const needed = new Map<string, Resources>();
+    for (const { worker } of planned.places) {
+        const before = needed.get(worker);
+        const { resources } = group.step;
+        needed.set(worker, before ? addResources(before, resources) : resources);
+    }
+    for (const worker of round.input.workers) {
+        const wanted = needed.get(worker.name);
+        if (wanted) {
+            const then = addResources(freeOf(round, worker), planned.freed.get(worker.name) ?? NOTHING);
+            round.besidePlanned.set(worker.name, {
+                left: subtractResources(then, wanted),
+                afterMs: planned.afterMs,
             });
-            continue;
-        }
-        if (candidate.isGuaranteed) {
-            serveGuaranteed(candidate);
         }
     }
-    return decisions;
+}
+
+const NOTHING: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
+
+function freeOf(round: Round, worker: WorkerView): Resources {
+    const given = round.given.get(worker.name);
+    return given ? subtractResources(worker.free, given) : worker.free;
+}
+
+function freeNow(round: Round): AvailableCapacity {
+    return worker => freeOf(round, worker);
+}
+
+/** What is free for tasks of a duration; the longer ones must not delay the planned places. */
+function freeFor(round: Round, durationMs: number): AvailableCapacity {
+    return worker => {
+        const free = freeOf(round, worker);
+        const planned = round.besidePlanned.get(worker.name);
+        if (!planned || durationMs <= planned.afterMs) {
+            return free;
+        }
+        return {
+            cpuMillis: Math.min(free.cpuMillis, planned.left.cpuMillis),
+            memoryMb: Math.min(free.memoryMb, planned.left.memoryMb),
+            gpus: Math.min(free.gpus, planned.left.gpus),
+        };
+    };
+}
+
+/** What is free once everything that is being closed has ended. */
+function freeSoon(round: Round): AvailableCapacity {
+    return worker => addResources(freeOf(round, worker), worker.closing);
 }
--- a/packages/decisions/src/schedule/victimSearch.ts
+++ b/packages/decisions/src/schedule/victimSearch.ts
@@ -1,53 +1,79 @@
 import { addResources, timesFitting, type Resources } from "../job/jobTypes.ts";
-import { findPlaces, type AvailableCapacity } from "./placementSearch.ts";
+import { worthAt } from "./jobValue.ts";
+import type { AvailableCapacity } from "./placementSearch.ts";
+import { releaseGroup, type PlaceSearch } from "./plannedPlace.ts";
 import type { PlacedGroup, TaskPlace, WaitingGroup, WorkerView } from "./scheduleTypes.ts";
 
-/** A place for a group and the groups that have to give way. */
+/** A place for a group, the groups that have to give way and what that costs. */
 export interface VictimPlan {
     places: TaskPlace[];
     victims: PlacedGroup[];
+    /** Lost worth of the victims. */
+    cost: number;
 }
 
-/** The order in which groups give way: the least urgent first, then the least loss. */
-export function compareVictims(left: PlacedGroup, right: PlacedGroup): number {
-    return right.priority - left.priority || left.lossMs - right.lossMs;
+/** What a search for victims works on. */
+export interface VictimOptions {
+    waiting: WaitingGroup;
+    workers: WorkerView[];
+    /** Groups that may give way. */
+    candidates: PlacedGroup[];
+    available: AvailableCapacity;
+    search: PlaceSearch;
+    nowMs: number;
 }
 
+/** Worth of a core-second of work that is thrown away. */
+const WORTH_PER_CORE_SECOND = 0.0025;
+
+/** What it costs to stop a group now and to run it again later. */
+export function costOfStop(group: PlacedGroup, nowMs: number): number {
+    const inTime = worthAt(group.value, nowMs + group.remainingMs);
+    const delayed = worthAt(group.value, nowMs + group.remainingMs + group.lostMs + RESTART_MS);
+    return group.lostCoreSeconds * WORTH_PER_CORE_SECOND + (inTime - delayed);
+}
+
+/** Expected time until a stopped group finds another place. */
+const RESTART_MS = 3_000;
+
 /**
- * Finds places for a guaranteed group by closing groups that no guarantee covers. The capacity counted is what is
- * free, what is being closed and what the victims would free.
+ * Finds places for a group by closing others, the cheapest first. The capacity counted is what `available` gives
+ * and what the victims would free.
  */
-export function findVictims(
-    waiting: WaitingGroup,
-    workers: WorkerView[],
-    placed: PlacedGroup[],
-    available: AvailableCapacity,
-): VictimPlan | undefined {
-    const preemptible = placed.filter(group => !group.isClosing && !group.isGuaranteed).sort(compareVictims);
+export function findVictims(options: VictimOptions): VictimPlan | undefined {
+    const { waiting, workers, available, search, nowMs } = options;
+    const useful = options.candidates.filter(group => helps(group, waiting, workers));
+    const byCost = useful.map(group => ({
+        group,
+        cost: costOfStop(group, nowMs) / Math.max(1, sizeOf(group)),
+    }));
+    byCost.sort((left, right) => left.cost - right.cost);
     const chosen: PlacedGroup[] = [];
     const freed = new Map<string, Resources>();
     const withFreed: AvailableCapacity = worker => {
         const extra = freed.get(worker.name);
         return extra ? addResources(available(worker), extra) : available(worker);
     };
-    const useful = preemptible.filter(group => group.group.step.resources.gpus >= 0);
-    for (const victim of useful) {
-        if (!helps(victim, waiting, workers)) {
-            continue;
-        }
-        chosen.push(victim);
-        addFreed(freed, victim);
-        const plan = findPlaces(waiting, workers, withFreed);
-        if (plan) {
-            return {
-                places: plan.places,
-                victims: neededVictims(chosen, plan.places, workers, waiting, available),
-            };
+    for (const { group } of byCost) {
+        chosen.push(group);
+        releaseGroup(freed, group);
+        const places = search(waiting, workers, withFreed);
+        if (places) {
+            const victims = dropSpared(chosen, places, options);
+            let cost = 0;
+            for (const victim of victims) {
+                cost += costOfStop(victim, nowMs);
+            }
+            return { places, victims, cost };
         }
     }
     return undefined;
 }
 
+function sizeOf(group: PlacedGroup): number {
+    return group.workers.length * Math.max(1, group.group.step.resources.gpus);
+}
+
 /** Whether a victim occupies a worker that could take a task of the group. */
 function helps(victim: PlacedGroup, waiting: WaitingGroup, workers: WorkerView[]): boolean {
     const names = new Set(victim.workers);
@@ -62,43 +88,24 @@
     return false;
 }
 
-function addFreed(freed: Map<string, Resources>, victim: PlacedGroup): void {
-    for (const worker of victim.workers) {
-        const before = freed.get(worker);
-        const { resources } = victim.group.step;
-        freed.set(worker, before ? addResources(before, resources) : resources);
-    }
-}
-
-/** Drops victims without which the places still fit, the most valuable ones first. */
-function neededVictims(
-    chosen: PlacedGroup[],
-    places: TaskPlace[],
-    workers: WorkerView[],
-    waiting: WaitingGroup,
-    available: AvailableCapacity,
-): PlacedGroup[] {
+/** Spares the victims without which the places still fit, the most expensive ones first. */
+function dropSpared(chosen: PlacedGroup[], places: TaskPlace[], options: VictimOptions): PlacedGroup[] {
     let needed = chosen;
     for (const candidate of [...chosen].reverse()) {
         const rest = needed.filter(victim => victim !== candidate);
-        const freed = new Map<string, Resources>();
-        for (const victim of rest) {
-            addFreed(freed, victim);
-        }
-        if (fits(places, workers, waiting, freed, available)) {
+        if (fits(places, rest, options)) {
             needed = rest;
         }
     }
     return needed;
 }
 
-function fits(
-    places: TaskPlace[],
-    workers: WorkerView[],
-    waiting: WaitingGroup,
-    freed: Map<string, Resources>,
-    available: AvailableCapacity,
-): boolean {
+function fits(places: TaskPlace[], victims: PlacedGroup[], options: VictimOptions): boolean {
+    const { workers, waiting, available } = options;
+    const freed = new Map<string, Resources>();
+    for (const victim of victims) {
+        releaseGroup(freed, victim);
+    }
     const counts = new Map<string, number>();
     for (const { worker } of places) {
         counts.set(worker, (counts.get(worker) ?? 0) + 1);
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -15,6 +15,7 @@
 } from "@tanagerdeck/decisions/plan/planBook";
 import { ordersOf } from "@tanagerdeck/decisions/plan/planOrders";
 import { applyReport, closeUnheard, type PlanEvent } from "@tanagerdeck/decisions/plan/planReport";
+import { closeStalled } from "@tanagerdeck/decisions/plan/planStalls";
 import { applyDecision, roundInput } from "@tanagerdeck/decisions/plan/planRound";
 import type { Decision } from "@tanagerdeck/decisions/schedule/scheduleTypes";
 import type { RoundInput } from "@tanagerdeck/decisions/schedule/schedulingRound";
@@ -64,6 +65,8 @@
     schedule: (input: RoundInput) => Decision[];
     /** Called when the store shows that the term has ended. */
     termEnded: () => void;
+    /** How many times slower tasks run far from their data or from each other. */
+    farFactor: number;
     /** For how long the state of an ended job is kept. */
     keepMs: number;
 }
@@ -243,12 +246,19 @@
             wallMs: clock.wall(),
             termsOf: entry => termsOf(state, entry),
             guaranteedGpus: account => guaranteedGpus(state, account),
+            farFactor: options.farFactor,
         });
         for (const decision of schedule(input)) {
             applyDecision(state.book, decision, clock.now());
             if (decision.kind === "place") {
                 const workers = decision.places.map(place => place.worker).join(" ");
-                log.info("A group was placed.", { term, job: decision.job, group: decision.group, workers });
+                log.info("A group was placed.", {
+                    term,
+                    job: decision.job,
+                    group: decision.group,
+                    workers,
+                    isFar: decision.isFar,
+                });
             } else {
                 log.info("A group gives way.", {
                     term,
@@ -445,6 +455,10 @@
                 if (!state.isSuspended) {
                     logEvents(closeUnheard(state.book, closedAfterMs(times), clock.now()));
                     closeStuckStarts(state);
+                    for (const { job, group, workers, stalledMs } of closeStalled(state.book, clock.now())) {
+                        const suspects = workers.join(" ");
+                        log.warn("A run does not progress.", { term, job, group, suspects, stalledMs });
+                    }
                     forgetOld(state, context);
                     requestPlan(state, context);
                 }
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -138,6 +138,7 @@
                 commitSettled(store, transaction, { clock, giveUpAt: clock.now() + RECORD_LIMIT_MS }),
             sessions,
             schedule: scheduleRound,
+            farFactor: settings.farFactor,
             termEnded: () => log.warn("The store shows that the term has ended.", { term: number }),
             keepMs: settings.keepJobsSeconds * 1_000 + KEEP_EXTRA_MS,
         });
--- a/packages/tanagerdeck/src/platform/platformSettings.ts
+++ b/packages/tanagerdeck/src/platform/platformSettings.ts
@@ -25,6 +25,8 @@
     ...common,
     callerAddress: address,
     readyAddress: address,
+    /** How many times slower tasks run far from their data or from each other. */
+    farFactor: z.number().min(1),
 });
 
 /** Settings of an agent. */
