--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -76,7 +76,7 @@
 
 type Values = (entry: JobEntry, group: TaskGroup) => JobValue;
 
-/** Values of the jobs, measured against the mean work of their queue's jobs. */
+/** Values of the jobs, measured against the mean work of their queue's jobs and the room of their service. */
 function valuesOf(book: PlanBook, context: RoundContext): Values {
     const sums = new Map<string, { work: number; count: number }>();
     for (const { job, work } of book.jobs.values()) {
@@ -85,10 +85,20 @@
         sum.count += 1;
         sums.set(job.queue, sum);
     }
+    const rooms = new Map<string, Resources>();
+    for (const { description } of book.workers.values()) {
+        if (description) {
+            const room = rooms.get(description.service) ?? NO_RESOURCES;
+            rooms.set(description.service, addResources(room, description.capacity));
+        }
+    }
     return (entry, group) => {
-        const sum = sums.get(entry.job.queue);
-        const sinceMs = Math.max(entry.job.acceptedAtMs, dueAtMs(entry.job, group.occurrence));
-        return valueOf(entry.job, context.termsOf(entry), sum ? sum.work / sum.count : 0, sinceMs);
+        const { job } = entry;
+        const sum = sums.get(job.queue);
+        const sinceMs = Math.max(job.acceptedAtMs, dueAtMs(job, group.occurrence));
+        const meanWork = sum ? sum.work / sum.count : 0;
+        const room = rooms.get(job.service) ?? NO_RESOURCES;
+        return valueOf(job, context.termsOf(entry), { meanWork, room }, sinceMs);
     };
 }
 
--- a/packages/decisions/src/schedule/jobValue.ts
+++ b/packages/decisions/src/schedule/jobValue.ts
@@ -4,8 +4,8 @@
 export interface JobValue {
     /** Worth of a completion within the objective. */
     worth: number;
-    /** Expected time from the start of its first step to its completion, in milliseconds. */
-    chainMs: number;
+    /** Expected time to its completion if all that can run starts now, in milliseconds. */
+    runMs: number;
     /** Expected work in core-seconds; an accelerator counts as several cores. */
     workCoreSeconds: number;
     /** Wall clock at which the objective ends. */
@@ -39,19 +39,35 @@
     return resources.cpuMillis / 1_000 + resources.gpus * CORES_PER_GPU;
 }
 
-/** The longest chain of steps, in milliseconds. */
-export function chainOf(steps: Step[]): number {
+/**
+ * The longest chain of steps, in milliseconds. Plain steps that are wider than `part` of the room count as several
+ * waves, each of that width.
+ */
+export function chainOf(steps: Step[], room: Resources, part: number): number {
     const endsAt: number[] = [];
     for (const step of steps) {
         let startsAt = 0;
         for (const earlier of step.after) {
             startsAt = Math.max(startsAt, endsAt[earlier] ?? 0);
         }
-        endsAt.push(startsAt + estimateOf(step));
+        endsAt.push(startsAt + estimateOf(step) * wavesOf(step, room, part));
     }
     return Math.max(0, ...endsAt);
 }
 
+function wavesOf({ gang, count, resources }: Step, room: Resources, part: number): number {
+    if (gang) {
+        return 1;
+    }
+    let waves = 1;
+    for (const name of ["cpuMillis", "memoryMb", "gpus"] as const) {
+        if (room[name] > 0) {
+            waves = Math.max(waves, Math.ceil((count * resources[name]) / (room[name] * part)));
+        }
+    }
+    return waves;
+}
+
 /** The work of all steps in core-seconds. */
 export function workOf(steps: Step[]): number {
     let work = 0;
@@ -61,16 +77,27 @@
     return work;
 }
 
+/** What the value of a job is measured against. */
+export interface ValueScale {
+    /** Mean work of the queue's jobs in core-seconds. */
+    meanWork: number;
+    /** Capacity of all workers of the service. */
+    room: Resources;
+}
+
+/** Part of the room that a job can expect for one wave of a wide step. */
+const OBJECTIVE_PART = 0.25;
+
 /** The value of a job, or of one occurrence, that counts from `sinceMs`. */
-export function valueOf(job: Job, terms: QueueTerms, meanWork: number, sinceMs: number): JobValue {
-    const chainMs = chainOf(job.steps);
+export function valueOf(job: Job, terms: QueueTerms, scale: ValueScale, sinceMs: number): JobValue {
+    const { meanWork, room } = scale;
     const workCoreSeconds = workOf(job.steps);
     const size = meanWork > 0 ? Math.min(LARGEST_SIZE, workCoreSeconds / meanWork) : 1;
     const worth = worthOfPriority(terms.priority) * (SIZELESS_PART + (1 - SIZELESS_PART) * size);
-    const objectiveMs = terms.stretch * chainMs + terms.latencyTargetMs;
+    const objectiveMs = terms.stretch * chainOf(job.steps, room, OBJECTIVE_PART) + terms.latencyTargetMs;
     return {
         worth,
-        chainMs,
+        runMs: chainOf(job.steps, room, 1),
         workCoreSeconds,
         objectiveAtMs: sinceMs + objectiveMs,
         worthlessAtMs: sinceMs + LATE_OBJECTIVES * objectiveMs,
@@ -87,8 +114,8 @@
 
 /** Time for which the job can still wait before its completion is worth less. */
 export function slackOf(value: JobValue, nowMs: number): number {
-    const inTime = value.objectiveAtMs - value.chainMs - nowMs;
-    return inTime >= 0 ? inTime : Math.max(0, value.worthlessAtMs - value.chainMs - nowMs);
+    const inTime = value.objectiveAtMs - value.runMs - nowMs;
+    return inTime >= 0 ? inTime : Math.max(0, value.worthlessAtMs - value.runMs - nowMs);
 }
 
 /**
@@ -96,7 +123,7 @@
  * tardiness cost rule (Vepsalainen and Morton, 1987).
  */
 export function urgencyOf(value: JobValue, nowMs: number): number {
-    const worth = worthAt(value, nowMs + value.chainMs);
+    const worth = worthAt(value, nowMs + value.runMs);
     const density = worth / Math.max(1, value.workCoreSeconds);
     return density * Math.exp(-slackOf(value, nowMs) / SLACK_SCALE_MS);
 }
--- a/packages/decisions/src/schedule/schedulingRound.ts
+++ b/packages/decisions/src/schedule/schedulingRound.ts
@@ -40,7 +40,7 @@
 /** Blocked groups for which places are planned, so that others do not take them again and again. */
 const PLANNED_GROUPS = 2;
 /** A victim's place is taken if the gain exceeds the cost by this factor, as estimates are rough. */
-const GAIN_FACTOR = 1.5;
+const GAIN_FACTOR = 2;
 /** Expected time until a victim's place is free. */
 const STOP_MS = 1_000;
 
@@ -150,8 +150,8 @@
 /** What it is worth to start the group now instead of at its planned place, as its share of the job. */
 function gainOf(round: Round, { job, value }: WaitingGroup, planned: PlannedPlace | undefined): number {
     const { nowMs } = round.input;
-    const soon = worthAt(value, nowMs + STOP_MS + value.chainMs);
-    const later = planned ? worthAt(value, nowMs + planned.afterMs + value.chainMs) : 0;
+    const soon = worthAt(value, nowMs + STOP_MS + value.runMs);
+    const later = planned ? worthAt(value, nowMs + planned.afterMs + value.runMs) : 0;
     return (soon - later) / (round.waitingOfJob.get(job.id) ?? 1);
 }
 
--- a/packages/decisions/src/schedule/victimSearch.ts
+++ b/packages/decisions/src/schedule/victimSearch.ts
@@ -26,16 +26,18 @@
 /** Worth of a core-second of work that is thrown away. */
 const WORTH_PER_CORE_SECOND = 0.0025;
 
+/** Worth of a stop and another start by themselves, against closing the same groups again and again. */
+const STOP_WORTH = 0.05;
+/** Expected time until a stopped group finds another place. */
+const RESTART_MS = 3_000;
+
 /** What it costs to stop a group now and to run it again later. */
 export function costOfStop(group: PlacedGroup, nowMs: number): number {
     const inTime = worthAt(group.value, nowMs + group.remainingMs);
     const delayed = worthAt(group.value, nowMs + group.remainingMs + group.lostMs + RESTART_MS);
-    return group.lostCoreSeconds * WORTH_PER_CORE_SECOND + (inTime - delayed);
+    return STOP_WORTH + group.lostCoreSeconds * WORTH_PER_CORE_SECOND + (inTime - delayed);
 }
 
-/** Expected time until a stopped group finds another place. */
-const RESTART_MS = 3_000;
-
 /**
  * Finds places for a group by closing others, the cheapest first. The capacity counted is what `available` gives
  * and what the victims would free.
