Do not say that a submission is refused while its write may still be executed

Change: entries remember such submissions, tell each other of them and answer that the outcome is unclear. Ruled out: refusing to answer before the write is settled, which holds callers for the whole outage. The desk and the store's tasks now have tests against a store in memory with lost, late, refused and silent calls.

--- /dev/null
+++ b/packages/caller/src/desk/deskTask.spec.ts
@@ -0,0 +1,188 @@
+import { expect } from "chai";
+import type { JobRequest } from "@tanagerdeck/decisions/job/jobTypes";
+import { emptyProgress } from "@tanagerdeck/decisions/job/progressTypes";
+import { stepOf } from "@tanagerdeck/standins/plan/planFixture";
+import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { silentLog } from "@tanagerdeck/runtime/log/log";
+import type { Task } from "@tanagerdeck/runtime/task/task";
+import { encodeContent } from "@tanagerdeck/store/replica/recordCodec";
+import { jobKey } from "@tanagerdeck/store/replica/storeKeys";
+import { createMemoryStore, type MemoryStore } from "@tanagerdeck/standins/keyvalue/memoryStore";
+import { deskOf, startDeskTask, type DeskMessage } from "./deskTask.ts";
+import type { CallerCall, Desk } from "./deskTypes.ts";
+
+describe("the desk", () => {
+    const call: CallerCall = {
+        queue: {
+            name: "quotes",
+            host: "h",
+            pathPrefix: "/q/",
+            service: "desk",
+            public: false,
+            terms: { priority: 0, attempts: 2, stretch: 1.5, latencyTargetMs: 400 },
+        },
+        clientAccount: "okahandja",
+    };
+    const request: JobRequest = { id: "00000000000000aa", spec: "s", steps: [stepOf()] };
+    let clock: ManualClock;
+    let store: MemoryStore;
+    let task: Task<DeskMessage>;
+    let desk: Desk;
+    let isStoreAway: boolean;
+    let announced: string[];
+
+    beforeEach(() => {
+        clock = createManualClock();
+        store = createMemoryStore(clock);
+        isStoreAway = false;
+        announced = [];
+        let writes = 0;
+        task = startDeskTask({
+            store,
+            clock,
+            log: silentLog,
+            newWriteId: () => `w${++writes}`,
+            announce: item => announced.push(item.key),
+            announceDoubt: id => task.send({ kind: "doubt", id }),
+            isStoreAway: () => isStoreAway,
+        });
+        desk = deskOf(task);
+    });
+
+    afterEach(() => task.stop());
+
+    /** Runs the clock until a reply arrives. */
+    async function settled<T>(reply: Promise<T>): Promise<T> {
+        let isDone = false;
+        void reply.finally(() => (isDone = true));
+        for (let turn = 0; turn < 100 && !isDone; turn++) {
+            await clock.advance(50);
+        }
+        return reply;
+    }
+
+    describe("with a new job", () => {
+        it("accepts it only when the store has it", async () => {
+            expect(await settled(desk.submit(call, request, 3_000))).to.deep.equal({ kind: "accepted" });
+            expect(store.item(jobKey(request.id, "definition"))).to.not.equal(undefined);
+            expect(announced).to.deep.equal([jobKey(request.id, "definition")]);
+        });
+
+        it("accepts a repeat of the same submission as the one job", async () => {
+            await settled(desk.submit(call, request, 3_000));
+            const revision = store.revision();
+            expect((await settled(desk.submit(call, request, 3_000))).kind).to.equal("accepted");
+            expect(store.revision()).to.equal(revision);
+        });
+
+        it("refuses another job under the same id, which would be lost", async () => {
+            await settled(desk.submit(call, request, 3_000));
+            const other = { ...request, spec: "other" };
+            expect(await settled(desk.submit(call, other, 3_000))).to.include({
+                kind: "refused",
+                reason: "conflict",
+            });
+        });
+
+        it("accepts it after a lost reply, by recognizing its own write", async () => {
+            store.faults.mode = "lose-reply";
+            const reply = desk.submit(call, request, 3_000);
+            await clock.advance(20);
+            store.faults.mode = "none";
+            expect((await settled(reply)).kind).to.equal("accepted");
+        });
+    });
+
+    describe("while the store is away", () => {
+        it("refuses at once, with a time to come back", async () => {
+            isStoreAway = true;
+            const reply = await desk.submit(call, request, 3_000);
+            expect(reply).to.include({ kind: "refused", reason: "store-unavailable" });
+            expect(store.calls.get("commit")).to.equal(undefined);
+        });
+
+        it("refuses a write that the store turns away, soon and not at the caller's limit", async () => {
+            store.faults.mode = "refuse";
+            const startedAt = clock.now();
+            expect((await settled(desk.submit(call, request, 3_000))).kind).to.equal("refused");
+            expect(clock.now() - startedAt).to.be.below(1_000);
+        });
+
+        it("never says that a job is refused whose write may still be executed", async () => {
+            store.faults.mode = "late";
+            expect((await settled(desk.submit(call, request, 3_000))).kind).to.equal("unclear");
+            isStoreAway = true;
+            expect((await settled(desk.submit(call, request, 3_000))).kind).to.equal("unclear");
+            isStoreAway = false;
+            store.faults.mode = "refuse";
+            expect((await settled(desk.submit(call, request, 3_000))).kind).to.equal("unclear");
+        });
+
+        it("says that a state cannot be told instead of denying the job", async () => {
+            store.faults.mode = "silent";
+            expect((await settled(desk.state(call, request.id))).kind).to.equal("unavailable");
+        });
+    });
+
+    describe("asked for a state", () => {
+        it("finds a job that the replica has not seen yet", async () => {
+            await settled(desk.submit(call, request, 3_000));
+            expect(await settled(desk.state(call, request.id))).to.deep.equal({
+                kind: "state",
+                state: "queued",
+            });
+        });
+
+        it("knows no job that nobody has submitted", async () => {
+            expect((await settled(desk.state(call, "00000000000000bb"))).kind).to.equal("unknown-job");
+        });
+
+        it("denies another account's job", async () => {
+            await settled(desk.submit(call, request, 3_000));
+            const other = { ...call, clientAccount: "caroni" };
+            expect((await settled(desk.state(other, request.id))).kind).to.equal("denied");
+            expect((await settled(desk.cancel(other, request.id, 3_000))).kind).to.equal("denied");
+        });
+    });
+
+    describe("with a cancellation", () => {
+        it("stores it and shows the job as cancelled", async () => {
+            await settled(desk.submit(call, request, 3_000));
+            expect((await settled(desk.cancel(call, request.id, 3_000))).kind).to.equal("cancelled");
+            expect(await settled(desk.state(call, request.id))).to.deep.equal({
+                kind: "state",
+                state: "cancelled",
+            });
+        });
+
+        it("keeps a submission out that arrives after its cancellation", async () => {
+            expect((await settled(desk.cancel(call, request.id, 3_000))).kind).to.equal("unknown-job");
+            const reply = await settled(desk.submit(call, request, 3_000));
+            expect(reply).to.include({ kind: "refused", reason: "cancelled" });
+        });
+
+        it("confirms a repeated cancellation", async () => {
+            await settled(desk.submit(call, request, 3_000));
+            await settled(desk.cancel(call, request.id, 3_000));
+            expect((await settled(desk.cancel(call, request.id, 3_000))).kind).to.equal("cancelled");
+        });
+    });
+
+    describe("asked how many jobs wait", () => {
+        it("counts accepted jobs of the queue that have not begun", async () => {
+            const change = (part: "definition" | "progress", value: string, revision: number): void =>
+                task.send({ kind: "changed", change: { key: jobKey(request.id, part), value, revision } });
+            const job = {
+                ...request,
+                queue: "quotes",
+                service: "desk",
+                terms: call.queue.terms,
+                acceptedAtMs: 0,
+            };
+            change("definition", encodeContent("definition", job, "w"), 5);
+            expect(await desk.waiting(call)).to.equal(1);
+            change("progress", encodeContent("progress", { ...emptyProgress(), begun: true }, "w"), 6);
+            expect(await desk.waiting(call)).to.equal(0);
+        });
+    });
+});
--- a/packages/caller/src/desk/deskTask.ts
+++ b/packages/caller/src/desk/deskTask.ts
@@ -12,19 +12,22 @@
 import type { CallerCall, CancelReply, Desk, StateReply, SubmitReply } from "./deskTypes.ts";
 import { applyToIndex, countWaiting, findRecord, type JobIndex } from "./jobIndex.ts";
 
+/** A job that a caller hands in, and for how long the caller waits for the reply. */
+interface Submission {
+    call: CallerCall;
+    request: JobRequest;
+    waitMs: number;
+}
+
 /** Messages of the desk's task. */
 export type DeskMessage =
     | { kind: "changed"; change: Change }
-    | {
-          kind: "submit";
-          call: CallerCall;
-          request: JobRequest;
-          waitMs: number;
-          reply: Reply<SubmitReply>;
-      }
+    | (Submission & { kind: "submit"; reply: Reply<SubmitReply> })
     | { kind: "state"; call: CallerCall; id: string; reply: Reply<StateReply> }
     | { kind: "cancel"; call: CallerCall; id: string; waitMs: number; reply: Reply<CancelReply> }
     | { kind: "waiting"; call: CallerCall; reply: Reply<number> }
+    /** A write of this job's submission got no answer, here or at another entry. */
+    | { kind: "doubt"; id: string }
     | { kind: "answered" };
 
 /** Dependencies of the desk's task. */
@@ -35,6 +38,8 @@
     newWriteId: () => string;
     /** Tells this process and the leader of an item that was just written. */
     announce: (item: Item) => void;
+    /** Tells all entries, this one too, that a submission may be stored. */
+    announceDoubt: (id: string) => void;
     /** Whether the store has not answered for a while, so that a call to it is not worth its time. */
     isStoreAway: () => boolean;
 }
@@ -44,11 +49,20 @@
 /** When a caller may come back while the store is away. */
 const RETRY_AFTER_MS = 1_000;
 
+/** For how long a submission whose write got no answer is not said to be refused; such a write may be late. */
+const DOUBT_MS = 30_000;
+
+interface DeskState {
+    index: JobIndex;
+    /** Time at which the doubt about a submission ends, by job. */
+    doubts: Map<string, number>;
+}
+
 type Found = Either<Failure, JobRecord | undefined>;
 
 /** Starts the task that accepts jobs into the store and answers from the replicated changes. */
 export function startDeskTask(options: DeskOptions): Task<DeskMessage> {
-    const { store, clock, log, newWriteId, announce, isStoreAway } = options;
+    const { store, clock, log, newWriteId, announce, announceDoubt, isStoreAway } = options;
 
     async function put(
         key: string,
@@ -82,12 +96,12 @@
         });
     }
 
-    async function submit(call: CallerCall, request: JobRequest, waitMs: number): Promise<SubmitReply> {
+    async function submit({ call, request, waitMs }: Submission, isDoubtful: boolean): Promise<SubmitReply> {
         const { queue, clientAccount } = call;
         const fields = { job: request.id, queue: queue.name, clientAccount };
         if (isStoreAway()) {
-            log.warn("A job is refused because the store is away.", fields);
-            return storeUnavailable();
+            log.warn("A job is refused because the store is away.", { ...fields, isDoubtful });
+            return isDoubtful ? { kind: "unclear" } : storeUnavailable();
         }
         const job = acceptedJob(call, request, clock.wall());
         const key = jobKey(request.id, "definition");
@@ -95,8 +109,11 @@
         const reply = await put(key, value, [jobKey(request.id, "cancel")], waitMs);
         return reply.caseOf<SubmitReply>({
             Left({ verdict, detail }) {
-                log.warn("A job could not be stored.", { ...fields, verdict, detail });
-                return verdict === "not-run" ? storeUnavailable() : { kind: "unclear" };
+                log.warn("A job could not be stored.", { ...fields, verdict, detail, isDoubtful });
+                if (verdict !== "not-run") {
+                    announceDoubt(request.id);
+                }
+                return verdict === "not-run" && !isDoubtful ? storeUnavailable() : { kind: "unclear" };
             },
             Right(result) {
                 if (result.kind === "committed") {
@@ -167,20 +184,32 @@
         );
     }
 
-    return startTask<JobIndex, DeskMessage>({
+    return startTask<DeskState, DeskMessage>({
         name: "desk",
         clock,
         report: (name, error) => log.error("A handler failed.", { task: name, error: String(error) }),
-        state: new Map(),
+        state: { index: new Map(), doubts: new Map() },
         handlers: {
-            changed: (index, { change }) => applyToIndex(index, change),
-            submit: (_index, { call, request, waitMs, reply }, context) =>
-                answer(context, () => submit(call, request, waitMs), reply),
-            state: (index, { call, id, reply }, context) =>
+            changed(state, { change }) {
+                applyToIndex(state.index, change);
+            },
+            submit(state, message, context) {
+                const isDoubtful = (state.doubts.get(message.request.id) ?? 0) > clock.now();
+                answer(context, () => submit(message, isDoubtful), message.reply);
+            },
+            state: ({ index }, { call, id, reply }, context) =>
                 answer(context, () => showState(findRecord(index, id), call, id), reply),
-            cancel: (index, { call, id, waitMs, reply }, context) =>
+            cancel: ({ index }, { call, id, waitMs, reply }, context) =>
                 answer(context, () => cancel(findRecord(index, id), call, id, waitMs), reply),
-            waiting: (index, { call, reply }) => reply(countWaiting(index, call.queue.name)),
+            waiting: ({ index }, { call, reply }) => reply(countWaiting(index, call.queue.name)),
+            doubt(state, { id }) {
+                for (const [known, endsAt] of state.doubts) {
+                    if (endsAt <= clock.now()) {
+                        state.doubts.delete(known);
+                    }
+                }
+                state.doubts.set(id, clock.now() + DOUBT_MS);
+            },
             answered() {},
         },
     });
--- a/packages/decisions/src/job/jobState.spec.ts
+++ b/packages/decisions/src/job/jobState.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { jobOf, stepOf } from "../testing/planFixture.ts";
+import { jobOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
 import { impliedFinal, shownState } from "./jobState.ts";
 import { emptyGroupProgress, type GroupPhase, type Progress } from "./progressTypes.ts";
 
--- a/packages/decisions/src/job/progressChange.spec.ts
+++ b/packages/decisions/src/job/progressChange.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { bootOf } from "../testing/planFixture.ts";
+import { bootOf } from "@tanagerdeck/standins/plan/planFixture";
 import { closeRun, endTask, openRun, type GroupRules } from "./progressChange.ts";
 import { emptyGroupProgress, type GroupProgress, type TaskEnd } from "./progressTypes.ts";
 
--- a/packages/decisions/src/job/taskGroups.spec.ts
+++ b/packages/decisions/src/job/taskGroups.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { jobOf, stepOf } from "../testing/planFixture.ts";
+import { jobOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
 import { dueAtMs, groupKeyOf, parseTaskName, taskGroupsOf, taskName } from "./taskGroups.ts";
 
 describe("the task groups of a job", () => {
--- a/packages/peer/src/session/planClients.ts
+++ b/packages/peer/src/session/planClients.ts
@@ -19,6 +19,7 @@
 export interface PlanClients {
     sync(address: string, request: SyncRequest, timeoutMs: number): Promise<Either<Failure, SyncReply>>;
     learn(address: string, item: Item): Promise<Either<Failure, void>>;
+    doubt(address: string, id: string): Promise<Either<Failure, void>>;
     /** Sends a store call through another process. */
     relay(address: string): SendStoreCall;
     close(): Promise<void>;
@@ -60,6 +61,8 @@
             peerCall(timeoutMs, signal => agent(address).sync.mutate(request, { signal })),
         learn: (address, item) =>
             peerCall(LEARN_TIMEOUT_MS, signal => entry(address).learn.mutate(item, { signal })),
+        doubt: (address, id) =>
+            peerCall(LEARN_TIMEOUT_MS, signal => entry(address).doubt.mutate(id, { signal })),
         relay: address => async call => {
             const sent = await peerCall(call.timeoutMs + RELAY_EXTRA_MS, signal =>
                 entry(address).relay.mutate(call, { signal }),
--- a/packages/peer/src/session/planRouters.ts
+++ b/packages/peer/src/session/planRouters.ts
@@ -22,6 +22,8 @@
 export interface EntryPlanHandlers extends RelayHandlers {
     /** Tells of an item that was just written, ahead of the store's own notification. */
     learn(item: Item): Promise<void>;
+    /** Tells that the submission of a job may be stored although no entry could say so. */
+    doubt(id: string): Promise<void>;
 }
 
 /** Maps an agent's operations to trpc procedures. */
@@ -43,6 +45,7 @@
             .input(passThrough<StoreCall>)
             .mutation(({ input }) => handlers.relay(input)),
         learn: authorizedProcedure.input(passThrough<Item>).mutation(({ input }) => handlers.learn(input)),
+        doubt: authorizedProcedure.input(passThrough<string>).mutation(({ input }) => handlers.doubt(input)),
     });
 }
 
--- /dev/null
+++ b/packages/store/src/keyvalue/settledCommit.spec.ts
@@ -0,0 +1,77 @@
+import { expect } from "chai";
+import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { createMemoryStore, type MemoryStore } from "@tanagerdeck/standins/keyvalue/memoryStore";
+import type { Transaction } from "./keyValueTypes.ts";
+import { commitSettled } from "./settledCommit.ts";
+
+describe("a settled commit", () => {
+    const transaction: Transaction = {
+        expected: [{ key: "a", revision: 0 }],
+        puts: [{ key: "a", value: "mine" }],
+        removes: [],
+    };
+    let clock: ManualClock;
+    let store: MemoryStore;
+
+    beforeEach(() => {
+        clock = createManualClock();
+        store = createMemoryStore(clock);
+    });
+
+    async function commit(limitMs: number, during?: (step: number) => void) {
+        let isDone = false;
+        const result = commitSettled(store, transaction, { clock, giveUpAt: clock.now() + limitMs });
+        void result.finally(() => (isDone = true));
+        for (let step = 0; step < 200 && !isDone; step++) {
+            during?.(step);
+            await clock.advance(25);
+        }
+        return result;
+    }
+
+    describe("whose reply is lost", () => {
+        it("recognizes its own value, so that one submission does not become a conflict", async () => {
+            store.faults.mode = "lose-reply";
+            const result = await commit(5_000, step => {
+                store.faults.mode = step > 2 ? "none" : "lose-reply";
+            });
+            expect(result.extract()).to.include({ kind: "committed" });
+            expect(store.item("a")?.value).to.equal("mine");
+        });
+
+        it("reports a conflict if another writer was first", async () => {
+            store.write("a", "other");
+            const result = await commit(1_000);
+            expect(result.extract()).to.deep.include({ kind: "conflict" });
+        });
+    });
+
+    describe("that is executed late", () => {
+        it("applies once, although it was repeated", async () => {
+            store.faults.mode = "late";
+            store.faults.lateMs = 500;
+            const result = await commit(5_000, step => {
+                store.faults.mode = step > 4 ? "none" : "late";
+            });
+            expect(result.extract()).to.include({ kind: "committed" });
+            const revision = store.revision();
+            await clock.advance(2_000);
+            expect(store.revision()).to.equal(revision);
+        });
+    });
+
+    describe("that cannot be settled in time", () => {
+        it("admits that it may have run if any repeat got no answer", async () => {
+            store.faults.mode = "silent";
+            const result = await commit(500, step => {
+                store.faults.mode = step > 4 ? "refuse" : "silent";
+            });
+            expect(result.swap().unsafeCoerce().verdict).to.equal("may-have-run");
+        });
+
+        it("has not run if every repeat was refused", async () => {
+            store.faults.mode = "refuse";
+            expect((await commit(500)).swap().unsafeCoerce().verdict).to.equal("not-run");
+        });
+    });
+});
--- /dev/null
+++ b/packages/store/src/leadership/leadershipTask.spec.ts
@@ -0,0 +1,162 @@
+import { expect } from "chai";
+import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { silentLog } from "@tanagerdeck/runtime/log/log";
+import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
+import { createMemoryStore, type MemoryStore } from "@tanagerdeck/standins/keyvalue/memoryStore";
+import { createFreezableClock, type FreezableClock } from "@tanagerdeck/standins/polling/freezableClock";
+import { LEADER_KEY } from "../replica/storeKeys.ts";
+import { startLeadershipTask, type LeadershipEvent, type LeadershipMessage } from "./leadershipTask.ts";
+
+interface Candidate {
+    task: Task<LeadershipMessage>;
+    clock: FreezableClock;
+    events: LeadershipEvent[];
+}
+
+describe("the leadership", () => {
+    let clock: ManualClock;
+    let store: MemoryStore;
+    let candidates: Candidate[];
+
+    function addCandidate(name: string, delayMs: number): Candidate {
+        const own = createFreezableClock(clock);
+        const events: LeadershipEvent[] = [];
+        let writes = 0;
+        const task = startLeadershipTask({
+            store,
+            own: { name, address: "1.2.3.4:1", availabilityZone: "z", incarnation: "i" },
+            clock: own,
+            log: silentLog,
+            newWriteId: () => `${name}-${++writes}`,
+            campaignDelayMs: () => delayMs,
+            notify: event => events.push(event),
+        });
+        const candidate = { task, clock: own, events };
+        candidates.push(candidate);
+        task.send({ kind: "loaded" });
+        return candidate;
+    }
+
+    /** Tells the candidates what a replica would tell them. */
+    function tellLeader(): void {
+        const item = store.item(LEADER_KEY);
+        const change = { key: LEADER_KEY, revision: item?.revision ?? store.revision(), value: item?.value };
+        for (const { task } of candidates) {
+            task.send({ kind: "leader-changed", change });
+        }
+    }
+
+    async function run(durationMs: number): Promise<void> {
+        for (let passed = 0; passed < durationMs; passed += 100) {
+            await clock.advance(100);
+            tellLeader();
+            await clock.settle();
+        }
+    }
+
+    function kinds({ events }: Candidate): string[] {
+        return events.map(event => event.kind);
+    }
+
+    beforeEach(() => {
+        clock = createManualClock();
+        store = createMemoryStore(clock);
+        candidates = [];
+    });
+
+    afterEach(async () => {
+        for (const { task } of candidates) {
+            await task.stop();
+        }
+    });
+
+    it("is won by one candidate, who keeps it", async () => {
+        const first = addCandidate("a", 0);
+        const second = addCandidate("b", 0);
+        await run(10_000);
+        expect([...kinds(first), ...kinds(second)]).to.deep.equal(["lead"]);
+    });
+
+    it("passes on at once when the holder resigns", async () => {
+        const first = addCandidate("a", 0);
+        await run(500);
+        const second = addCandidate("b", 0);
+        await run(500);
+        await first.task.ask((reply: Reply<void>) => ({ kind: "resign", reply }));
+        await run(300);
+        expect(kinds(first)).to.deep.equal(["lead", "lost"]);
+        expect(kinds(second)).to.deep.equal(["lead"]);
+    });
+
+    it("has a higher term with each holder, so that orders of an earlier one are refused", async () => {
+        const first = addCandidate("a", 0);
+        await run(500);
+        const second = addCandidate("b", 0);
+        await first.task.ask((reply: Reply<void>) => ({ kind: "resign", reply }));
+        await run(500);
+        const terms = [first, second].flatMap(({ events }) =>
+            events.flatMap(e => (e.kind === "lead" ? e.term : [])),
+        );
+        expect(terms[1]).to.be.greaterThan(terms[0] ?? 0);
+    });
+
+    describe("while the store is down", () => {
+        it("is suspended before the lease can end, as another process may lead after that", async () => {
+            const first = addCandidate("a", 0);
+            await run(1_000);
+            Object.assign(store.faults, { mode: "silent", pausesLeases: true });
+            await run(1_500);
+            expect(kinds(first)).to.deep.equal(["lead"]);
+            await run(500);
+            expect(kinds(first)).to.deep.equal(["lead", "suspend"]);
+        });
+
+        it("is resumed in the same term if the lease was paused", async () => {
+            const first = addCandidate("a", 0);
+            await run(1_000);
+            Object.assign(store.faults, { mode: "silent", pausesLeases: true });
+            await run(5_000);
+            Object.assign(store.faults, { mode: "none" });
+            await run(600);
+            expect(kinds(first)).to.deep.equal(["lead", "suspend", "resume"]);
+        });
+
+        it("is lost if the lease ran out, and won again in a new term", async () => {
+            const first = addCandidate("a", 0);
+            await run(1_000);
+            Object.assign(store.faults, { mode: "silent" });
+            await run(5_000);
+            Object.assign(store.faults, { mode: "none" });
+            await run(2_000);
+            expect(kinds(first)).to.deep.equal(["lead", "suspend", "lost", "lead"]);
+        });
+    });
+
+    describe("when the holder is frozen past its lease", () => {
+        it("is taken over, and the old holder learns that its term has ended", async () => {
+            const first = addCandidate("a", 0);
+            await run(500);
+            const second = addCandidate("b", 0);
+            await run(500);
+            first.clock.freeze();
+            await run(4_000);
+            expect(kinds(second)).to.deep.equal(["lead"]);
+            first.clock.resume();
+            await run(500);
+            expect(kinds(first).at(-1)).to.equal("lost");
+        });
+    });
+
+    describe("when the reply to a campaign is lost", () => {
+        it("recognizes its own win", async () => {
+            const first = addCandidate("a", 0);
+            await clock.settle();
+            store.faults.mode = "lose-reply";
+            await clock.advance(30);
+            store.faults.mode = "none";
+            await run(3_000);
+            expect(kinds(first)).to.include("lead");
+            expect(kinds(first).filter(kind => kind === "lead")).to.have.length(1);
+        });
+    });
+});
--- /dev/null
+++ b/packages/store/src/manifest/manifestTask.spec.ts
@@ -0,0 +1,113 @@
+import { expect } from "chai";
+import { Left, Right } from "purify-ts/Either";
+import type { Manifest } from "@tanagerdeck/decisions/manifest/manifestTypes";
+import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { silentLog } from "@tanagerdeck/runtime/log/log";
+import type { Task } from "@tanagerdeck/runtime/task/task";
+import { createMemoryStore, type MemoryStore } from "@tanagerdeck/standins/keyvalue/memoryStore";
+import type { Item } from "../keyvalue/keyValueTypes.ts";
+import { startManifestTask, type ManifestMessage } from "./manifestTask.ts";
+
+describe("the manifest in force", () => {
+    /** Longest time in which a change must be in force. */
+    const BOUND_MS = 2_500;
+    let clock: ManualClock;
+    let store: MemoryStore;
+    let task: Task<ManifestMessage>;
+    let adopted: Manifest[];
+
+    function decode({ value, revision }: Item) {
+        if (!value.startsWith("version ")) {
+            return Left("no version");
+        }
+        const version = Number(value.slice("version ".length));
+        return Right({ revision, version, queues: [], services: [], clientAccounts: [], bodyLimitBytes: 0 });
+    }
+
+    beforeEach(async () => {
+        clock = createManualClock();
+        store = createMemoryStore(clock);
+        adopted = [];
+        store.write("manifest", "version 1");
+        task = startManifestTask({
+            store,
+            key: "manifest",
+            decode,
+            clock,
+            log: silentLog,
+            adopted: manifest => adopted.push(manifest),
+        });
+        await clock.advance(50);
+    });
+
+    afterEach(() => task.stop());
+
+    function versions(): number[] {
+        return adopted.map(manifest => manifest.version);
+    }
+
+    it("follows each change", async () => {
+        store.write("manifest", "version 2");
+        await clock.advance(100);
+        expect(versions()).to.deep.equal([1, 2]);
+    });
+
+    it("is found when it is written after the start", async () => {
+        await task.stop();
+        store = createMemoryStore(clock);
+        adopted = [];
+        task = startManifestTask({
+            store,
+            key: "manifest",
+            decode,
+            clock,
+            log: silentLog,
+            adopted: m => adopted.push(m),
+        });
+        await clock.advance(1_000);
+        store.write("manifest", "version 9");
+        await clock.advance(BOUND_MS);
+        expect(versions()).to.deep.equal([9]);
+    });
+
+    it("stays as it is when the operators' text is unreadable", async () => {
+        store.write("manifest", "rubbish");
+        await clock.advance(1_500);
+        expect(versions()).to.deep.equal([1]);
+        store.write("manifest", "version 3");
+        await clock.advance(1_500);
+        expect(versions()).to.deep.equal([1, 3]);
+    });
+
+    describe("when the store drops its history", () => {
+        it("is read again within the bound, without a burst of reads", async () => {
+            store.faults.mode = "silent";
+            store.compact();
+            await clock.advance(20);
+            store.faults.mode = "none";
+            store.write("manifest", "version 4");
+            store.compact();
+            const before = store.calls.get("page") ?? 0;
+            await clock.advance(BOUND_MS);
+            expect(versions()).to.deep.equal([1, 4]);
+            expect((store.calls.get("page") ?? 0) - before).to.be.below(20);
+        });
+    });
+
+    describe("when an older copy arrives late", () => {
+        it("does not give way to it", async () => {
+            store.write("manifest", "version 5");
+            await clock.advance(100);
+            task.send({
+                kind: "watched",
+                result: Right({
+                    kind: "changes",
+                    changes: [{ key: "manifest", revision: 1, value: "version 0" }],
+                    revision: 1,
+                }),
+            });
+            await clock.settle();
+            expect(versions()).to.deep.equal([1, 5]);
+        });
+    });
+});
--- /dev/null
+++ b/packages/store/src/relay/routedSend.spec.ts
@@ -0,0 +1,114 @@
+import { expect } from "chai";
+import { Left, Right, type Either } from "purify-ts/Either";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { silentLog } from "@tanagerdeck/runtime/log/log";
+import type { SendStoreCall, StoreCall, StoreReply } from "../keyvalue/keyValueTypes.ts";
+import { createRoutedSend } from "./routedSend.ts";
+
+describe("the way of a call to the store", () => {
+    const call: StoreCall = { method: "GET", path: "/x", timeoutMs: 1_500, heldMs: 0 };
+    type Answer = "answers" | "busy" | "silent" | "unreachable";
+    let clock: ManualClock;
+    let direct: Answer;
+    let relay: Answer;
+    let calls: string[];
+    let send: SendStoreCall;
+
+    function answer(way: string, how: () => Answer): SendStoreCall {
+        return async ({ timeoutMs }): Promise<Either<Failure, StoreReply>> => {
+            calls.push(way);
+            switch (how()) {
+                case "answers":
+                    return Right({ status: 200, body: way });
+                case "busy":
+                    return Right({ status: 503, body: "" });
+                case "unreachable":
+                    return Left(failure("not-run", "platform-unavailable", "refused"));
+                case "silent":
+                    await new Promise<void>(resolve => clock.startTimer(timeoutMs, resolve));
+                    return Left(failure("may-have-run", "platform-unavailable", "timeout"));
+            }
+        };
+    }
+
+    beforeEach(() => {
+        clock = createManualClock();
+        calls = [];
+        direct = "answers";
+        relay = "answers";
+        send = createRoutedSend({
+            direct: answer("direct", () => direct),
+            relays: () => [{ name: "peer", send: answer("relay", () => relay) }],
+            clock,
+            log: silentLog,
+        });
+    });
+
+    async function sent(): Promise<Either<Failure, StoreReply>> {
+        let isDone = false;
+        const result = send(call);
+        void result.finally(() => (isDone = true));
+        for (let step = 0; step < 100 && !isDone; step++) {
+            await clock.advance(50);
+        }
+        return result;
+    }
+
+    it("is direct while the store serves this process", async () => {
+        await sent();
+        await sent();
+        expect(calls).to.deep.equal(["direct", "direct"]);
+    });
+
+    it("leads through a peer when the store turns this process away", async () => {
+        direct = "busy";
+        expect((await sent()).extract()).to.deep.equal({ status: 200, body: "relay" });
+        calls = [];
+        await sent();
+        expect(calls).to.deep.equal(["relay"]);
+    });
+
+    it("leads through a peer when the direct way stays silent, before the call's limit", async () => {
+        direct = "silent";
+        const startedAt = clock.now();
+        expect((await sent()).extract()).to.deep.equal({ status: 200, body: "relay" });
+        expect(clock.now() - startedAt).to.be.below(call.timeoutMs);
+    });
+
+    it("is direct again soon after the store serves this process again", async () => {
+        direct = "busy";
+        await sent();
+        direct = "answers";
+        await clock.advance(1_500);
+        calls = [];
+        await sent();
+        expect(calls).to.deep.equal(["direct"]);
+    });
+
+    describe("when no way works", () => {
+        it("admits that the call may have been executed if one way got no answer", async () => {
+            direct = "silent";
+            relay = "busy";
+            expect((await sent()).swap().unsafeCoerce().verdict).to.equal("may-have-run");
+        });
+
+        it("has not run if both ways were refused", async () => {
+            direct = "unreachable";
+            relay = "unreachable";
+            expect((await sent()).swap().unsafeCoerce().verdict).to.equal("not-run");
+        });
+    });
+
+    describe("without peers", () => {
+        it("is direct, whatever happens", async () => {
+            send = createRoutedSend({
+                direct: answer("direct", () => "busy"),
+                relays: () => [],
+                clock,
+                log: silentLog,
+            });
+            expect((await sent()).extract()).to.deep.include({ status: 503 });
+        });
+    });
+});
--- /dev/null
+++ b/packages/store/src/replica/replicaTask.spec.ts
@@ -0,0 +1,99 @@
+import { expect } from "chai";
+import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { silentLog } from "@tanagerdeck/runtime/log/log";
+import type { Task } from "@tanagerdeck/runtime/task/task";
+import { createMemoryStore, type MemoryStore } from "@tanagerdeck/standins/keyvalue/memoryStore";
+import type { Change } from "../keyvalue/keyValueTypes.ts";
+import { startReplicaTask, type ReplicaMessage } from "./replicaTask.ts";
+
+describe("the replica of the store", () => {
+    let clock: ManualClock;
+    let store: MemoryStore;
+    let replica: Task<ReplicaMessage>;
+    let changes: Change[];
+    let loads: number;
+
+    beforeEach(async () => {
+        clock = createManualClock();
+        store = createMemoryStore(clock);
+        changes = [];
+        loads = 0;
+        store.write("x/a", "1");
+        replica = startReplicaTask({
+            store,
+            prefix: "x/",
+            clock,
+            log: silentLog,
+            changed: change => changes.push(change),
+            loaded: () => loads++,
+        });
+        await clock.advance(50);
+    });
+
+    afterEach(() => replica.stop());
+
+    function values(): (string | undefined)[] {
+        return changes.map(change => change.value);
+    }
+
+    it("lists what is there and tells of it once", () => {
+        expect(values()).to.deep.equal(["1"]);
+        expect(loads).to.equal(1);
+    });
+
+    it("tells of each change below its prefix only", async () => {
+        store.write("y/a", "1");
+        store.write("x/a", "2");
+        await clock.advance(50);
+        expect(values()).to.deep.equal(["1", "2"]);
+    });
+
+    describe("when the store drops its history", () => {
+        it("lists again and tells of removals that it has missed", async () => {
+            store.faults.mode = "silent";
+            await clock.advance(1_100);
+            await store.commit({ expected: [], puts: [], removes: [] });
+            store.faults.mode = "none";
+            await store.commit({ expected: [], puts: [{ key: "x/b", value: "3" }], removes: ["x/a"] });
+            store.compact();
+            await clock.advance(1_500);
+            expect(values()).to.include("3");
+            expect(values()).to.include(undefined);
+            expect(loads).to.equal(1);
+        });
+    });
+
+    describe("when the store is down", () => {
+        it("goes on from where it was after its return", async () => {
+            store.faults.mode = "refuse";
+            await clock.advance(4_000);
+            store.faults.mode = "none";
+            store.write("x/a", "2");
+            await clock.advance(1_500);
+            expect(values()).to.deep.equal(["1", "2"]);
+        });
+    });
+
+    describe("told of an item that this process has written", () => {
+        it("tells of it at once, and not again when the watch delivers it", async () => {
+            replica.send({
+                kind: "learned",
+                item: { key: "x/n", value: "n", revision: store.revision() + 1 },
+            });
+            await clock.settle();
+            expect(values()).to.deep.equal(["1", "n"]);
+            store.write("x/n", "n");
+            await clock.advance(50);
+            expect(values()).to.deep.equal(["1", "n"]);
+        });
+
+        it("does not bring back an item that was removed since", async () => {
+            const revision = store.revision();
+            await store.commit({ expected: [], puts: [], removes: ["x/a"] });
+            await clock.advance(50);
+            replica.send({ kind: "learned", item: { key: "x/a", value: "1", revision } });
+            await clock.settle();
+            expect(values()).to.deep.equal(["1", undefined]);
+        });
+    });
+});
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -83,6 +83,12 @@
         log: log.part("desk"),
         newWriteId,
         announce,
+        announceDoubt(id) {
+            desk.send({ kind: "doubt", id });
+            for (const address of relayAddresses(settings, entries, peerAddress)) {
+                void clients.doubt(address, id);
+            }
+        },
         isStoreAway: access.isAway,
     });
 
@@ -213,6 +219,7 @@
         createEntryPlanRouter({
             relay: access.relay,
             learn: async item => replica.send({ kind: "learned", item }),
+            doubt: async id => desk.send({ kind: "doubt", id }),
         }),
     );
     const readyListener = await startReadyListener(
--- a/standins/src/keyvalue/memoryStore.ts
+++ b/standins/src/keyvalue/memoryStore.ts
@@ -22,7 +22,8 @@
 
 /** A key-value store in memory with the faults of the platform's store. */
 export interface MemoryStore extends KeyValueStore {
-    faults: { mode: StoreFault; lateMs: number };
+    /** `pausesLeases`: no lease ends for now. */
+    faults: { mode: StoreFault; lateMs: number; pausesLeases: boolean };
     /** Drops the history, so that watches from an earlier revision answer `compacted`. */
     compact(): void;
     /** Puts an item as another writer would. */
@@ -45,7 +46,7 @@
     const history: Change[] = [];
     const watchers = new Set<() => void>();
     const calls = new Map<string, number>();
-    const faults: MemoryStore["faults"] = { mode: "none", lateMs: 3_000 };
+    const faults: MemoryStore["faults"] = { mode: "none", lateMs: 3_000, pausesLeases: false };
     let revision = 1;
     let compactedTo = 0;
     let nextLease = 100;
@@ -70,6 +71,9 @@
     }
 
     function expire(): void {
+        if (faults.pausesLeases) {
+            return;
+        }
         for (const [id, lease] of leases) {
             if (clock.now() >= lease.endsAt) {
                 endLease(id);
--- a/packages/decisions/src/testing/planFixture.ts
+++ b/standins/src/plan/planFixture.ts
@@ -1,6 +1,11 @@
-import type { Job, Resources, Step } from "../job/jobTypes.ts";
-import type { Boot } from "../job/progressTypes.ts";
-import type { EndedTask, RunningTask, SyncReport, WorkerDescription } from "../worker/workerReport.ts";
+import type { Job, Resources, Step } from "@tanagerdeck/decisions/job/jobTypes";
+import type { Boot } from "@tanagerdeck/decisions/job/progressTypes";
+import type {
+    EndedTask,
+    RunningTask,
+    SyncReport,
+    WorkerDescription,
+} from "@tanagerdeck/decisions/worker/workerReport";
 
 /** A boot of a test worker. */
 export function bootOf(id: string, bornMs = 1_000): Boot {
