--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 const DECISIONS_FORBIDDEN = ["node:*", "undici", "@trpc/*", "bunyan", "prom-client", "@tanagerdeck/*"];
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**"] },
     js.configs.recommended,
     ...tseslint.configs.recommended,
     {
--- /dev/null
+++ b/packages/decisions/src/plan/planBook.spec.ts
@@ -0,0 +1,245 @@
+import { expect } from "chai";
+import { bootOf, descriptionOf, jobOf, reportOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
+import { groupProgress } from "../job/progressChange.ts";
+import type { Step } from "../job/jobTypes.ts";
+import type { WorkerDescription } from "../worker/workerReport.ts";
+import {
+    addJob,
+    createPlanBook,
+    workerEntry,
+    type JobEntry,
+    type PlanBook,
+    type WorkerEntry,
+} from "./planBook.ts";
+import { ordersOf } from "./planOrders.ts";
+import { applyReport, closeUnheard } from "./planReport.ts";
+import { applyDecision, roundInput } from "./planRound.ts";
+import { closeStalled } from "./planStalls.ts";
+
+describe("the leader's book", () => {
+    const CLOSED_AFTER_MS = 16_000;
+    let book: PlanBook;
+    let now: number;
+
+    beforeEach(() => {
+        book = createPlanBook();
+        now = 0;
+    });
+
+    function addWorker(name: string, changes: Partial<WorkerDescription> = {}): WorkerEntry {
+        const worker = workerEntry(book, name, now);
+        applyReport(book, worker, reportOf(descriptionOf(name, changes)), now);
+        return worker;
+    }
+
+    /** Adds a job whose first group is placed and recorded on the workers. */
+    function addPlaced(id: string, step: Step, workers: string[]): JobEntry {
+        const entry = addJob(book, jobOf(id, [step]), undefined, now);
+        const places = workers.map((worker, index) => ({ index, worker }));
+        const group = entry.groups[0]!.key;
+        applyDecision(book, { kind: "place", job: id, group, places, isFar: false }, now);
+        entry.recordedVersion = entry.version;
+        return entry;
+    }
+
+    function phaseOf(entry: JobEntry): string {
+        return groupProgress(entry.progress, entry.groups[0]!.key).phase;
+    }
+
+    function input() {
+        return roundInput(book, {
+            now,
+            wallMs: now,
+            termsOf: entry => entry.job.terms,
+            guaranteedGpus: () => 0,
+            farFactor: 3,
+        });
+    }
+
+    describe("with a placed group", () => {
+        it("orders its start only once the placement is recorded", () => {
+            const worker = addWorker("a");
+            const entry = addPlaced("j", stepOf(), ["a"]);
+            entry.recordedVersion = 0;
+            expect(ordersOf(book, worker).starts).to.deep.equal([]);
+            entry.recordedVersion = entry.version;
+            expect(ordersOf(book, worker).starts.map(order => order.task)).to.deep.equal(["j.0.0.0"]);
+        });
+
+        it("orders nothing more once the worker lists the run", () => {
+            const worker = addWorker("a");
+            const entry = addPlaced("j", stepOf(), ["a"]);
+            const running = [{ task: "j.0.0.0", run: 1, percent: 5 }];
+            applyReport(book, worker, reportOf(descriptionOf("a"), { running }), now);
+            expect(ordersOf(book, worker).starts).to.deep.equal([]);
+            expect(entry.progress.begun).to.equal(true);
+        });
+
+        it("counts its resources on the worker until the run has ended", () => {
+            const worker = addWorker("a");
+            const entry = addPlaced("j", stepOf(), ["a"]);
+            entry.isCancelled = true;
+            expect(input().workers[0]?.free.gpus).to.equal(7);
+            expect(input().workers[0]?.closing.gpus).to.equal(1);
+            const ended = [{ number: 1, task: "j.0.0.0", run: 1, end: "stopped" as const }];
+            applyReport(book, worker, reportOf(descriptionOf("a"), { ended }), now);
+            expect(input().workers[0]?.free.gpus).to.equal(8);
+        });
+    });
+
+    describe("with a listed end", () => {
+        it("lets the worker forget it only when the job's record has it", () => {
+            const worker = addWorker("a");
+            const entry = addPlaced("j", stepOf(), ["a"]);
+            const ended = [{ number: 3, task: "j.0.0.0", run: 1, end: "done" as const }];
+            applyReport(book, worker, reportOf(descriptionOf("a"), { ended }), now);
+            expect(phaseOf(entry)).to.equal("done");
+            expect(ordersOf(book, worker).recorded?.number).to.equal(0);
+            entry.recordedVersion = entry.version;
+            expect(ordersOf(book, worker).recorded?.number).to.equal(3);
+        });
+
+        it("lets it be forgotten at once if no job is known by its name", () => {
+            const worker = addWorker("a");
+            const ended = [{ number: 2, task: "gone.0.0.0", run: 1, end: "done" as const }];
+            applyReport(book, worker, reportOf(descriptionOf("a"), { ended }), now);
+            expect(ordersOf(book, worker).recorded?.number).to.equal(2);
+        });
+
+        it("is applied once, although each report lists it until it is recorded", () => {
+            const worker = addWorker("a");
+            const entry = addPlaced("j", stepOf(), ["a"]);
+            const ended = [{ number: 1, task: "j.0.0.0", run: 1, end: "failed" as const }];
+            applyReport(book, worker, reportOf(descriptionOf("a"), { ended }), now);
+            applyReport(book, worker, reportOf(descriptionOf("a"), { ended }), now);
+            expect(groupProgress(entry.progress, "0.0.0").failures).to.equal(1);
+        });
+    });
+
+    describe("with a run that the leader did not open", () => {
+        it("stops it and gives the worker nothing new until it is gone", () => {
+            const worker = addWorker("a");
+            const running = [{ task: "stray.0.0.0", run: 4, percent: 5 }];
+            applyReport(book, worker, reportOf(descriptionOf("a"), { running }), now);
+            expect(ordersOf(book, worker).stops).to.deep.include({
+                task: "stray.0.0.0",
+                run: 4,
+                boot: bootOf("i-a"),
+            });
+            expect(input().workers[0]?.isOpen).to.equal(false);
+        });
+    });
+
+    describe("when a worker starts again", () => {
+        it("closes the runs of its earlier boot and waits until their stop is settled", () => {
+            const worker = addWorker("a");
+            const entry = addPlaced("j", stepOf(), ["a"]);
+            const next = descriptionOf("a", { boot: bootOf("i-a", 9_000) });
+            applyReport(book, worker, reportOf(next), now);
+            expect(phaseOf(entry)).to.equal("closing");
+            const [stop] = ordersOf(book, worker).stops;
+            expect(stop).to.deep.include({ task: "j.0.0.0", boot: bootOf("i-a") });
+            const stops = [{ run: { task: "j.0.0.0", run: 1 }, state: { kind: "closed" as const } }];
+            applyReport(book, worker, reportOf(next, { stops }), now);
+            expect(phaseOf(entry)).to.equal("waiting");
+        });
+    });
+
+    describe("when a gang's task is refused", () => {
+        it("stops the other tasks, which would wait for it", () => {
+            const first = addWorker("a");
+            const second = addWorker("b");
+            const entry = addPlaced("j", stepOf({ count: 2, gang: true }), ["a", "b"]);
+            const starts = [
+                {
+                    run: { task: "j.0.0.1", run: 1 },
+                    state: { kind: "refused" as const, reason: "room" as const },
+                },
+            ];
+            applyReport(book, second, reportOf(descriptionOf("b"), { starts }), now);
+            expect(phaseOf(entry)).to.equal("closing");
+            expect(ordersOf(book, first).stops.map(stop => stop.task)).to.deep.equal(["j.0.0.0"]);
+        });
+    });
+
+    describe("when an agent is not heard of", () => {
+        it("gives its worker nothing new, and keeps what may be running there", () => {
+            addWorker("a");
+            const entry = addPlaced("j", stepOf(), ["a"]);
+            now = 5_000;
+            expect(input().workers[0]?.isOpen).to.equal(false);
+            closeUnheard(book, CLOSED_AFTER_MS, now);
+            expect(phaseOf(entry)).to.equal("placed");
+        });
+
+        it("takes its runs as ended once all grants and leases have run out", () => {
+            addWorker("a");
+            const entry = addPlaced("j", stepOf(), ["a"]);
+            now = CLOSED_AFTER_MS + 1;
+            closeUnheard(book, CLOSED_AFTER_MS, now);
+            expect(phaseOf(entry)).to.equal("waiting");
+        });
+    });
+
+    describe("with a run that does not progress", () => {
+        function report(worker: WorkerEntry, percent: number): void {
+            const running = [{ task: "j.0.0.0", run: 1, percent }];
+            applyReport(book, worker, reportOf(descriptionOf(worker.name), { running }), now);
+        }
+
+        it("closes it and mistrusts its worker", () => {
+            const worker = addWorker("a");
+            const entry = addPlaced("j", stepOf({ estimateMs: 4_000 }), ["a"]);
+            report(worker, 0);
+            for (now = 0; now <= 5_000; now += 500) {
+                report(worker, 0);
+            }
+            expect(closeStalled(book, now)).to.have.length(1);
+            expect(phaseOf(entry)).to.equal("closing");
+            expect(input().workers[0]?.suspicion).to.be.greaterThan(0);
+        });
+
+        it("leaves a slow run alone, whose work would be lost", () => {
+            const worker = addWorker("a");
+            addPlaced("j", stepOf({ estimateMs: 4_000 }), ["a"]);
+            for (now = 0; now <= 20_000; now += 500) {
+                report(worker, 1 + Math.floor(now / 1_000));
+            }
+            expect(closeStalled(book, now)).to.deep.equal([]);
+        });
+    });
+
+    describe("with steps that come one after the other", () => {
+        it("lets a step start when all tasks of the earlier one are done", () => {
+            const worker = addWorker("a");
+            const entry = addJob(
+                book,
+                jobOf("j", [stepOf({ count: 2 }), stepOf({ after: [0] })]),
+                undefined,
+                now,
+            );
+            const waiting = (): string[] => input().waiting.map(one => one.group.key);
+            expect(waiting()).to.deep.equal(["0.0.0", "0.0.1"]);
+            for (const [index, key] of ["0.0.0", "0.0.1"].entries()) {
+                const places = [{ index, worker: "a" }];
+                applyDecision(book, { kind: "place", job: "j", group: key, places, isFar: false }, now);
+                const row = { number: index + 1, task: `j.0.0.${index}`, run: 1, end: "done" as const };
+                applyReport(book, worker, reportOf(descriptionOf("a"), { ended: [row] }), now);
+                expect(waiting()).to.deep.equal(index === 0 ? ["0.0.1"] : ["0.1.0"]);
+            }
+            expect(entry.progress.final).to.equal(undefined);
+        });
+    });
+
+    describe("with a scheduled job", () => {
+        it("lets no occurrence start before its time", () => {
+            const schedule = { firstDueMs: 1_000, intervalMs: 1_000, occurrences: 2 };
+            addJob(book, jobOf("j", [stepOf()], { schedule }), undefined, now);
+            expect(input().waiting).to.deep.equal([]);
+            now = 1_000;
+            expect(input().waiting.map(one => one.group.key)).to.deep.equal(["0.0.0"]);
+            now = 2_000;
+            expect(input().waiting.map(one => one.group.key)).to.deep.equal(["0.0.0", "1.0.0"]);
+        });
+    });
+});
--- a/packages/decisions/src/schedule/guarantees.ts
+++ b/packages/decisions/src/schedule/guarantees.ts
@@ -11,7 +11,7 @@
 
 /**
  * The jobs that the guarantees cover: of each client account, those of priority 0 in the order of acceptance,
- * as long as they fit into its guaranteed accelerators together.
+ * without those that no longer fit into its guaranteed accelerators.
  */
 export function guaranteedJobs(
     openJobs: { job: Job; priority: number }[],
--- /dev/null
+++ b/packages/decisions/src/schedule/schedulingRound.spec.ts
@@ -0,0 +1,315 @@
+import { expect } from "chai";
+import type { Job, Step } from "../job/jobTypes.ts";
+import { taskGroupsOf } from "../job/taskGroups.ts";
+import { jobOf, resourcesOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
+import type { JobValue } from "./jobValue.ts";
+import type { Decision, PlacedGroup, WaitingGroup, WorkerView } from "./scheduleTypes.ts";
+import { scheduleRound, type RoundInput } from "./schedulingRound.ts";
+
+describe("a scheduling round", () => {
+    const NOW = 100_000;
+
+    function workerOf(name: string, changes: Partial<WorkerView> = {}): WorkerView {
+        const capacity = { cpuMillis: 64_000, memoryMb: 128_000, gpus: 8 };
+        return {
+            name,
+            service: "desk",
+            rack: "r1",
+            labels: ["a", "r1"],
+            capacity,
+            free: capacity,
+            closing: resourcesOf(0, 0),
+            isOpen: true,
+            suspicion: 0,
+            tasksByStep: new Map(),
+            ...changes,
+        };
+    }
+
+    /** A value with much slack, changed as wanted. */
+    function valueOf(changes: Partial<JobValue> = {}): JobValue {
+        return {
+            worth: 1,
+            runMs: 5_000,
+            workCoreSeconds: 100,
+            objectiveAtMs: NOW + 60_000,
+            worthlessAtMs: NOW + 180_000,
+            ...changes,
+        };
+    }
+
+    function waitingOf(job: Job, changes: Partial<WaitingGroup> = {}): WaitingGroup[] {
+        return taskGroupsOf(job, 0).map(group => ({
+            job,
+            group,
+            isGuaranteed: false,
+            priority: job.terms.priority,
+            value: valueOf(),
+            ...changes,
+        }));
+    }
+
+    /** A group that occupies the free capacity of the workers it is on. */
+    function placedOn(
+        worker: WorkerView,
+        id: string,
+        step: Step,
+        changes: Partial<PlacedGroup> = {},
+    ): PlacedGroup {
+        const job = jobOf(id, [step], {
+            terms: { priority: 2, attempts: 2, stretch: 2, latencyTargetMs: 0 },
+        });
+        const { resources } = step;
+        worker.free = {
+            cpuMillis: worker.free.cpuMillis - resources.cpuMillis,
+            memoryMb: worker.free.memoryMb - resources.memoryMb,
+            gpus: worker.free.gpus - resources.gpus,
+        };
+        return {
+            job,
+            group: taskGroupsOf(job, 0)[0]!,
+            isGuaranteed: false,
+            priority: 2,
+            workers: [worker.name],
+            isClosing: false,
+            value: valueOf(),
+            remainingMs: 10_000,
+            lostCoreSeconds: 10,
+            lostMs: 1_000,
+            ...changes,
+        };
+    }
+
+    function round(input: Partial<RoundInput>): Decision[] {
+        return scheduleRound({ nowMs: NOW, workers: [], waiting: [], placed: [], farFactor: 3, ...input });
+    }
+
+    function placesOf(decisions: Decision[], job: string): string[] {
+        for (const decision of decisions) {
+            if (decision.kind === "place" && decision.job === job) {
+                return decision.places.map(place => place.worker);
+            }
+        }
+        return [];
+    }
+
+    describe("with room", () => {
+        it("fills the worker that is used already, so that whole workers stay free", () => {
+            const used = workerOf("used", { free: { cpuMillis: 20_000, memoryMb: 9_000, gpus: 3 } });
+            const decisions = round({
+                workers: [workerOf("empty"), used],
+                waiting: waitingOf(jobOf("j", [stepOf()])),
+            });
+            expect(placesOf(decisions, "j")).to.deep.equal(["used"]);
+        });
+
+        it("never gives more than a worker has", () => {
+            const decisions = round({
+                workers: [workerOf("a"), workerOf("b")],
+                waiting: waitingOf(jobOf("j", [stepOf({ count: 20 })])),
+            });
+            const counts = new Map<string, number>();
+            for (const decision of decisions) {
+                for (const { worker } of decision.kind === "place" ? decision.places : []) {
+                    counts.set(worker, (counts.get(worker) ?? 0) + 1);
+                }
+            }
+            expect([...counts.values()]).to.deep.equal([8, 8]);
+        });
+
+        it("places a gang whole or not at all", () => {
+            const gang = jobOf("j", [stepOf({ count: 9, gang: true })]);
+            expect(round({ workers: [workerOf("a")], waiting: waitingOf(gang) })).to.deep.equal([]);
+            const decisions = round({ workers: [workerOf("a"), workerOf("b")], waiting: waitingOf(gang) });
+            expect(placesOf(decisions, "j")).to.have.length(9);
+        });
+
+        it("keeps to the label, the service and the limit of tasks on a worker", () => {
+            const step = stepOf({ count: 3, requiredLabel: "b", maxPerWorker: 1 });
+            const decisions = round({
+                workers: [
+                    workerOf("a"),
+                    workerOf("b1", { labels: ["b", "r1"] }),
+                    workerOf("b2", { labels: ["b", "r1"] }),
+                    workerOf("other", { labels: ["b"], service: "else" }),
+                ],
+                waiting: waitingOf(jobOf("j", [step])),
+            });
+            const used = decisions.flatMap(one =>
+                one.kind === "place" ? one.places.map(p => p.worker) : [],
+            );
+            expect(used.sort()).to.deep.equal(["b1", "b2"]);
+        });
+
+        it("prefers workers that have not failed lately", () => {
+            const decisions = round({
+                workers: [workerOf("a", { suspicion: 1, free: resourcesOf(4, 1) }), workerOf("b")],
+                waiting: waitingOf(jobOf("j", [stepOf()])),
+            });
+            expect(placesOf(decisions, "j")).to.deep.equal(["b"]);
+        });
+    });
+
+    describe("with a gang that is slow across racks", () => {
+        const gang = jobOf("j", [
+            stepOf({ count: 2, gang: true, sameRack: true, resources: resourcesOf(8, 8) }),
+        ]);
+
+        it("uses one rack although others fit tighter", () => {
+            const workers = [
+                workerOf("a", { rack: "r1" }),
+                workerOf("b", { rack: "r2" }),
+                workerOf("c", { rack: "r2" }),
+            ];
+            expect(placesOf(round({ workers, waiting: waitingOf(gang) }), "j").sort()).to.deep.equal([
+                "b",
+                "c",
+            ]);
+        });
+
+        it("waits for a rack that is free sooner than the slower run would be done", () => {
+            const workers = [
+                workerOf("a", { rack: "r1" }),
+                workerOf("b", { rack: "r2" }),
+                workerOf("c", { rack: "r2" }),
+            ];
+            const placed = [
+                placedOn(workers[2]!, "k", stepOf({ resources: resourcesOf(1, 1) }), { remainingMs: 1_000 }),
+            ];
+            expect(placesOf(round({ workers, waiting: waitingOf(gang), placed }), "j")).to.deep.equal([]);
+        });
+
+        it("runs across racks if no rack is free for long", () => {
+            const workers = [workerOf("a", { rack: "r1" }), workerOf("b", { rack: "r2" })];
+            expect(placesOf(round({ workers, waiting: waitingOf(gang) }), "j").sort()).to.deep.equal([
+                "a",
+                "b",
+            ]);
+        });
+    });
+
+    describe("with a guaranteed group and no room", () => {
+        const urgent = jobOf("urgent", [stepOf({ resources: resourcesOf(1, 8) })]);
+
+        it("stops the group whose stop costs least", () => {
+            const workers = [workerOf("a"), workerOf("b")];
+            const placed = [
+                placedOn(workers[0]!, "long", stepOf({ resources: resourcesOf(1, 1) }), {
+                    lostCoreSeconds: 5_000,
+                }),
+                placedOn(workers[1]!, "short", stepOf({ resources: resourcesOf(1, 1) }), {
+                    lostCoreSeconds: 5,
+                }),
+            ];
+            const decisions = round({ workers, placed, waiting: waitingOf(urgent, { isGuaranteed: true }) });
+            expect(decisions).to.deep.equal([
+                { kind: "preempt", job: "short", group: "0.0.0", for: "urgent" },
+            ]);
+        });
+
+        it("does not stop more while a place is being freed", () => {
+            const workers = [workerOf("a"), workerOf("b")];
+            const placed = [
+                placedOn(workers[0]!, "k1", stepOf({ resources: resourcesOf(1, 1) })),
+                placedOn(workers[1]!, "k2", stepOf({ resources: resourcesOf(1, 1) }), { isClosing: true }),
+            ];
+            workers[1]!.closing = resourcesOf(1, 1);
+            expect(
+                round({ workers, placed, waiting: waitingOf(urgent, { isGuaranteed: true }) }),
+            ).to.deep.equal([]);
+        });
+
+        it("does not let others take the place that is being freed", () => {
+            const workers = [workerOf("a", { free: resourcesOf(60, 7), closing: resourcesOf(4, 1) })];
+            const decisions = round({
+                workers,
+                waiting: [
+                    ...waitingOf(jobOf("small", [stepOf()])),
+                    ...waitingOf(urgent, { isGuaranteed: true }),
+                ],
+            });
+            expect(decisions).to.deep.equal([]);
+        });
+
+        it("stops no group that a guarantee covers", () => {
+            const workers = [workerOf("a")];
+            const placed = [placedOn(workers[0]!, "k", stepOf(), { isGuaranteed: true })];
+            expect(
+                round({ workers, placed, waiting: waitingOf(urgent, { isGuaranteed: true }) }),
+            ).to.deep.equal([]);
+        });
+    });
+
+    describe("with a group that no guarantee covers and no room", () => {
+        const wanted = jobOf("wanted", [stepOf({ resources: resourcesOf(1, 8) })]);
+
+        it("stops less urgent work if the group would be late otherwise", () => {
+            const workers = [workerOf("a")];
+            const placed = [placedOn(workers[0]!, "k", stepOf())];
+            const value = valueOf({ worth: 4, objectiveAtMs: NOW + 7_000, worthlessAtMs: NOW + 20_000 });
+            const decisions = round({ workers, placed, waiting: waitingOf(wanted, { priority: 0, value }) });
+            expect(decisions).to.deep.equal([{ kind: "preempt", job: "k", group: "0.0.0", for: "wanted" }]);
+        });
+
+        it("stops nothing if it can wait", () => {
+            const workers = [workerOf("a")];
+            const placed = [placedOn(workers[0]!, "k", stepOf())];
+            expect(round({ workers, placed, waiting: waitingOf(wanted, { priority: 0 }) })).to.deep.equal([]);
+        });
+
+        it("stops nothing of its own priority", () => {
+            const workers = [workerOf("a")];
+            const placed = [placedOn(workers[0]!, "k", stepOf(), { priority: 0 })];
+            const value = valueOf({ worth: 4, objectiveAtMs: NOW + 7_000 });
+            expect(
+                round({ workers, placed, waiting: waitingOf(wanted, { priority: 0, value }) }),
+            ).to.deep.equal([]);
+        });
+
+        it("keeps its planned place free of tasks that would outlast the wait", () => {
+            const workers = [workerOf("a")];
+            const placed = [placedOn(workers[0]!, "k", stepOf(), { remainingMs: 2_000 })];
+            const value = valueOf({ worth: 100 });
+            const waiting = (estimateMs: number): WaitingGroup[] => [
+                ...waitingOf(wanted, { value }),
+                ...waitingOf(jobOf("other", [stepOf({ estimateMs })])),
+            ];
+            expect(placesOf(round({ workers, placed, waiting: waiting(9_000) }), "other")).to.deep.equal([]);
+            expect(placesOf(round({ workers, placed, waiting: waiting(1_500) }), "other")).to.deep.equal([
+                "a",
+            ]);
+        });
+    });
+
+    describe("with more work than room", () => {
+        it("serves what is worth more for its work first", () => {
+            const workers = [workerOf("a", { free: resourcesOf(4, 1) })];
+            const waiting = [
+                ...waitingOf(jobOf("low", [stepOf()]), { value: valueOf({ worth: 1 }) }),
+                ...waitingOf(jobOf("high", [stepOf()]), { value: valueOf({ worth: 3 }) }),
+            ];
+            expect(placesOf(round({ workers, waiting }), "high")).to.deep.equal(["a"]);
+        });
+
+        it("serves what will be late soon before what can wait", () => {
+            const workers = [workerOf("a", { free: resourcesOf(4, 1) })];
+            const waiting = [
+                ...waitingOf(jobOf("relaxed", [stepOf()])),
+                ...waitingOf(jobOf("pressed", [stepOf()]), {
+                    value: valueOf({ objectiveAtMs: NOW + 5_500 }),
+                }),
+            ];
+            expect(placesOf(round({ workers, waiting }), "pressed")).to.deep.equal(["a"]);
+        });
+
+        it("serves what can no longer be in time after what can", () => {
+            const workers = [workerOf("a", { free: resourcesOf(4, 1) })];
+            const late = valueOf({ objectiveAtMs: NOW + 1_000, worthlessAtMs: NOW + 7_000 });
+            const waiting = [
+                ...waitingOf(jobOf("late", [stepOf()]), { value: late }),
+                ...waitingOf(jobOf("timely", [stepOf()]), { value: valueOf({ objectiveAtMs: NOW + 7_000 }) }),
+            ];
+            expect(placesOf(round({ workers, waiting }), "timely")).to.deep.equal(["a"]);
+        });
+    });
+});
