Write logs to standard output without waiting, and serve the scheduler's metrics

Cause: the users' engineers have only logs and metrics; logs went to standard error by a call that blocks on a full pipe, and the new parts had no metrics. Change: a bounded sink that a thread of the pool writes, with a budget of lines and a count of those dropped; counters and histograms for submissions, jobs, starts, placements, runs, store calls and workers on the metrics address. A test stops the reader.

--- a/packages/backend/src/agent/agentTask.spec.ts
+++ b/packages/backend/src/agent/agentTask.spec.ts
@@ -8,6 +8,7 @@
 } from "@tanagerdeck/decisions/worker/workerReport";
 import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
 import { silentLog } from "@tanagerdeck/runtime/log/log";
+import { silentSchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
 import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
 import { createScriptedWorker, type ScriptedWorker } from "@tanagerdeck/standins/agent/scriptedWorker";
 import { startAgentTask, type AgentMessage } from "./agentTask.ts";
@@ -22,7 +23,14 @@
     let sequence: number;
 
     function startAgent(): void {
-        agent = startAgentTask({ port: worker, times, incarnation: "first", clock, log: silentLog });
+        agent = startAgentTask({
+            port: worker,
+            times,
+            incarnation: "first",
+            clock,
+            log: silentLog,
+            metrics: silentSchedulerMetrics,
+        });
     }
 
     beforeEach(() => {
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -14,6 +14,7 @@
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { CallResult, SchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
 import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import {
     beginBoot,
@@ -59,6 +60,7 @@
     incarnation: string;
     clock: Clock;
     log: Log;
+    metrics: SchedulerMetrics;
 }
 
 /** Time for which the worker may wait for an end before it answers. */
@@ -74,7 +76,9 @@
  * Starts the task that speaks to the worker beside this process for the leader: it renews the worker's lease
  * within the leader's grant, carries out listed orders and reports what runs and what has ended.
  */
-export function startAgentTask({ port, times, incarnation, clock, log }: AgentOptions): Task<AgentMessage> {
+export function startAgentTask(options: AgentOptions): Task<AgentMessage> {
+    const { port, times, incarnation, clock, log, metrics } = options;
+
     function touch(state: AgentState): void {
         state.version += 1;
         answerPoll(state);
@@ -378,6 +382,7 @@
             },
             held(state, { sentAt, result }, context) {
                 state.holdsInFlight -= 1;
+                metrics.workerCalled("hold", resultOf(result));
                 const tookMs = clock.now() - sentAt;
                 scheduleHold(state, Math.max(0, HOLD_GAP_MS - tookMs), context);
                 result.caseOf({
@@ -427,6 +432,7 @@
                 startCall(state, key, attempt, context);
             },
             "start-answered"(state, { key, result }, context) {
+                metrics.workerCalled("start", resultOf(result));
                 const attempt = state.starts.get(key);
                 if (!attempt) {
                     return;
@@ -479,6 +485,7 @@
                 );
             },
             "stop-answered"(state, { key, result }, context) {
+                metrics.workerCalled("stop", resultOf(result));
                 const attempt = state.stops.get(key);
                 if (!attempt) {
                     return;
@@ -532,6 +539,13 @@
     });
 }
 
+function resultOf(result: Either<Failure, { kind: string }>): CallResult | "refused" {
+    return result.caseOf<CallResult | "refused">({
+        Left: () => "unanswered",
+        Right: ({ kind }) => (kind === "refused" ? "refused" : "answered"),
+    });
+}
+
 function nameOf({ task, run }: RunName): RunName {
     return { task, run };
 }
--- a/packages/caller/src/desk/deskTask.spec.ts
+++ b/packages/caller/src/desk/deskTask.spec.ts
@@ -4,6 +4,7 @@
 import { stepOf } from "@tanagerdeck/standins/plan/planFixture";
 import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
 import { silentLog } from "@tanagerdeck/runtime/log/log";
+import { silentSchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
 import type { Task } from "@tanagerdeck/runtime/task/task";
 import { encodeContent } from "@tanagerdeck/store/replica/recordCodec";
 import { jobKey } from "@tanagerdeck/store/replica/storeKeys";
@@ -44,6 +45,7 @@
             newWriteId: () => `w${++writes}`,
             announce: item => announced.push(item.key),
             announceDoubt: id => task.send({ kind: "doubt", id }),
+            metrics: silentSchedulerMetrics,
             isStoreAway: () => isStoreAway,
         });
         desk = deskOf(task);
--- a/packages/caller/src/desk/deskTask.ts
+++ b/packages/caller/src/desk/deskTask.ts
@@ -4,6 +4,7 @@
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { CallOutcome, SchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
 import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import type { Change, CommitReply, Item, KeyValueStore } from "@tanagerdeck/store/keyvalue/keyValueTypes";
 import { commitSettled } from "@tanagerdeck/store/keyvalue/settledCommit";
@@ -40,6 +41,7 @@
     announce: (item: Item) => void;
     /** Tells all entries, this one too, that a submission may be stored. */
     announceDoubt: (id: string) => void;
+    metrics: SchedulerMetrics;
     /** Whether the store has not answered for a while, so that a call to it is not worth its time. */
     isStoreAway: () => boolean;
 }
@@ -62,7 +64,7 @@
 
 /** Starts the task that accepts jobs into the store and answers from the replicated changes. */
 export function startDeskTask(options: DeskOptions): Task<DeskMessage> {
-    const { store, clock, log, newWriteId, announce, announceDoubt, isStoreAway } = options;
+    const { store, clock, log, newWriteId, announce, announceDoubt, metrics, isStoreAway } = options;
 
     async function put(
         key: string,
@@ -195,12 +197,27 @@
             },
             submit(state, message, context) {
                 const isDoubtful = (state.doubts.get(message.request.id) ?? 0) > clock.now();
-                answer(context, () => submit(message, isDoubtful), message.reply);
+                const startedAt = clock.now();
+                answer(
+                    context,
+                    () => submit(message, isDoubtful),
+                    reply => {
+                        metrics.submitted(reply.kind, (clock.now() - startedAt) / 1_000);
+                        message.reply(reply);
+                    },
+                );
             },
             state: ({ index }, { call, id, reply }, context) =>
                 answer(context, () => showState(findRecord(index, id), call, id), reply),
             cancel: ({ index }, { call, id, waitMs, reply }, context) =>
-                answer(context, () => cancel(findRecord(index, id), call, id, waitMs), reply),
+                answer(
+                    context,
+                    () => cancel(findRecord(index, id), call, id, waitMs),
+                    result => {
+                        metrics.cancelled(cancelOutcome(result));
+                        reply(result);
+                    },
+                ),
             waiting: ({ index }, { call, reply }) => reply(countWaiting(index, call.queue.name)),
             doubt(state, { id }) {
                 for (const [known, endsAt] of state.doubts) {
@@ -238,6 +255,13 @@
     return parts.join(", ") + (schedule ? `, ${schedule.occurrences} times` : "");
 }
 
+function cancelOutcome({ kind }: CancelReply): CallOutcome {
+    if (kind === "cancelled") {
+        return "accepted";
+    }
+    return kind === "unknown-job" ? "refused" : kind;
+}
+
 function storeUnavailable(): SubmitReply {
     return { kind: "refused", reason: "store-unavailable", retryAfterMs: RETRY_AFTER_MS };
 }
--- a/packages/decisions/src/plan/planBook.ts
+++ b/packages/decisions/src/plan/planBook.ts
@@ -20,6 +20,8 @@
     openedAt: number;
     /** Tasks that were reported as running, by index. */
     tasks: Map<number, TaskWatch>;
+    /** Whether all tasks were reported as running at a time. */
+    hasStarted: boolean;
 }
 
 /** A job in the leader's book. */
@@ -94,7 +96,7 @@
     };
     for (const { key } of groups) {
         if (groupProgress(entry.progress, key).placements.length > 0) {
-            entry.runs.set(key, { version: 0, openedAt: now, tasks: new Map() });
+            entry.runs.set(key, { version: 0, openedAt: now, tasks: new Map(), hasStarted: true });
         }
     }
     book.jobs.set(job.id, entry);
--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -13,7 +13,7 @@
 
 /** Something noteworthy that a report or a timer brought about. */
 export interface PlanEvent {
-    kind: "started" | "ended" | "closed" | "refused" | "stray";
+    kind: "started" | "all-started" | "ended" | "closed" | "refused" | "stray";
     job: string;
     task: string;
     run: number;
@@ -49,12 +49,13 @@
         worker.description = { ...worker.description, condition: "gone" };
     }
     const boot = report.worker?.boot;
+    const known = new Set(worker.strays.map(runKey));
     worker.strays = [];
     for (const row of report.running) {
-        noteRunning(book, worker, boot, row, now, events);
+        noteRunning({ book, worker, boot, known, now, events }, row);
     }
     for (const row of report.ended) {
-        noteEnded(book, worker, boot, row, now, events);
+        noteEnded({ book, worker, boot, known, now, events }, row);
     }
     for (const { run, state } of report.starts) {
         if (state.kind === "refused") {
@@ -70,14 +71,19 @@
     return events;
 }
 
-function noteRunning(
-    book: PlanBook,
-    worker: WorkerEntry,
-    boot: Boot | undefined,
-    row: SyncReport["running"][number],
-    now: number,
-    events: PlanEvent[],
-): void {
+/** What the rows of a report are applied with. */
+interface RowContext {
+    book: PlanBook;
+    worker: WorkerEntry;
+    boot: Boot | undefined;
+    /** Strays of the report before. */
+    known: Set<string>;
+    now: number;
+    events: PlanEvent[];
+}
+
+function noteRunning(context: RowContext, row: SyncReport["running"][number]): void {
+    const { book, worker, boot, known, now, events } = context;
     const found = findTask(book, row);
     const progress = found && groupProgress(found.entry.progress, found.group.key);
     const placement = progress?.placements.find(open => open.index === found?.index);
@@ -88,6 +94,9 @@
         (!boot || sameBoot(placement.boot, boot));
     if (!isOurs) {
         worker.strays.push({ task: row.task, run: row.run });
+        if (!known.has(runKey(row))) {
+            events.push(eventOf("stray", worker, row, parseTaskName(row.task)?.job ?? ""));
+        }
         return;
     }
     const run = found.entry.runs.get(found.group.key);
@@ -98,6 +107,10 @@
     if (!watch) {
         run.tasks.set(found.index, { percent: row.percent, progressedAt: now, saved: row.saved });
         events.push(eventOf("started", worker, row, found.entry.job.id));
+        if (run.tasks.size === progress.placements.length && !run.hasStarted) {
+            run.hasStarted = true;
+            events.push(eventOf("all-started", worker, row, found.entry.job.id));
+        }
     } else {
         watch.saved = row.saved ?? watch.saved;
         if (row.percent > watch.percent) {
@@ -111,14 +124,7 @@
     }
 }
 
-function noteEnded(
-    book: PlanBook,
-    worker: WorkerEntry,
-    boot: Boot | undefined,
-    row: EndedTask,
-    now: number,
-    events: PlanEvent[],
-): void {
+function noteEnded({ book, worker, boot, now, events }: RowContext, row: EndedTask): void {
     if (worker.ends.has(row.number)) {
         return;
     }
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -242,5 +242,10 @@
         placements.push({ index, worker, boot });
     }
     changeGroup(entry, decision.group, openRun(progress, placements));
-    entry.runs.set(decision.group, { version: entry.version, openedAt: now, tasks: new Map() });
+    entry.runs.set(decision.group, {
+        version: entry.version,
+        openedAt: now,
+        tasks: new Map(),
+        hasStarted: false,
+    });
 }
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -2,6 +2,7 @@
 import type { Job, QueueTerms } from "@tanagerdeck/decisions/job/jobTypes";
 import { closeRun, groupProgress } from "@tanagerdeck/decisions/job/progressChange";
 import type { Progress } from "@tanagerdeck/decisions/job/progressTypes";
+import { dueAtMs, parseTaskName } from "@tanagerdeck/decisions/job/taskGroups";
 import type { ManifestIndex } from "@tanagerdeck/decisions/manifest/access";
 import { closedAfterMs, type LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import {
@@ -23,6 +24,7 @@
 import type { SyncReport } from "@tanagerdeck/decisions/worker/workerReport";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { SchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
 import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import type { Change, CommitReply, Item, Transaction } from "@tanagerdeck/store/keyvalue/keyValueTypes";
 import type { Listing } from "@tanagerdeck/store/keyvalue/listing";
@@ -58,6 +60,7 @@
     times: LeaseTimes;
     clock: Clock;
     log: Log;
+    metrics: SchedulerMetrics;
     newWriteId: () => string;
     list: () => Promise<Either<Failure, Listing>>;
     commit: (transaction: Transaction) => Promise<Either<Failure, CommitReply>>;
@@ -96,9 +99,19 @@
 
 type Context = TaskContext<PlannerMessage>;
 
+const EVENT_SENTENCES: Record<PlanEvent["kind"], string> = {
+    started: "A run has started.",
+    "all-started": "All tasks of a run have started.",
+    ended: "A run has ended.",
+    closed: "A run can no longer be running.",
+    refused: "A start was refused.",
+    stray: "A worker runs what this leader did not order.",
+};
+
 /** Starts the task that plans for one term: it owns the book, records progress and orders through the sessions. */
 export function startPlannerTask(options: PlannerOptions): Task<PlannerMessage> {
-    const { term, times, clock, log, newWriteId, commit, sessions, schedule, termEnded, keepMs } = options;
+    const { term, times, clock, log, newWriteId, commit, sessions, schedule, termEnded, keepMs, metrics } =
+        options;
 
     function requestPlan(state: PlannerState, context: Context): void {
         if (!state.isPlanDue) {
@@ -107,9 +120,24 @@
         }
     }
 
-    function logEvents(events: PlanEvent[]): void {
+    function noteStart(state: PlannerState, id: string, occurrence: number): void {
+        const entry = state.book.jobs.get(id);
+        if (entry) {
+            const sinceMs = Math.max(entry.job.acceptedAtMs, dueAtMs(entry.job, occurrence));
+            metrics.groupStarted(termsOf(state, entry).priority, (clock.wall() - sinceMs) / 1_000);
+        }
+    }
+
+    function logEvents(state: PlannerState, events: PlanEvent[]): void {
         for (const { kind, job, task, run, worker, detail } of events) {
-            log.info(`A run was ${kind}.`, { term, job, task, run, worker, detail });
+            log.info(EVENT_SENTENCES[kind], { term, job, task, run, worker, detail });
+            if (kind === "ended" || kind === "closed") {
+                metrics.runEnded(detail ?? "lost");
+            } else if (kind === "stray") {
+                metrics.strayFound();
+            } else if (kind === "all-started") {
+                noteStart(state, job, parseTaskName(task)?.occurrence ?? 0);
+            }
         }
     }
 
@@ -248,9 +276,15 @@
             guaranteedGpus: account => guaranteedGpus(state, account),
             farFactor: options.farFactor,
         });
+        metrics.fleet({
+            workers: conditionsOf(state.book),
+            waitingGroups: input.waiting.length,
+            placedGroups: input.placed.length,
+        });
         for (const decision of schedule(input)) {
             applyDecision(state.book, decision, clock.now());
             if (decision.kind === "place") {
+                metrics.groupPlaced(decision.isFar);
                 const workers = decision.places.map(place => place.worker).join(" ");
                 log.info("A group was placed.", {
                     term,
@@ -260,6 +294,7 @@
                     isFar: decision.isFar,
                 });
             } else {
+                metrics.groupPreempted();
                 log.info("A group gives way.", {
                     term,
                     job: decision.job,
@@ -273,8 +308,10 @@
     function record(state: PlannerState, context: Context): void {
         for (const entry of settleFinals(state.book, clock.wall())) {
             closeRuns(entry);
-            const { final } = entry.progress;
-            log.info("A job has ended.", { term, job: entry.job.id, state: final });
+            const { final = "failed" } = entry.progress;
+            const seconds = (clock.wall() - entry.job.acceptedAtMs) / 1_000;
+            metrics.jobEnded(final, termsOf(state, entry).priority, seconds);
+            log.info("A job has ended.", { term, job: entry.job.id, state: final, seconds });
         }
         for (const write of takeWrites(state.book, term, newWriteId)) {
             send(write, context);
@@ -423,7 +460,7 @@
             },
             report(state, { agent, report }, context) {
                 const worker = workerEntry(state.book, agent, state.startedAt);
-                logEvents(applyReport(state.book, worker, report, clock.now()));
+                logEvents(state, applyReport(state.book, worker, report, clock.now()));
                 requestPlan(state, context);
             },
             suspend(state) {
@@ -453,7 +490,7 @@
                     return;
                 }
                 if (!state.isSuspended) {
-                    logEvents(closeUnheard(state.book, closedAfterMs(times), clock.now()));
+                    logEvents(state, closeUnheard(state.book, closedAfterMs(times), clock.now()));
                     closeStuckStarts(state);
                     for (const { job, group, workers, stalledMs } of closeStalled(state.book, clock.now())) {
                         const suspects = workers.join(" ");
@@ -504,6 +541,16 @@
     return task;
 }
 
+/** Number of workers by condition; one that has not been described yet counts as unknown. */
+function conditionsOf(book: PlanBook): Record<string, number> {
+    const counts: Record<string, number> = { ready: 0, draining: 0, silent: 0, gone: 0, unknown: 0 };
+    for (const { description } of book.workers.values()) {
+        const condition = description?.condition ?? "unknown";
+        counts[condition] = (counts[condition] ?? 0) + 1;
+    }
+    return counts;
+}
+
 function describeError(error: unknown): string {
     return error instanceof Error ? (error.stack ?? error.message) : String(error);
 }
--- /dev/null
+++ b/packages/runtime/src/log/lineSink.spec.ts
@@ -0,0 +1,72 @@
+import { expect } from "chai";
+import { createManualClock, type ManualClock } from "../clock/manualClock.ts";
+import { createLineSink, type LineSink } from "./lineSink.ts";
+
+describe("the sink of log lines", () => {
+    let clock: ManualClock;
+    let written: string[];
+    let isReaderStopped: boolean;
+    let sink: LineSink;
+
+    beforeEach(() => {
+        clock = createManualClock();
+        written = [];
+        isReaderStopped = false;
+        sink = createLineSink({
+            clock,
+            writeText(text, done) {
+                written.push(text);
+                if (!isReaderStopped) {
+                    done();
+                }
+            },
+            writeLast: text => written.push(text),
+        });
+    });
+
+    function lines(): string[] {
+        return written.join("").split("\n").filter(Boolean);
+    }
+
+    it("writes lines in order, several at a time", async () => {
+        sink.write("a\n");
+        sink.write("b\n");
+        await clock.advance(100);
+        expect(written).to.deep.equal(["a\nb\n"]);
+    });
+
+    describe("when nobody reads", () => {
+        it("takes lines without waiting, up to a bound, and counts what it drops", async () => {
+            isReaderStopped = true;
+            const line = `${"x".repeat(1_000)}\n`;
+            for (let count = 0; count < 2_000; count++) {
+                sink.write(line);
+            }
+            await clock.advance(100);
+            for (let count = 0; count < 900; count++) {
+                sink.write(line);
+            }
+            expect(sink.dropped()).to.be.greaterThan(0);
+            expect(written).to.have.length(1);
+        });
+    });
+
+    describe("under load", () => {
+        it("keeps to its budget in the long run and says how many lines are missing", async () => {
+            for (let second = 0; second < 20; second++) {
+                for (let count = 0; count < 1_000; count++) {
+                    sink.write("line\n");
+                }
+                await clock.advance(1_000);
+            }
+            expect(lines().length).to.be.below(10_000);
+            expect(lines().some(line => line.includes("Lines were dropped"))).to.equal(true);
+        });
+    });
+
+    it("writes what is left at the end of the process", () => {
+        sink.write("last\n");
+        sink.flush();
+        expect(written).to.deep.equal(["last\n"]);
+    });
+});
--- /dev/null
+++ b/packages/runtime/src/log/lineSink.ts
@@ -0,0 +1,132 @@
+import { write, writeSync } from "node:fs";
+import type { Clock } from "../clock/clock.ts";
+
+/** Takes log lines and writes them without ever waiting for the reader. */
+export interface LineSink {
+    /** Takes one line with its line break; drops it if the reader or the budget is exhausted. */
+    write(line: string): void;
+    /** Lines dropped since the start. */
+    dropped(): number;
+    /** Writes what is left, for the end of the process. */
+    flush(): void;
+}
+
+/** Dependencies and limits of a sink. */
+export interface LineSinkOptions {
+    clock: Clock;
+    /** Writes a text and calls `done` once it is taken; must not block. */
+    writeText: (text: string, done: () => void) => void;
+    /** Writes a text at once, at the end of the process. */
+    writeLast: (text: string) => void;
+}
+
+/** Characters that may wait for the reader. */
+const BUFFER_CHARACTERS = 512 * 1024;
+/** Lines a second in the long run, and lines that may come at once. */
+const LINES_PER_SECOND = 300;
+const BURST_LINES = 3_000;
+/** Lines that arrive within this time are written together. */
+const GATHER_MS = 20;
+
+/** Builds a sink. */
+export function createLineSink({ clock, writeText, writeLast }: LineSinkOptions): LineSink {
+    let waiting = "";
+    let isWriting = false;
+    let isScheduled = false;
+    let droppedLines = 0;
+    let toldLines = 0;
+    let budget = BURST_LINES;
+    let refilledAt = clock.now();
+
+    function hasBudget(): boolean {
+        const now = clock.now();
+        budget = Math.min(BURST_LINES, budget + ((now - refilledAt) * LINES_PER_SECOND) / 1_000);
+        refilledAt = now;
+        if (budget < 1) {
+            return false;
+        }
+        budget -= 1;
+        return true;
+    }
+
+    function schedule(): void {
+        if (!isScheduled && !isWriting) {
+            isScheduled = true;
+            clock.startTimer(GATHER_MS, writeWaiting);
+        }
+    }
+
+    function writeWaiting(): void {
+        isScheduled = false;
+        if (isWriting || waiting === "") {
+            return;
+        }
+        const text = waiting;
+        waiting = "";
+        isWriting = true;
+        writeText(text, () => {
+            isWriting = false;
+            if (waiting !== "") {
+                schedule();
+            }
+        });
+    }
+
+    return {
+        write(line) {
+            if (waiting.length + line.length > BUFFER_CHARACTERS || !hasBudget()) {
+                droppedLines += 1;
+                return;
+            }
+            if (droppedLines > toldLines) {
+                const count = droppedLines - toldLines;
+                toldLines = droppedLines;
+                waiting += `${JSON.stringify({ level: 40, msg: "log: Lines were dropped.", count })}\n`;
+            }
+            waiting += line;
+            schedule();
+        },
+        dropped: () => droppedLines,
+        flush() {
+            const text = waiting;
+            waiting = "";
+            if (text !== "") {
+                writeLast(text);
+            }
+        },
+    };
+}
+
+const STANDARD_OUTPUT = 1;
+
+/** The sink of a process: standard output, written by a thread of the pool so that a full pipe blocks nothing. */
+export function createStandardOutputSink(clock: Clock): LineSink {
+    const sink = createLineSink({
+        clock,
+        writeText: (text, done) => writeAll(Buffer.from(text, "utf8"), done),
+        writeLast(text) {
+            try {
+                writeSync(STANDARD_OUTPUT, text);
+            } catch {
+                // The reader is gone, and with it the only place to say so.
+            }
+        },
+    });
+    process.once("exit", sink.flush);
+    return sink;
+}
+
+/** Writes a buffer in as many steps as the pipe takes. */
+function writeAll(buffer: Buffer, done: () => void): void {
+    write(STANDARD_OUTPUT, buffer, 0, buffer.length, undefined, (error, written) => {
+        if (error?.code === "EAGAIN") {
+            setTimeout(() => writeAll(buffer, done), GATHER_MS);
+            return;
+        }
+        if (error || written >= buffer.length) {
+            done();
+            return;
+        }
+        writeAll(buffer.subarray(written), done);
+    });
+}
--- a/packages/runtime/src/log/log.ts
+++ b/packages/runtime/src/log/log.ts
@@ -1,4 +1,5 @@
 import bunyan from "bunyan";
+import type { LineSink } from "./lineSink.ts";
 
 /** Log levels of the settings. */
 export type LogLevel = "debug" | "info" | "warn" | "error";
@@ -16,10 +17,13 @@
     part(prefix: string): Log;
 }
 
-/** Builds the log of a process; records go to standard error as JSON lines. */
-export function createLog(processName: string, level: LogLevel): Log {
-    const sink = bunyan.createLogger({ name: processName, level, stream: process.stderr });
-    return prefixedLog(sink, "process");
+/** Builds the log of a process; records go to the sink as JSON lines. */
+export function createLog(processName: string, level: LogLevel, sink: LineSink): Log {
+    const logger = bunyan.createLogger({
+        name: processName,
+        streams: [{ level, stream: { write: line => sink.write(String(line)) } as NodeJS.WritableStream }],
+    });
+    return prefixedLog(logger, "process");
 }
 
 /** A log that drops everything, for tests. */
--- a/packages/runtime/src/metrics/promMetrics.ts
+++ b/packages/runtime/src/metrics/promMetrics.ts
@@ -99,7 +99,7 @@
 }
 
 /** Adds the event loop's delay, the resident memory and the processor time of the process. */
-function measureProcess(registry: Registry, clock: Clock): TimerStop {
+export function measureProcess(registry: Registry, clock: Clock): TimerStop {
     const registers = [registry];
     let worstMs = 0;
     let stopTimer: TimerStop = () => undefined;
--- /dev/null
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -0,0 +1,178 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** What became of a caller's call. */
+export type CallOutcome = "accepted" | "repeated" | "refused" | "unclear" | "denied" | "unavailable";
+
+/** Calls to the store, by their effect on its rates. */
+export type StoreOperation = "read" | "watch" | "write" | "lease";
+
+/** How a call to the store or to a worker ended. */
+export type CallResult = "answered" | "turned-away" | "unanswered";
+
+/** Numbers of workers by condition, and of groups. */
+export interface FleetLoad {
+    workers: Record<string, number>;
+    waitingGroups: number;
+    placedGroups: number;
+}
+
+/** What the scheduler's parts tell their metrics; labels are closed sets, so that their number is bounded. */
+export interface SchedulerMetrics {
+    submitted(outcome: CallOutcome, seconds: number): void;
+    cancelled(outcome: CallOutcome): void;
+    /** A job reached its final state so long after its acceptance. */
+    jobEnded(state: string, priority: number, seconds: number): void;
+    /** All tasks of a group started so long after it could. */
+    groupStarted(priority: number, seconds: number): void;
+    groupPlaced(isFar: boolean): void;
+    groupPreempted(): void;
+    runEnded(end: string): void;
+    /** A worker listed a run that the leader did not open. */
+    strayFound(): void;
+    leads(term: number | undefined): void;
+    storeCalled(operation: StoreOperation, result: CallResult, seconds: number): void;
+    manifestRevision(revision: number): void;
+    fleet(load: FleetLoad): void;
+    workerCalled(call: "hold" | "start" | "stop", result: CallResult | "refused"): void;
+}
+
+/** Metrics that drop everything, for tests. */
+export const silentSchedulerMetrics: SchedulerMetrics = {
+    submitted() {},
+    cancelled() {},
+    jobEnded() {},
+    groupStarted() {},
+    groupPlaced() {},
+    groupPreempted() {},
+    runEnded() {},
+    strayFound() {},
+    leads() {},
+    storeCalled() {},
+    manifestRevision() {},
+    fleet() {},
+    workerCalled() {},
+};
+
+const CALL_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
+const JOB_SECONDS = [1, 2.5, 5, 10, 20, 40, 80, 160, 600, 3_600];
+const START_SECONDS = [0.05, 0.1, 0.25, 0.5, 1, 2, 3.4, 4.9, 10, 30];
+
+/** Registers the scheduler's metrics. `droppedLines` is read when the metrics are. */
+export function createSchedulerMetrics(registry: Registry, droppedLines: () => number): SchedulerMetrics {
+    const registers = [registry];
+    const submissions = new Histogram({
+        name: "tanagerdeck_submission_seconds",
+        help: "Time to answer a submission, by outcome.",
+        labelNames: ["outcome"],
+        buckets: CALL_SECONDS,
+        registers,
+    });
+    const cancellations = new Counter({
+        name: "tanagerdeck_cancellations_total",
+        help: "Cancellations, by outcome.",
+        labelNames: ["outcome"],
+        registers,
+    });
+    const jobs = new Histogram({
+        name: "tanagerdeck_job_seconds",
+        help: "Time from acceptance to the final state of a job.",
+        labelNames: ["state", "priority"],
+        buckets: JOB_SECONDS,
+        registers,
+    });
+    const starts = new Histogram({
+        name: "tanagerdeck_group_start_seconds",
+        help: "Time from when a group may start until all its tasks have.",
+        labelNames: ["priority"],
+        buckets: START_SECONDS,
+        registers,
+    });
+    const placements = new Counter({
+        name: "tanagerdeck_placements_total",
+        help: "Groups placed; far ones run away from their data or from each other.",
+        labelNames: ["far"],
+        registers,
+    });
+    const preemptions = new Counter({
+        name: "tanagerdeck_preemptions_total",
+        help: "Groups closed to make room for others.",
+        registers,
+    });
+    const runs = new Counter({
+        name: "tanagerdeck_run_ends_total",
+        help: "Ends of runs, by how they ended.",
+        labelNames: ["end"],
+        registers,
+    });
+    const strays = new Counter({
+        name: "tanagerdeck_stray_runs_total",
+        help: "Runs listed by a worker that the leader did not open.",
+        registers,
+    });
+    const term = new Gauge({
+        name: "tanagerdeck_leader_term",
+        help: "Term in which this process leads; 0 if it does not.",
+        registers,
+    });
+    const storeCalls = new Histogram({
+        name: "tanagerdeck_store_call_seconds",
+        help: "Time of calls to the store, by operation and result.",
+        labelNames: ["operation", "result"],
+        buckets: CALL_SECONDS,
+        registers,
+    });
+    const revision = new Gauge({
+        name: "tanagerdeck_manifest_revision",
+        help: "Store revision of the manifest in force; 0 before the first.",
+        registers,
+    });
+    const workers = new Gauge({
+        name: "tanagerdeck_workers",
+        help: "Workers known to the leader, by condition.",
+        labelNames: ["condition"],
+        registers,
+    });
+    const groups = new Gauge({
+        name: "tanagerdeck_groups",
+        help: "Task groups known to the leader that wait for a place or have one.",
+        labelNames: ["phase"],
+        registers,
+    });
+    const workerCalls = new Counter({
+        name: "tanagerdeck_worker_calls_total",
+        help: "Calls of an agent to its worker, by result.",
+        labelNames: ["call", "result"],
+        registers,
+    });
+    new Gauge({
+        name: "tanagerdeck_log_lines_dropped",
+        help: "Log lines dropped because of the budget or a stopped reader.",
+        registers,
+        collect() {
+            this.set(droppedLines());
+        },
+    });
+
+    return {
+        submitted: (outcome, seconds) => submissions.observe({ outcome }, seconds),
+        cancelled: outcome => cancellations.inc({ outcome }),
+        jobEnded: (state, priority, seconds) => jobs.observe({ state, priority }, seconds),
+        groupStarted: (priority, seconds) => starts.observe({ priority }, seconds),
+        groupPlaced: isFar => placements.inc({ far: String(isFar) }),
+        groupPreempted: () => preemptions.inc(),
+        runEnded: end => runs.inc({ end }),
+        strayFound: () => strays.inc(),
+        leads: value => term.set(value ?? 0),
+        storeCalled: (operation, result, seconds) => storeCalls.observe({ operation, result }, seconds),
+        manifestRevision: value => revision.set(value),
+        fleet(load) {
+            workers.reset();
+            for (const [condition, count] of Object.entries(load.workers)) {
+                workers.set({ condition }, count);
+            }
+            groups.set({ phase: "waiting" }, load.waitingGroups);
+            groups.set({ phase: "placed" }, load.placedGroups);
+        },
+        workerCalled: (call, result) => workerCalls.inc({ call, result }),
+    };
+}
--- a/packages/store/src/keyvalue/keyValueTypes.ts
+++ b/packages/store/src/keyvalue/keyValueTypes.ts
@@ -65,6 +65,8 @@
 
 /** One call to the store as its adapter sends it; other processes can forward it without reading it. */
 export interface StoreCall {
+    /** What the call counts as, for metrics. */
+    effect: "read" | "watch" | "write" | "lease";
     method: "GET" | "POST" | "DELETE";
     /** Path with query. */
     path: string;
--- a/packages/store/src/relay/routedSend.spec.ts
+++ b/packages/store/src/relay/routedSend.spec.ts
@@ -7,7 +7,7 @@
 import { createRoutedSend } from "./routedSend.ts";
 
 describe("the way of a call to the store", () => {
-    const call: StoreCall = { method: "GET", path: "/x", timeoutMs: 1_500, heldMs: 0 };
+    const call: StoreCall = { effect: "read", method: "GET", path: "/x", timeoutMs: 1_500, heldMs: 0 };
     type Answer = "answers" | "busy" | "silent" | "unreachable";
     let clock: ManualClock;
     let direct: Answer;
--- a/packages/tanagerdeck/src/agent/agentProcess.ts
+++ b/packages/tanagerdeck/src/agent/agentProcess.ts
@@ -3,6 +3,7 @@
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
 import { startMetricsListener, type Health } from "@tanagerdeck/runtime/metrics/metricsListener";
 import { createPromMetrics } from "@tanagerdeck/runtime/metrics/promMetrics";
+import { createStandardOutputSink } from "@tanagerdeck/runtime/log/lineSink";
 import { createLog } from "@tanagerdeck/runtime/log/log";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
 import { startTraces } from "@tanagerdeck/runtime/trace/traces";
@@ -15,8 +16,8 @@
 /** Starts the agent of a backend server and wires its tasks. */
 export async function startAgent(settings: AgentSettings): Promise<RunningProcess> {
     const { server } = settings;
-    const log = createLog(settings.name, settings.logLevel);
     const clock = systemClock;
+    const log = createLog(settings.name, settings.logLevel, createStandardOutputSink(clock));
     const metrics = createPromMetrics(clock);
     const traces = await startTraces(traceOptions(settings, log));
     let health: Health = "serving";
--- a/packages/tanagerdeck/src/entry/entryProcess.ts
+++ b/packages/tanagerdeck/src/entry/entryProcess.ts
@@ -18,6 +18,7 @@
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
 import { startMetricsListener, type Health } from "@tanagerdeck/runtime/metrics/metricsListener";
 import { createPromMetrics } from "@tanagerdeck/runtime/metrics/promMetrics";
+import { createStandardOutputSink } from "@tanagerdeck/runtime/log/lineSink";
 import { createLog } from "@tanagerdeck/runtime/log/log";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
@@ -35,8 +36,8 @@
 
 /** Starts an entry and wires its tasks. */
 export async function startEntry(settings: EntrySettings): Promise<RunningProcess> {
-    const log = createLog(settings.name, settings.logLevel);
     const clock = systemClock;
+    const log = createLog(settings.name, settings.logLevel, createStandardOutputSink(clock));
     const metrics = createPromMetrics(clock);
     const traces = await startTraces(traceOptions(settings, log));
     let health: Health = "serving";
--- a/packages/tanagerdeck/src/platform/platformAgent.ts
+++ b/packages/tanagerdeck/src/platform/platformAgent.ts
@@ -9,11 +9,14 @@
 import { startRegistrationListener } from "@tanagerdeck/platform/registration/registrationListener";
 import { createPlatformWorker } from "@tanagerdeck/platform/worker/platformWorker";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
+import { createStandardOutputSink } from "@tanagerdeck/runtime/log/lineSink";
 import { createLog } from "@tanagerdeck/runtime/log/log";
+import { startMetricsListener } from "@tanagerdeck/runtime/metrics/metricsListener";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
 import { startAgentPresenceTask } from "@tanagerdeck/store/presence/agentPresenceTask";
 import { agentKey } from "@tanagerdeck/store/replica/storeKeys";
+import { createExposition } from "@tanagerdeck/runtime/metrics/exposition";
 import { PLATFORM_PEER_TOKEN } from "./peerToken.ts";
 import type { PlatformAgentSettings } from "./platformSettings.ts";
 import { reloadSettings } from "./reloadSettings.ts";
@@ -26,7 +29,10 @@
 ): Promise<RunningProcess> {
     let settings = initial;
     const clock = systemClock;
-    const log = createLog(settings.name, "info");
+    const sink = createStandardOutputSink(clock);
+    const log = createLog(settings.name, "info", sink);
+    const exposition = createExposition(clock, sink.dropped);
+    const { metrics } = exposition;
     const clients = createPlanClients(PLATFORM_PEER_TOKEN);
     const peerAddress = `${settings.ip}:${settings.peerPort}`;
     const incarnation = nanoid(10);
@@ -36,6 +42,7 @@
         clients,
         clock,
         log: log.part("store"),
+        metrics,
     });
     const worker = createPlatformWorker(settings.workerAddress);
     const agent = startAgentTask({
@@ -44,6 +51,7 @@
         incarnation,
         clock,
         log: log.part("agent"),
+        metrics,
     });
     const presence = startAgentPresenceTask({
         store: access.store,
@@ -75,6 +83,12 @@
         left: id => agent.ask((reply: Reply<void>) => ({ kind: "left", id, reply })),
         log: log.part("registration"),
     });
+    const metricsListener = await startMetricsListener({
+        address: `${settings.ip}:${settings.metricsPort}`,
+        contentType: exposition.contentType,
+        text: exposition.text,
+        health: () => "serving",
+    });
     log.info("The agent is serving.", { peerAddress, worker: settings.workerAddress });
 
     return {
@@ -93,6 +107,8 @@
             await worker.close();
             await access.close();
             await clients.close();
+            await metricsListener.close();
+            exposition.stop();
         },
     };
 }
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -12,7 +12,9 @@
 import { startReadyListener } from "@tanagerdeck/platform/ingress/readyListener";
 import { decodeManifest, MANIFEST_KEY } from "@tanagerdeck/platform/manifest/manifestCodec";
 import { systemClock } from "@tanagerdeck/runtime/clock/clock";
+import { createStandardOutputSink } from "@tanagerdeck/runtime/log/lineSink";
 import { createLog } from "@tanagerdeck/runtime/log/log";
+import { startMetricsListener } from "@tanagerdeck/runtime/metrics/metricsListener";
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
 import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
 import type { Change, Item } from "@tanagerdeck/store/keyvalue/keyValueTypes";
@@ -24,6 +26,7 @@
 import { decodeContent, type Registration } from "@tanagerdeck/store/replica/recordCodec";
 import { startReplicaTask } from "@tanagerdeck/store/replica/replicaTask";
 import { entryKey, parseStoreKey, ROOT_PREFIX } from "@tanagerdeck/store/replica/storeKeys";
+import { createExposition } from "@tanagerdeck/runtime/metrics/exposition";
 import { PLATFORM_PEER_TOKEN } from "./peerToken.ts";
 import type { PlatformEntrySettings } from "./platformSettings.ts";
 import { createSessionSet, type SessionSet } from "./sessionSet.ts";
@@ -51,7 +54,10 @@
 ): Promise<RunningProcess> {
     let settings = initial;
     const clock = systemClock;
-    const log = createLog(settings.name, "info");
+    const sink = createStandardOutputSink(clock);
+    const log = createLog(settings.name, "info", sink);
+    const exposition = createExposition(clock, sink.dropped);
+    const { metrics } = exposition;
     const times = leaseTimes(settings.longestHoldMs);
     const clients = createPlanClients(PLATFORM_PEER_TOKEN);
     const peerAddress = `${settings.ip}:${settings.peerPort}`;
@@ -74,6 +80,7 @@
         clients,
         clock,
         log: log.part("store"),
+        metrics,
     });
     const { store } = access;
 
@@ -83,6 +90,7 @@
         log: log.part("desk"),
         newWriteId,
         announce,
+        metrics,
         announceDoubt(id) {
             desk.send({ kind: "doubt", id });
             for (const address of relayAddresses(settings, entries, peerAddress)) {
@@ -138,6 +146,7 @@
             times,
             clock,
             log: log.part("planner"),
+            metrics,
             newWriteId,
             list: () => listAll(store, ROOT_PREFIX),
             commit: transaction =>
@@ -152,12 +161,14 @@
             planner.send({ kind: "manifest", index });
         }
         term = { planner, sessions };
+        metrics.leads(number);
         log.info("Planning begins.", { term: number, closedAfterMs: closedAfterMs(times) });
     }
 
     function endTerm(): void {
         const ended = term;
         term = undefined;
+        metrics.leads(undefined);
         if (ended) {
             void ended.planner.ask((reply: Reply<void>) => ({ kind: "halt", reply }));
             void ended.planner.stop();
@@ -209,6 +220,7 @@
         log: log.part("manifest"),
         adopted(adopted) {
             index = indexManifest(adopted);
+            metrics.manifestRevision(adopted.revision);
             term?.planner.send({ kind: "manifest", index });
         },
     });
@@ -234,6 +246,12 @@
         isStopping: () => isStopping,
         log: log.part("ingress"),
     });
+    const metricsListener = await startMetricsListener({
+        address: `${settings.ip}:${settings.metricsPort}`,
+        contentType: exposition.contentType,
+        text: exposition.text,
+        health: () => (isStopping ? "stopping" : "serving"),
+    });
     log.info("The entry is serving.", { callerAddress: settings.callerAddress, peerAddress });
 
     return {
@@ -255,6 +273,8 @@
             await leadership.stop();
             await access.close();
             await clients.close();
+            await metricsListener.close();
+            exposition.stop();
         },
     };
 }
--- a/packages/tanagerdeck/src/platform/storeAccess.ts
+++ b/packages/tanagerdeck/src/platform/storeAccess.ts
@@ -3,6 +3,7 @@
 import type { RelayReply } from "@tanagerdeck/peer/session/planRouters";
 import type { PlanClients } from "@tanagerdeck/peer/session/planClients";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { CallResult, SchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
 import type { Log } from "@tanagerdeck/runtime/log/log";
 import type { KeyValueStore, SendStoreCall, StoreCall } from "@tanagerdeck/store/keyvalue/keyValueTypes";
 import { createRoutedSend } from "@tanagerdeck/store/relay/routedSend";
@@ -25,13 +26,15 @@
     clients: PlanClients;
     clock: Clock;
     log: Log;
+    metrics: SchedulerMetrics;
 }
 
 /** Time without an answered call, while calls fail, after which the store counts as away. */
 const AWAY_MS = 400;
 
 /** Opens the connections to the store and the ways around them. */
-export function openStoreAccess({ address, relays, clients, clock, log }: StoreAccessOptions): StoreAccess {
+export function openStoreAccess(options: StoreAccessOptions): StoreAccess {
+    const { address, relays, clients, clock, log, metrics } = options;
     const direct = createDirectSend(address);
     const routed = createRoutedSend({
         direct: direct.send,
@@ -42,12 +45,14 @@
     let failingSince: number | undefined;
 
     const observed: SendStoreCall = async call => {
+        const startedAt = clock.now();
         const result = await routed(call);
-        const isAnswered = result.caseOf({
-            Left: () => false,
-            Right: ({ status }) => status !== 503 && status !== 429,
+        const outcome = result.caseOf<CallResult>({
+            Left: () => "unanswered",
+            Right: ({ status }) => (status === 503 || status === 429 ? "turned-away" : "answered"),
         });
-        if (isAnswered) {
+        metrics.storeCalled(call.effect, outcome, (clock.now() - startedAt) / 1_000);
+        if (outcome === "answered") {
             if (failingSince !== undefined) {
                 log.info("The store answers again.", { awayMs: Math.round(clock.now() - failingSince) });
             }
