Count a run as standing still only while its workers report

Change: the time without progress ends at the latest time up to which all workers of the run have reported. Ruled out: a longer limit, which leaves truly stalled runs alone for longer.

--- a/packages/decisions/src/plan/planBook.spec.ts
+++ b/packages/decisions/src/plan/planBook.spec.ts
@@ -199,6 +199,15 @@
             expect(input().workers[0]?.suspicion).to.be.greaterThan(0);
         });
 
+        it("leaves a run alone whose agent is not heard of, as its progress is not known", () => {
+            // Found by the soak (seed 1): after a loss of all agents every run counted as standing still.
+            const worker = addWorker("a");
+            addPlaced("j", stepOf({ estimateMs: 4_000 }), ["a"]);
+            report(worker, 10);
+            now = 8_000;
+            expect(closeStalled(book, now)).to.deep.equal([]);
+        });
+
         it("leaves a slow run alone, whose work would be lost", () => {
             const worker = addWorker("a");
             addPlaced("j", stepOf({ estimateMs: 4_000 }), ["a"]);
--- a/packages/decisions/src/plan/planStalls.ts
+++ b/packages/decisions/src/plan/planStalls.ts
@@ -1,4 +1,5 @@
 import { closeRun, groupProgress } from "../job/progressChange.ts";
+import type { Placement } from "../job/progressTypes.ts";
 import type { TaskGroup } from "../job/taskGroups.ts";
 import { estimateOf } from "../schedule/jobValue.ts";
 import { changeGroup, type JobEntry, type PlanBook, type RunWatch } from "./planBook.ts";
@@ -29,8 +30,9 @@
             if (!run || progress.phase !== "placed" || group.step.longRunning) {
                 continue;
             }
-            const stalledMs = stalledFor(run, progress.placements.length, now);
-            if (stalledMs <= limitOf(group, run, now)) {
+            const reportedAt = lastReportOf(book, progress.placements);
+            const stalledMs = stalledFor(run, progress.placements.length, reportedAt);
+            if (stalledMs <= limitOf(group, run, reportedAt)) {
                 continue;
             }
             const workers = standingWorkers(book, entry, group, now);
@@ -44,6 +46,15 @@
     return stalled;
 }
 
+/** Time up to which all workers of a run have reported; an agent that is not heard of says nothing of progress. */
+function lastReportOf(book: PlanBook, placements: Placement[]): number {
+    let reportedAt = Number.MAX_SAFE_INTEGER;
+    for (const { worker } of placements) {
+        reportedAt = Math.min(reportedAt, book.workers.get(worker)?.heardAt ?? 0);
+    }
+    return reportedAt;
+}
+
 /** Time since the task that progressed last did so; 0 if not all tasks have started. */
 function stalledFor(run: RunWatch, tasks: number, now: number): number {
     if (run.tasks.size < tasks) {
