Add an emulated platform, process tests on it and a fault soak

The subcommands take the settings' path as an argument, and a process that fails at its start exits with all its tasks.

--- a/packages/tanagerdeck/src/main.ts
+++ b/packages/tanagerdeck/src/main.ts
@@ -33,8 +33,8 @@
     });
 });
 
-cli.command("platform-entry", "Run an entry on the users' platform").action(async () => {
-    const read = () => readSettings(process.env[SETTINGS_VARIABLE] ?? "", platformEntrySchema);
+cli.command("platform-entry [settings]", "Run an entry on the users' platform").action(async path => {
+    const read = () => readSettings(path ?? process.env[SETTINGS_VARIABLE] ?? "", platformEntrySchema);
     await read().caseOf({
         Left: async problem => exitWithUsageError(problem),
         Right: async settings => {
@@ -44,8 +44,8 @@
     });
 });
 
-cli.command("platform-agent", "Run an agent on the users' platform").action(async () => {
-    const read = () => readSettings(process.env[SETTINGS_VARIABLE] ?? "", platformAgentSchema);
+cli.command("platform-agent [settings]", "Run an agent on the users' platform").action(async path => {
+    const read = () => readSettings(path ?? process.env[SETTINGS_VARIABLE] ?? "", platformAgentSchema);
     await read().caseOf({
         Left: async problem => exitWithUsageError(problem),
         Right: async settings => {
@@ -93,5 +93,6 @@
 
 run().catch((error: Error) => {
     process.stderr.write(`${error.message}\n`);
-    process.exitCode = error.name === "CACError" ? EXIT_USAGE : EXIT_INTERNAL;
+    // A process that cannot serve must not live on with the tasks that it has started.
+    process.exit(error.name === "CACError" ? EXIT_USAGE : EXIT_INTERNAL);
 });
--- /dev/null
+++ b/packages/tanagerdeck/src/platform/platformProcess.spec.ts
@@ -0,0 +1,228 @@
+import { expect } from "chai";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import {
+    askState,
+    cancelJob,
+    submitJob,
+    type CallerJob,
+} from "@tanagerdeck/standins/emulator/emulatedCaller";
+import { CAPACITY, startEmulatedDeployment } from "@tanagerdeck/standins/emulator/emulatedDeployment";
+import type { EmulatedDeployment } from "@tanagerdeck/standins/emulator/emulatorTypes";
+import { createPromiseJudge, type PromiseJudge } from "@tanagerdeck/standins/emulator/promiseJudge";
+import { pollUntil } from "@tanagerdeck/standins/polling/pollUntil";
+import { bundlePrograms } from "@tanagerdeck/standins/processes/programBundle";
+import { LEADER_KEY } from "@tanagerdeck/store/replica/storeKeys";
+
+describe("the processes on the platform", function () {
+    this.timeout(90_000);
+    /** From the loss of a leader to new placements: its lease, a campaign and the agents' first reports. */
+    const FAILOVER_MS = 5_000;
+    let programs: string;
+    let deployment: EmulatedDeployment;
+    let judge: PromiseJudge;
+    let jobs: Set<string>;
+    let nextId: number;
+
+    before(async () => {
+        programs = mkdtempSync(join(tmpdir(), "tanagerdeck-programs-"));
+        await bundlePrograms(programs);
+    });
+
+    after(() => rmSync(programs, { recursive: true, force: true }));
+
+    beforeEach(async () => {
+        jobs = new Set();
+        nextId = 1;
+        judge = createPromiseJudge(job => jobs.has(job));
+        deployment = await startEmulatedDeployment(
+            {
+                programs,
+                entries: 2,
+                workers: 3,
+                workersPerRack: 2,
+                longestHoldMs: 6_000,
+                stopMs: 200,
+                gangMs: 3_000,
+                heartbeatMs: 500,
+            },
+            event => judge.note(event),
+        );
+        const probe = jobOf({});
+        await pollUntil(async () => (await submitJob(entryAddress(0), probe)).status === 200, 10_000);
+        await pollUntil(() => isCompleted(probe), 10_000);
+    });
+
+    afterEach(async () => {
+        await deployment.stop();
+        expect(judge.broken).to.deep.equal([]);
+    });
+
+    function entryAddress(index: number): string {
+        return deployment.entries[index]!.callerAddress;
+    }
+
+    function jobOf(
+        changes: Partial<CallerJob> & { durationMs?: number; gang?: number; gpus?: number },
+    ): CallerJob {
+        const id = (nextId++).toString(16).padStart(16, "0");
+        const { durationMs = 300, gang = 1, gpus = 1, ...rest } = changes;
+        jobs.add(id);
+        return {
+            id,
+            queue: "urgent",
+            account: { keys: ["key-okahandja"] },
+            tasks: gang,
+            script: { job: id, durationMs, cpuMillis: 1_000, gpus, gang, failures: 0 },
+            ...rest,
+        };
+    }
+
+    async function isCompleted(job: CallerJob, entry = 0): Promise<boolean> {
+        return (await askState(entryAddress(entry), job)).state === "completed";
+    }
+
+    async function completes(job: CallerJob, limitMs: number): Promise<void> {
+        expect((await submitJob(entryAddress(0), job)).status).to.equal(200);
+        await pollUntil(() => isCompleted(job, 1), limitMs);
+    }
+
+    function leaderName(): string {
+        const value = deployment.store.item(LEADER_KEY)?.value ?? "";
+        return /"name":"([^"]+)"/.exec(value)?.[1] ?? "";
+    }
+
+    describe("on a calm day", () => {
+        it("run a job whole and show it as completed at every entry", async () => {
+            await completes(jobOf({ tasks: 5 }), 5_000);
+            await completes(jobOf({ gang: 3, gpus: 4 }), 5_000);
+        });
+
+        it("run a job once whose submission is repeated at another entry", async () => {
+            const job = jobOf({});
+            expect((await submitJob(entryAddress(0), job)).status).to.equal(200);
+            expect((await submitJob(entryAddress(1), job)).status).to.equal(200);
+            await pollUntil(() => isCompleted(job), 5_000);
+        });
+
+        it("repeat a failed run on the attempts that are left", async () => {
+            const job = jobOf({});
+            job.script.failures = 2;
+            await completes(job, 5_000);
+            expect(judge.ends.get("failed")).to.equal(2);
+        });
+
+        it("stop what runs of a cancelled job", async () => {
+            const job = jobOf({ durationMs: 30_000 });
+            await submitJob(entryAddress(0), job);
+            await pollUntil(() => judge.runningTasks(job.id).length === 1, 3_000);
+            expect((await cancelJob(entryAddress(1), job)).status).to.equal(200);
+            await pollUntil(() => judge.runningTasks(job.id).length === 0, 3_200);
+            expect((await askState(entryAddress(0), job)).state).to.equal("cancelled");
+        });
+
+        it("give a guaranteed job its room although others use it", async () => {
+            const filler = jobOf({
+                queue: "batch",
+                account: { keys: ["key-caroni"] },
+                durationMs: 30_000,
+                tasks: 24,
+            });
+            await submitJob(entryAddress(0), filler);
+            await pollUntil(() => judge.runningTasks(filler.id).length === 24, 5_000);
+            const urgent = jobOf({ gpus: CAPACITY.gpus, tasks: 2 });
+            await submitJob(entryAddress(0), urgent);
+            await pollUntil(() => judge.hasStarted(urgent.id), 2_700);
+            await pollUntil(() => isCompleted(urgent), 5_000);
+        });
+    });
+
+    describe("with keys that change", () => {
+        it("refuse a revoked key and take a new one within the bound, at every entry", async () => {
+            const account = deployment.accounts[0]!;
+            account.keys = ["key-new"];
+            deployment.writeManifest();
+            await pollUntil(async () => {
+                for (const index of [0, 1]) {
+                    const old = await askState(entryAddress(index), jobOf({}));
+                    const fresh = await askState(
+                        entryAddress(index),
+                        jobOf({ account: { keys: ["key-new"] } }),
+                    );
+                    if (old.status !== 401 || fresh.status !== 410) {
+                        return false;
+                    }
+                }
+                return true;
+            }, 2_500);
+        });
+    });
+
+    describe("when the leader is killed", () => {
+        it("go on with what runs and place new jobs after the failover", async () => {
+            const running = jobOf({ durationMs: 4_000 });
+            await submitJob(entryAddress(0), running);
+            await pollUntil(() => judge.runningTasks(running.id).length === 1, 3_000);
+            const leader = deployment.entries.find(entry => entry.name === leaderName())!;
+            leader.child.signal("SIGKILL");
+            const other = deployment.entries.find(entry => entry !== leader)!;
+            const job = jobOf({});
+            expect((await submitJob(other.callerAddress, job)).status).to.equal(200);
+            const state = async (one: CallerJob) => (await askState(other.callerAddress, one)).state;
+            await pollUntil(async () => (await state(job)) === "completed", FAILOVER_MS + 2_000);
+            await pollUntil(async () => (await state(running)) === "completed", 6_000);
+            expect(judge.ends.get("lapsed")).to.equal(undefined);
+        });
+    });
+
+    describe("when an agent is killed and started again", () => {
+        it("keep its worker's tasks, whose lease outlasts the restart", async () => {
+            const job = jobOf({ durationMs: 3_000, tasks: 3 });
+            await submitJob(entryAddress(0), job);
+            await pollUntil(() => judge.runningTasks(job.id).length === 3, 3_000);
+            for (const agent of deployment.agents) {
+                agent.child.signal("SIGKILL");
+                await agent.child.ended;
+                await agent.restart();
+            }
+            await pollUntil(() => isCompleted(job), 10_000);
+            expect(judge.ends.get("lapsed")).to.equal(undefined);
+        });
+    });
+
+    describe("when a worker starts again under its name", () => {
+        it("run its tasks again, once", async () => {
+            const job = jobOf({ durationMs: 1_500, tasks: 3 });
+            await submitJob(entryAddress(0), job);
+            await pollUntil(() => judge.runningTasks(job.id).length === 3, 3_000);
+            for (const agent of deployment.agents) {
+                agent.rebootWorker();
+            }
+            await pollUntil(() => isCompleted(job), 10_000);
+        });
+    });
+
+    describe("when the store turns an entry away", () => {
+        it("serve its callers through another entry", async () => {
+            await deployment.entries[0]!.storeProxy.refuse();
+            const job = jobOf({});
+            expect((await submitJob(entryAddress(0), job)).status).to.equal(200);
+            await pollUntil(() => isCompleted(job, 0), FAILOVER_MS + 2_000);
+        });
+    });
+
+    describe("while the store is away", () => {
+        it("let tasks run on, refuse new jobs at once and go on after its return", async () => {
+            const running = jobOf({ durationMs: 2_500 });
+            await submitJob(entryAddress(0), running);
+            await pollUntil(() => judge.runningTasks(running.id).length === 1, 3_000);
+            deployment.store.faults.mode = "refuse";
+            await pollUntil(async () => (await submitJob(entryAddress(0), jobOf({}))).status === 503, 3_000);
+            await pollUntil(() => judge.doneTasks(running.id).size === 1, 4_000);
+            deployment.store.faults.mode = "none";
+            await pollUntil(() => isCompleted(running), FAILOVER_MS + 1_000);
+            await completes(jobOf({}), 5_000);
+        });
+    });
+});
--- /dev/null
+++ b/scripts/soak/soak.ts
@@ -0,0 +1,44 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { cac } from "cac";
+import { bundlePrograms } from "@tanagerdeck/standins/processes/programBundle";
+import { runSoak, type SoakResult } from "./soakRun.ts";
+
+const cli = cac("soak");
+
+cli.command("", "Run the system's programs under random faults and check what callers and workers see")
+    .option("--seed <seed>", "First seed", { default: 1 })
+    .option("--seeds <count>", "Number of seeds, one after the other", { default: 1 })
+    .option("--seconds <seconds>", "Time under faults for each seed", { default: 30 })
+    .option("--entries <count>", "Entries", { default: 3 })
+    .option("--workers <count>", "Workers, each with its agent", { default: 6 })
+    .option("--logs <folder>", "Where the logs of failed seeds go", { default: "" })
+    .action(async options => {
+        const programs = mkdtempSync(join(tmpdir(), "tanagerdeck-soak-"));
+        await bundlePrograms(programs);
+        let failed = 0;
+        for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
+            const result = await runSoak({
+                seed,
+                programs,
+                seconds: Number(options.seconds),
+                entries: Number(options.entries),
+                workers: Number(options.workers),
+            });
+            failed += result.broken.length > 0 ? 1 : 0;
+            print(result);
+            if (result.broken.length > 0 && options.logs !== "") {
+                writeFileSync(join(options.logs, `soak-${seed}.log`), result.output);
+            }
+        }
+        rmSync(programs, { recursive: true, force: true });
+        process.exitCode = failed > 0 ? 1 : 0;
+    });
+cli.help();
+cli.parse();
+
+function print({ output: _output, faults, ...result }: SoakResult): void {
+    const shown = result.broken.length > 0 ? { ...result, faults } : { ...result, faults: faults.length };
+    process.stdout.write(`${JSON.stringify(shown)}\n`);
+}
--- /dev/null
+++ b/standins/src/emulator/emulatedCaller.ts
@@ -0,0 +1,77 @@
+import { request as sendRequest } from "undici";
+import { HOST } from "./emulatedDeployment.ts";
+import { writeScript, type TaskScript } from "./taskTypes.ts";
+
+/** A job as a caller hands it in. */
+export interface CallerJob {
+    id: string;
+    queue: string;
+    /** Whoever pays; the first key is shown. */
+    account: { keys: string[] };
+    tasks: number;
+    script: TaskScript;
+}
+
+/** What a caller saw of one call: a status, or nothing. */
+export type CallStatus = number | "no-answer";
+
+/** A reply with the state, if it had one. */
+export interface CallReply {
+    status: CallStatus;
+    state?: string | undefined;
+}
+
+const CALL_LIMIT_MS = 3_000;
+
+/** Hands a job in at an entry. */
+export function submitJob(address: string, job: CallerJob): Promise<CallReply> {
+    const { script, tasks } = job;
+    const isGang = script.gang > 1;
+    return call(address, "POST", job, {
+        spec: writeScript(script),
+        steps: [
+            {
+                count: tasks,
+                cpu: script.cpuMillis,
+                gpu: script.gpus,
+                estimate_ms: script.durationMs,
+                ...(isGang ? { gang: true, same_rack: true } : {}),
+            },
+        ],
+    });
+}
+
+/** Asks an entry for a job's state. */
+export function askState(address: string, job: CallerJob): Promise<CallReply> {
+    return call(address, "GET", job);
+}
+
+/** Cancels a job at an entry. */
+export function cancelJob(address: string, job: CallerJob): Promise<CallReply> {
+    return call(address, "DELETE", job);
+}
+
+async function call(
+    address: string,
+    method: "POST" | "GET" | "DELETE",
+    { queue, id, account }: CallerJob,
+    body?: object,
+): Promise<CallReply> {
+    try {
+        const reply = await sendRequest(`http://${address}/${queue}/${id}`, {
+            method,
+            headers: {
+                host: HOST,
+                authorization: `Bearer ${account.keys[0]}`,
+                "x-deadline": String(CALL_LIMIT_MS),
+                "content-type": "application/json",
+            },
+            ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+            signal: AbortSignal.timeout(CALL_LIMIT_MS),
+        });
+        const answer = (await reply.body.json()) as { state?: string };
+        return { status: reply.statusCode, state: answer.state };
+    } catch {
+        return { status: "no-answer" };
+    }
+}
--- /dev/null
+++ b/standins/src/emulator/emulatedDeployment.ts
@@ -0,0 +1,241 @@
+import { systemClock } from "@tanagerdeck/runtime/clock/clock";
+import type { Listener } from "@tanagerdeck/runtime/http/listener";
+import { createMemoryStore } from "../keyvalue/memoryStore.ts";
+import { startProxyStandin } from "../network/proxyStandin.ts";
+import { createProcessGroup, type ProcessGroup, type Role } from "../processes/processGroup.ts";
+import type {
+    EmulatedAccount,
+    EmulatedAgent,
+    EmulatedDeployment,
+    EmulatedEntry,
+    EmulatedProcess,
+    EmulatorOptions,
+} from "./emulatorTypes.ts";
+import { createGangRoom, type GangRoom } from "./gangRoom.ts";
+import { startStoreServer } from "./storeServer.ts";
+import type { WorkerEvent } from "./taskTypes.ts";
+import { createTaskWorker, type TaskWorker } from "./taskWorker.ts";
+import { startWorkerServer } from "./workerServer.ts";
+
+/** Service, host and queues of the emulated deployment. */
+export const SERVICE = "desk";
+export const HOST = "desk.example";
+export const QUEUES = ["urgent", "normal", "batch"] as const;
+/** Capacity of every worker. */
+export const CAPACITY = { cpuMillis: 64_000, gpus: 8 };
+
+const PEER_PORT = 7000;
+const METRICS_PORT = 9464;
+const CALLER_PORT = 8521;
+const READY_PORT = 8523;
+const REGISTRATION_PORT = 8526;
+const WORKER_PORT = 8529;
+const STORE_NETWORK_IP = "127.0.0.1";
+const MANIFEST_KEY = "op/config";
+const LATE_CALL_MS = 3_000;
+
+/** What the parts of a deployment share while they are started. */
+interface Context {
+    options: EmulatorOptions;
+    group: ProcessGroup;
+    /** First three bytes of the addresses, so that several deployments share a machine. */
+    network: string;
+    storeAddress: string;
+    seeds: string[];
+    room: GangRoom;
+    report: (event: WorkerEvent) => void;
+}
+
+/** Starts a deployment; `report` is told what the workers do. */
+export async function startEmulatedDeployment(
+    options: EmulatorOptions,
+    report: (event: WorkerEvent) => void,
+): Promise<EmulatedDeployment> {
+    const network = `127.${1 + ((process.pid >> 8) & 0x7f)}.${process.pid & 0xff}`;
+    const store = createMemoryStore(systemClock);
+    const storeServer = await startStoreServer(`${STORE_NETWORK_IP}:0`, store);
+    const context: Context = {
+        options,
+        group: createProcessGroup({ programs: options.programs }),
+        network,
+        storeAddress: storeServer.address,
+        seeds: Array.from(
+            { length: Math.min(3, options.entries) },
+            (_, index) => `${network}.${10 + index}:1`,
+        ),
+        room: createGangRoom(),
+        report,
+    };
+    const accounts: EmulatedAccount[] = [
+        { name: "okahandja", keys: ["key-okahandja"], guaranteedGpus: 16 },
+        { name: "caroni", keys: ["key-caroni"], guaranteedGpus: 8 },
+    ];
+    let version = 0;
+    const writeManifest = (): number => {
+        version += 1;
+        store.write(MANIFEST_KEY, manifestText(version, accounts));
+        return version;
+    };
+    writeManifest();
+    const entries: EmulatedEntry[] = [];
+    for (let index = 0; index < options.entries; index++) {
+        entries.push(await startEntry(context, index));
+    }
+    const agents: EmulatedAgent[] = [];
+    for (let index = 0; index < options.workers; index++) {
+        agents.push(await startAgent(context, index));
+    }
+    return {
+        store,
+        entries,
+        agents,
+        accounts,
+        writeManifest,
+        output: () => [...entries, ...agents].map(one => one.child.output()).join(""),
+        stop: () => stopAll(context, entries, agents, storeServer),
+    };
+}
+
+async function startEntry(context: Context, index: number): Promise<EmulatedEntry> {
+    const ip = `${context.network}.${10 + index}`;
+    const callerAddress = `${ip}:${CALLER_PORT}`;
+    const readyAddress = `${ip}:${READY_PORT}`;
+    const settings = { farFactor: 3, callerAddress, readyAddress };
+    const process = await startProcess(context, "platform-entry", `entry-${index + 1}`, ip, settings);
+    const callerProxy = await startProxyStandin(callerAddress);
+    return Object.assign(process, { callerAddress, callerProxy, readyAddress });
+}
+
+async function startAgent(context: Context, index: number): Promise<EmulatedAgent> {
+    const { options, room, report, network } = context;
+    const ip = `${network}.${100 + index}`;
+    const name = `agent-${index + 1}`;
+    const registrationAddress = `${ip}:${REGISTRATION_PORT}`;
+    const workerAddress = `${ip}:${WORKER_PORT}`;
+    let life = 0;
+    const createWorker = (): TaskWorker =>
+        createTaskWorker({
+            name,
+            // Every other life has the same name, as the platform allows.
+            id: `i-${index + 1}-${Math.floor(life / 2)}`,
+            bornMs: Date.now() + life++,
+            capacity: CAPACITY,
+            longestHoldMs: options.longestHoldMs,
+            stopMs: options.stopMs,
+            gangMs: options.gangMs,
+            clock: systemClock,
+            room,
+            report,
+        });
+    let worker = createWorker();
+    const server = await startWorkerServer({
+        worker,
+        address: workerAddress,
+        service: SERVICE,
+        availabilityZone: `zone-${(index % options.entries) + 1}`,
+        rack: `r-${Math.floor(index / options.workersPerRack) + 1}`,
+        capacity: CAPACITY,
+        registrationAddress,
+        heartbeatMs: options.heartbeatMs,
+        clock: systemClock,
+        lateMs: () => LATE_CALL_MS,
+    });
+    const settings = { registrationAddress, workerAddress };
+    const process = await startProcess(context, "platform-agent", name, ip, settings);
+    const agent: EmulatedAgent = Object.assign(process, {
+        worker,
+        server,
+        rebootWorker() {
+            worker.crash();
+            worker = createWorker();
+            agent.worker = worker;
+            server.replace(worker);
+        },
+    });
+    return agent;
+}
+
+async function startProcess(
+    { group, options, storeAddress, seeds }: Context,
+    role: Role,
+    name: string,
+    ip: string,
+    settings: object,
+): Promise<EmulatedProcess> {
+    const storeProxy = await startProxyStandin(storeAddress);
+    const all = {
+        name,
+        availabilityZone: "zone-1",
+        ip,
+        peerPort: PEER_PORT,
+        metricsPort: METRICS_PORT,
+        seeds,
+        storeAddress: storeProxy.address,
+        longestHoldMs: options.longestHoldMs,
+        keepJobsSeconds: 120,
+        graceSeconds: 6,
+        ...settings,
+    };
+    let starting: Promise<void> | undefined;
+    async function start(): Promise<void> {
+        process.child = await group.start("tanagerdeck", all, role);
+        starting = undefined;
+    }
+    const process: EmulatedProcess = {
+        name,
+        storeProxy,
+        child: await group.start("tanagerdeck", all, role),
+        async restart() {
+            if (!process.child.running()) {
+                starting ??= start();
+            }
+            await starting;
+        },
+    };
+    return process;
+}
+
+function manifestText(version: number, accounts: EmulatedAccount[]): string {
+    return JSON.stringify({
+        version,
+        routes: QUEUES.map((name, priority) => ({
+            name,
+            host: HOST,
+            prefix: `/${name}/`,
+            kind: "unsafe",
+            timeout_ms: 3_000,
+            slo_ms: 1_000,
+            priority,
+            service: SERVICE,
+            attempts: 4,
+            stretch: 3,
+            public: false,
+        })),
+        services: [{ name: SERVICE, enforces_capacity: false }],
+        limits: { max_body_bytes: 262_144 },
+        tenants: accounts.map(({ name, keys, guaranteedGpus }) => ({
+            name,
+            api_keys: keys,
+            guaranteed: { gpu: guaranteedGpus },
+        })),
+    });
+}
+
+async function stopAll(
+    { group }: Context,
+    entries: EmulatedEntry[],
+    agents: EmulatedAgent[],
+    storeServer: Listener,
+): Promise<void> {
+    await group.stopAll();
+    for (const agent of agents) {
+        agent.worker.crash();
+        await agent.server.close();
+        await agent.storeProxy.close();
+    }
+    for (const entry of entries) {
+        await entry.callerProxy.close();
+        await entry.storeProxy.close();
+    }
+    await storeServer.close();
+}
--- /dev/null
+++ b/standins/src/emulator/promiseJudge.ts
@@ -0,0 +1,147 @@
+import { parseTaskName } from "@tanagerdeck/decisions/job/taskGroups";
+import type { WorkerEvent } from "./taskTypes.ts";
+
+/** A promise of the users' pages. */
+export type PromiseName =
+    /** A task runs once at a time, and not again after it was done. */
+    | "once"
+    /** No worker is given more than it has. */
+    | "capacity"
+    /** Only what a caller handed in, and was not refused, is started. */
+    | "asked"
+    /** An accepted job is known and is completed. */
+    | "kept"
+    /** A job is shown as completed only when all its tasks are done. */
+    | "true-state"
+    /** A cancelled job's tasks end in time. */
+    | "cancelled"
+    /** A draining worker gets nothing new after a few seconds. */
+    | "drained"
+    /** A manifest is in force in time and never gives way to an older one. */
+    | "manifest";
+
+/** A promise that was broken, with what was seen. */
+export interface BrokenPromise {
+    promise: PromiseName;
+    detail: string;
+    atMs: number;
+}
+
+/** Watches what workers do and keeps the account of each task. */
+export interface PromiseJudge {
+    /** Takes what a worker did. */
+    note(event: WorkerEvent): void;
+    /** Reports a promise as broken. */
+    accuse(promise: PromiseName, detail: string, atMs: number): void;
+    /** Names of the tasks of a job that are done. */
+    doneTasks(job: string): Set<string>;
+    /** Names of the tasks of a job that run. */
+    runningTasks(job: string): string[];
+    hasStarted(job: string): boolean;
+    broken: BrokenPromise[];
+    /** Number of ends by how they ended. */
+    ends: Map<string, number>;
+}
+
+interface TaskAccount {
+    runningOn: Map<string, number>;
+    isDone: boolean;
+    /** Whether the end as done was taken note of; until then it may be lost with its worker. */
+    isNoted: boolean;
+    /** Whether it was started again after it was done. */
+    isRepeated: boolean;
+}
+
+/** Builds a judge; `isKnown` says whether a caller handed a job in. */
+export function createPromiseJudge(isKnown: (job: string) => boolean): PromiseJudge {
+    const tasks = new Map<string, TaskAccount>();
+    const jobs = new Map<string, Set<string>>();
+    const broken: BrokenPromise[] = [];
+    const ends = new Map<string, number>();
+
+    function accountOf(task: string): TaskAccount {
+        const account = tasks.get(task) ?? {
+            runningOn: new Map<string, number>(),
+            isDone: false,
+            isNoted: false,
+            isRepeated: false,
+        };
+        tasks.set(task, account);
+        const job = parseTaskName(task)?.job ?? "";
+        jobs.set(job, (jobs.get(job) ?? new Set()).add(task));
+        return account;
+    }
+
+    function noteStart({ task, run, worker, atMs }: WorkerEvent): void {
+        const account = accountOf(task);
+        if (!isKnown(parseTaskName(task)?.job ?? "")) {
+            broken.push({ promise: "asked", detail: `${task} was started on ${worker}`, atMs });
+        }
+        account.isRepeated ||= account.isDone;
+        if (account.isNoted) {
+            broken.push({ promise: "once", detail: `${task} run ${run} starts after it was done`, atMs });
+        }
+        if (account.runningOn.size > 0) {
+            const others = [...account.runningOn.keys()].join(" ");
+            broken.push({
+                promise: "once",
+                detail: `${task} run ${run} on ${worker} beside ${others}`,
+                atMs,
+            });
+        }
+        account.runningOn.set(worker, run);
+    }
+
+    function noteForgotten({ task, run, end, atMs }: WorkerEvent): void {
+        const account = accountOf(task);
+        if (end !== "done") {
+            return;
+        }
+        account.isNoted = true;
+        if (account.isRepeated) {
+            broken.push({
+                promise: "once",
+                detail: `${task} was started again after run ${run} was done`,
+                atMs,
+            });
+        }
+    }
+
+    return {
+        broken,
+        ends,
+        accuse: (promise, detail, atMs) => broken.push({ promise, detail, atMs }),
+        note(event) {
+            if (event.kind === "started") {
+                noteStart(event);
+                return;
+            }
+            if (event.kind === "over-capacity") {
+                broken.push({
+                    promise: "capacity",
+                    detail: `${event.worker} with ${event.task}`,
+                    atMs: event.atMs,
+                });
+                return;
+            }
+            const end = event.end ?? "lost";
+            if (event.kind === "noted") {
+                noteForgotten(event);
+                return;
+            }
+            ends.set(end, (ends.get(end) ?? 0) + 1);
+            const account = accountOf(event.task);
+            account.runningOn.delete(event.worker);
+            account.isDone ||= end === "done";
+        },
+        doneTasks(job) {
+            const names = [...(jobs.get(job) ?? [])];
+            return new Set(names.filter(task => tasks.get(task)?.isDone));
+        },
+        runningTasks(job) {
+            const names = [...(jobs.get(job) ?? [])];
+            return names.filter(task => (tasks.get(task)?.runningOn.size ?? 0) > 0);
+        },
+        hasStarted: job => jobs.has(job),
+    };
+}
--- /dev/null
+++ b/standins/src/emulator/taskTypes.ts
@@ -0,0 +1,39 @@
+import type { TaskEnd } from "@tanagerdeck/decisions/job/progressTypes";
+
+/** What a task of the emulator does; it is the text that its job carries as its spec. */
+export interface TaskScript {
+    job: string;
+    durationMs: number;
+    cpuMillis: number;
+    gpus: number;
+    /** Tasks of a gang; 1 for a plain task. */
+    gang: number;
+    /** Runs that end as failed before one is done. */
+    failures: number;
+}
+
+/** Something that a worker did. */
+export interface WorkerEvent {
+    /** `noted`: the end was taken note of, and the worker has forgotten it. */
+    kind: "started" | "ended" | "noted" | "over-capacity";
+    worker: string;
+    task: string;
+    run: number;
+    end?: TaskEnd;
+    /** Time on the emulator's clock. */
+    atMs: number;
+}
+
+/** The text of a script. */
+export function writeScript(script: TaskScript): string {
+    return JSON.stringify(script);
+}
+
+/** Reads a script; undefined if the text is not one, as when an order carries another job's text. */
+export function readScript(text: string): TaskScript | undefined {
+    try {
+        return JSON.parse(text) as TaskScript;
+    } catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/standins/src/emulator/workerServer.ts
@@ -0,0 +1,198 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { request as sendRequest } from "undici";
+import type { Clock, TimerStop } from "@tanagerdeck/runtime/clock/clock";
+import { readBody, sendJson, startListener, type Listener } from "@tanagerdeck/runtime/http/listener";
+import type { Refusal, TaskWorker } from "./taskWorker.ts";
+
+/** How a worker answers calls: as it should, late and without an answer, not at all, or it refuses starts. */
+export type WorkerMood = "well" | "late" | "mute" | "busy";
+
+/** A worker behind its HTTP interface, with heartbeats to the agent beside it. */
+export interface WorkerServer {
+    address: string;
+    mood: WorkerMood;
+    /** Reports that it will leave. */
+    drain(remainingMs: number): void;
+    /** Another life of the worker, at the same address. */
+    replace(worker: TaskWorker): void;
+    close(): Promise<void>;
+}
+
+/** Properties of the server. */
+export interface WorkerServerOptions {
+    worker: TaskWorker;
+    address: string;
+    service: string;
+    availabilityZone: string;
+    rack: string;
+    capacity: { cpuMillis: number; gpus: number };
+    /** Where the heartbeats go. */
+    registrationAddress: string;
+    heartbeatMs: number;
+    clock: Clock;
+    /** Delay of late calls. */
+    lateMs: () => number;
+}
+
+const BODY_LIMIT_BYTES = 64 * 1024;
+const LONGEST_WAIT_MS = 2_000;
+const MEMORY_MB = 1_000_000;
+
+interface CallBody {
+    task: string;
+    run: number;
+    spec: string;
+    saved?: string;
+    deadline_ms?: number;
+    fencing_token?: number;
+    last_seen?: number;
+    wait_ms?: number;
+}
+
+/** Starts the server and its heartbeats. */
+export async function startWorkerServer(options: WorkerServerOptions): Promise<WorkerServer> {
+    const { clock, lateMs } = options;
+    let worker = options.worker;
+    let sequence = 0;
+    let remainingMs: number | undefined;
+    let stopBeat: TimerStop = () => {};
+    let isClosed = false;
+
+    async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const text = await readBody(request, BODY_LIMIT_BYTES);
+        const body = JSON.parse(text ?? "{}") as CallBody;
+        const target = request.headers["x-target-instance"];
+        const execute = (): void => {
+            if (target !== undefined && target !== worker.id) {
+                sendJson(response, 421, {});
+                return;
+            }
+            void executeCall(request.url ?? "", body, response);
+        };
+        if (server.mood === "late") {
+            // The caller hangs up long before; the call is executed all the same.
+            clock.startTimer(lateMs(), execute);
+            return;
+        }
+        if (server.mood === "mute") {
+            return;
+        }
+        if (server.mood === "busy" && request.url === "/v1/run-start") {
+            sendJson(response, 503, {});
+            return;
+        }
+        execute();
+    }
+
+    async function executeCall(path: string, body: CallBody, response: ServerResponse): Promise<void> {
+        const fence = body.fencing_token ?? 0;
+        const { task, run } = body;
+        if (path === "/v1/run-start") {
+            const { spec, saved, deadline_ms: deadlineMs = 0 } = body;
+            answer(response, worker.start({ task, run, fence, spec, saved, deadlineMs }));
+            return;
+        }
+        if (path === "/v1/run-stop") {
+            answer(response, worker.stop({ task, run, fence }));
+            return;
+        }
+        if (path !== "/v1/hold") {
+            sendJson(response, 404, {});
+            return;
+        }
+        const refusal = worker.hold({ fence, recorded: body.last_seen ?? 0, deadlineMs: body.deadline_ms });
+        if (refusal) {
+            answer(response, refusal);
+            return;
+        }
+        await waitForEnd(Math.min(LONGEST_WAIT_MS, body.wait_ms ?? 0));
+        sendJson(response, 200, {
+            clock_ms: worker.clockMs(),
+            born: worker.bornMs,
+            running: worker.running().map(row => [row.task, row.run, row.saved ?? "", row.percent]),
+            ended: worker.ended().map(row => [row.number, row.task, row.run, row.end, row.saved ?? ""]),
+        });
+    }
+
+    function answer(response: ServerResponse, refusal: Refusal | undefined): void {
+        const clock_ms = worker.clockMs();
+        if (refusal === "invalid") {
+            sendJson(response, 400, { clock_ms, reason: "unknown" });
+        } else if (refusal) {
+            sendJson(response, 409, { clock_ms, reason: refusal });
+        } else {
+            sendJson(response, 200, { clock_ms });
+        }
+    }
+
+    function waitForEnd(waitMs: number): Promise<void> {
+        if (waitMs === 0 || worker.ended().length > 0) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const stopListening = worker.onEnd(finish);
+            const stopTimer = clock.startTimer(waitMs, finish);
+            function finish(): void {
+                stopListening();
+                stopTimer();
+                resolve();
+            }
+        });
+    }
+
+    function beat(): void {
+        if (isClosed) {
+            return;
+        }
+        const { service, availabilityZone, rack, capacity } = options;
+        const body = JSON.stringify({
+            service,
+            address: listener.address,
+            zone: availabilityZone,
+            version: "v1",
+            slots: 8,
+            state: remainingMs === undefined ? "ready" : "draining",
+            ...(remainingMs === undefined ? {} : { remaining_ms: remainingMs }),
+            cold_remaining_ms: 0,
+            born: worker.bornMs,
+            capacity: { cpu: capacity.cpuMillis, mem_mb: MEMORY_MB, gpu: capacity.gpus },
+            labels: ["a", rack],
+            machine: listener.address,
+            clock_ms: worker.clockMs(),
+            seq: ++sequence,
+        });
+        const url = `http://${options.registrationAddress}/v1/Instances.Heartbeat/${worker.id}`;
+        sendRequest(url, { method: "POST", body, headers: { "content-type": "application/json" } }).then(
+            reply => reply.body.dump(),
+            () => undefined,
+        );
+        stopBeat = clock.startTimer(options.heartbeatMs, beat);
+    }
+
+    const listener: Listener = await startListener(options.address, (request, response) => {
+        serve(request, response).catch(() => request.socket.destroy());
+    });
+    const server: WorkerServer = {
+        address: listener.address,
+        mood: "well",
+        drain(leastMs) {
+            remainingMs = leastMs;
+            stopBeat();
+            beat();
+        },
+        replace(next) {
+            worker = next;
+            sequence = 0;
+            remainingMs = undefined;
+            stopBeat();
+            beat();
+        },
+        async close() {
+            isClosed = true;
+            stopBeat();
+            await listener.close();
+        },
+    };
+    beat();
+    return server;
+}
--- a/standins/src/processes/childProcess.ts
+++ b/standins/src/processes/childProcess.ts
@@ -1,7 +1,7 @@
 import { spawn, type ChildProcess as NodeChild } from "node:child_process";
 
 /** Signals that tests send. */
-export type ProcessSignal = "SIGTERM" | "SIGKILL" | "SIGSTOP" | "SIGCONT";
+export type ProcessSignal = "SIGTERM" | "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGHUP";
 
 /** How to start a process. `program` is a file that this Node runs, or an executable with `program` undefined. */
 export interface ProcessCommand {
--- a/standins/src/processes/processGroup.ts
+++ b/standins/src/processes/processGroup.ts
@@ -15,6 +15,9 @@
     executable?: string;
 }
 
+/** Subcommand that runs a process of the system. */
+export type Role = "entry" | "agent" | "platform-entry" | "platform-agent";
+
 /** Settings of one process; they become its settings file. */
 export interface ProgramSettings {
     name: string;
@@ -24,11 +27,7 @@
 export interface ProcessGroup {
     folder: string;
     /** Starts a program with its settings; `role` is the subcommand of `tanagerdeck`. */
-    start<S extends ProgramSettings>(
-        program: ProgramName,
-        settings: S,
-        role?: "entry" | "agent",
-    ): Promise<ChildProcess>;
+    start<S extends ProgramSettings>(program: ProgramName, settings: S, role?: Role): Promise<ChildProcess>;
     processes(): ChildProcess[];
     /** Sends SIGTERM to the processes in the given order, waits, and kills what does not end in time. */
     stopAll(limitMs?: number): Promise<void>;
