Leave relays that do not answer out for a while, and renew a suspended lease more often

Change: each way to the store, direct or relayed, is second choice for 1 s after silence and for 0.2 s after a refusal; a suspended leader renews every 150 ms. Ruled out: the store itself (other entries were answered at 22.24 s). The new test fails before (one of two calls waits). The soak's undo of a kill waits for the process that it killed; it waited without end for one started meanwhile.

--- a/packages/caller/src/desk/deskTask.ts
+++ b/packages/caller/src/desk/deskTask.ts
@@ -100,7 +100,7 @@
 
     async function submit({ call, request, waitMs }: Submission, isDoubtful: boolean): Promise<SubmitReply> {
         const { queue, clientAccount } = call;
-        const fields = { job: request.id, queue: queue.name, clientAccount };
+        const fields = { job: request.id, queue: queue.name, clientAccount, waitMs };
         if (isStoreAway()) {
             log.warn("A job is refused because the store is away.", { ...fields, isDoubtful });
             return isDoubtful ? { kind: "unclear" } : storeUnavailable();
--- a/packages/store/src/leadership/leadershipTask.ts
+++ b/packages/store/src/leadership/leadershipTask.ts
@@ -63,6 +63,8 @@
 /** The holder stops acting this long before the lease can end. */
 const LEASE_MARGIN_MS = 200;
 const RENEW_MS = 400;
+/** A leader that may not act asks more often, as everything waits for it when the store returns. */
+const SUSPENDED_RENEW_MS = 150;
 const CAMPAIGN_RETRY_MS = 300;
 /** Time for which a campaign whose outcome is unclear is repeated. */
 const CAMPAIGN_LIMIT_MS = 3_000;
@@ -165,7 +167,8 @@
                     () => store.keepLease(lease),
                     result => ({ kind: "renewed", lease, result, since }),
                 );
-                context.after(RENEW_MS, { kind: "renew" });
+                const pauseMs = state.phase === "suspended" ? SUSPENDED_RENEW_MS : RENEW_MS;
+                context.after(pauseMs, { kind: "renew" });
             },
             renewed(state, { lease, result, since }) {
                 if (state.win?.lease !== lease) {
--- a/packages/store/src/relay/routedSend.spec.ts
+++ b/packages/store/src/relay/routedSend.spec.ts
@@ -86,6 +86,44 @@
         expect(calls).to.deep.equal(["direct"]);
     });
 
+    describe("when a relay is gone", () => {
+        let answers: Record<string, Answer>;
+
+        beforeEach(() => {
+            answers = { gone: "silent", alive: "answers" };
+            send = createRoutedSend({
+                direct: answer("direct", () => direct),
+                relays: () =>
+                    Object.keys(answers).map(name => ({ name, send: answer(name, () => answers[name]!) })),
+                clock,
+                log: silentLog,
+            });
+        });
+
+        it("leaves the relay out for a while, so that not every other call waits for it", async () => {
+            // After an outage of the store every second call of the leader waited 600 ms for a dead entry.
+            direct = "silent";
+            await sent();
+            await sent();
+            const startedAt = clock.now();
+            await sent();
+            await sent();
+            expect(clock.now() - startedAt).to.be.below(200);
+            expect(calls.slice(-2)).to.deep.equal(["alive", "alive"]);
+        });
+
+        it("tries the direct way again at once when the relay is silent as well", async () => {
+            answers = { gone: "silent" };
+            direct = "busy";
+            await sent();
+            direct = "answers";
+            await sent();
+            calls = [];
+            await sent();
+            expect(calls).to.deep.equal(["direct"]);
+        });
+    });
+
     describe("when no way works", () => {
         it("admits that the call may have been executed if one way got no answer", async () => {
             direct = "silent";
--- a/packages/store/src/relay/routedSend.ts
+++ b/packages/store/src/relay/routedSend.ts
@@ -26,49 +26,100 @@
  * safe: transactions are conditional, and a lease that nobody uses ends by itself.
  */
 const HEDGE_MS = 600;
-/** How long the direct way stays second choice after it has failed. */
-const DIRECT_PAUSE_MS = 1_000;
+/** How long a way stays second choice after it refused or failed at once; trying it again costs little time. */
+const FAILED_REST_MS = 200;
+/** The same after it stayed silent for most of `HEDGE_MS`, as each try holds a call up. */
+const SILENT_REST_MS = 1_000;
+/** A failure that took this long counts as silence; connection attempts end after 500 ms. */
+const SILENT_MS = 400;
 
 type SendResult = Either<Failure, StoreReply>;
 
+/** A way to the store with what is known of it. */
+interface Route {
+    name: string;
+    send: SendStoreCall;
+}
+
+const DIRECT = "direct";
+
 /**
  * A sender that goes through another process while the store turns this one away or cannot be reached from here.
  * A reply counts as turned away if it is 429 or 503, which state that the call was not executed.
  */
 export function createRoutedSend({ direct, relays, clock, log }: RoutedSendOptions): SendStoreCall {
-    let directPausedUntil = 0;
+    /** Until when a way is second choice, by its name. */
+    const restsUntil = new Map<string, number>();
     let nextRelay = 0;
 
-    async function sendDirect(call: StoreCall): Promise<SendResult> {
-        const result = await direct(call);
-        const wasPaused = directPausedUntil > 0;
-        if (isTurnedAway(result)) {
-            directPausedUntil = clock.now() + DIRECT_PAUSE_MS;
-            if (!wasPaused) {
-                log.warn("The store does not serve this process directly.", { outcome: describe(result) });
+    function isResting(name: string): boolean {
+        return clock.now() < (restsUntil.get(name) ?? 0);
+    }
+
+    function rest(name: string, restMs: number): void {
+        restsUntil.set(name, Math.max(restsUntil.get(name) ?? 0, clock.now() + restMs));
+    }
+
+    function watched({ name, send }: Route): Route {
+        return {
+            name,
+            async send(call) {
+                const startedAt = clock.now();
+                const result = await send(call);
+                const wasFailing = restsUntil.has(name);
+                if (!isTurnedAway(result)) {
+                    restsUntil.delete(name);
+                    if (wasFailing && name === DIRECT) {
+                        log.info("The store serves this process directly again.");
+                    }
+                    return result;
+                }
+                const wasSilent = clock.now() - startedAt - call.heldMs >= SILENT_MS;
+                rest(name, wasSilent ? SILENT_REST_MS : FAILED_REST_MS);
+                if (!wasFailing && name === DIRECT) {
+                    log.warn("The store does not serve this process directly.", {
+                        outcome: describe(result),
+                    });
+                }
+                return result;
+            },
+        };
+    }
+
+    /** The next relay that is not resting, or the next one if all are. */
+    function chooseRelay(): Route | undefined {
+        const candidates = relays();
+        const first = nextRelay++;
+        for (let step = 0; step < candidates.length; step++) {
+            const relay = candidates[(first + step) % candidates.length]!;
+            if (!isResting(relay.name)) {
+                return relay;
             }
-        } else if (wasPaused) {
-            directPausedUntil = 0;
-            log.info("The store serves this process directly again.");
         }
-        return result;
+        return candidates[first % Math.max(1, candidates.length)];
     }
 
     /** The ways of one call, best first. */
-    function chooseRoutes(): SendStoreCall[] {
-        const candidates = relays();
-        const relay = candidates[nextRelay++ % Math.max(1, candidates.length)];
+    function chooseRoutes(): Route[] {
+        const own = watched({ name: DIRECT, send: direct });
+        const relay = chooseRelay();
         if (!relay) {
-            return [sendDirect];
+            return [own];
         }
-        return clock.now() < directPausedUntil ? [relay.send, sendDirect] : [sendDirect, relay.send];
+        const isRelayBetter = isResting(DIRECT) && !isResting(relay.name);
+        return isRelayBetter ? [watched(relay), own] : [own, watched(relay)];
     }
 
-    return call => raceRoutes(chooseRoutes(), call, clock);
+    return call => raceRoutes(chooseRoutes(), call, clock, name => rest(name, SILENT_REST_MS));
 }
 
 /** Sends by the first way, and by the second one if the first fails or stays silent; the first reply wins. */
-function raceRoutes(routes: SendStoreCall[], call: StoreCall, clock: Clock): Promise<SendResult> {
+function raceRoutes(
+    routes: Route[],
+    call: StoreCall,
+    clock: Clock,
+    noteSilent: (name: string) => void,
+): Promise<SendResult> {
     return new Promise(resolve => {
         const waiting = [...routes];
         let running = 0;
@@ -82,9 +133,12 @@
             }
             running += 1;
             if (waiting.length > 0) {
-                stopHedge = clock.startTimer(HEDGE_MS + call.heldMs, startNext);
+                stopHedge = clock.startTimer(HEDGE_MS + call.heldMs, () => {
+                    noteSilent(route.name);
+                    startNext();
+                });
             }
-            route(call).then(settle, error => settle(Left(sendFailure(String(error)))));
+            route.send(call).then(settle, error => settle(Left(sendFailure(String(error)))));
         }
 
         function settle(result: SendResult): void {
--- a/scripts/soak/soakFaults.ts
+++ b/scripts/soak/soakFaults.ts
@@ -38,15 +38,17 @@
 function endProcess(signal: "SIGKILL" | "SIGTERM"): FaultMaker {
     return (deployment, random) => {
         const target = anyProcess(deployment, random);
-        target.child.signal(signal);
+        // Another fault may have started the process again when this one is undone.
+        const { child } = target;
+        child.signal(signal);
         return {
             name: `${signal} ${target.name}`,
             durationMs: duration(random),
             async undo() {
-                target.child.signal("SIGCONT");
-                await Promise.race([target.child.ended, pause(GRACE_MS)]);
-                target.child.signal("SIGKILL");
-                await target.child.ended;
+                child.signal("SIGCONT");
+                await Promise.race([child.ended, pause(GRACE_MS)]);
+                child.signal("SIGKILL");
+                await child.ended;
                 await target.restart();
             },
         };
@@ -72,17 +74,16 @@
 /** All processes of a kind lose power at once. */
 const killMany: FaultMaker = ({ entries, agents }, random) => {
     const targets: EmulatedProcess[] = random.chance(0.5) ? entries : [...entries, ...agents];
-    for (const { child } of targets) {
+    const children = targets.map(target => target.child);
+    for (const child of children) {
         child.signal("SIGKILL");
     }
     return {
         name: `SIGKILL ${targets.length} processes`,
         durationMs: random.between(300, 3_000),
         async undo() {
-            for (const target of targets) {
-                await target.child.ended;
-                await target.restart();
-            }
+            await Promise.all(children.map(child => child.ended));
+            await Promise.all(targets.map(target => target.restart()));
         },
     };
 };
