Judge each end of a task by itself in the soak

The rule speaks of the end that is taken note of. Ruled out: a fault of the planner (its log shows the worker's new boot before the second run).

--- a/standins/src/emulator/promiseJudge.ts
+++ b/standins/src/emulator/promiseJudge.ts
@@ -45,11 +45,8 @@
 
 interface TaskAccount {
     runningOn: Map<string, number>;
-    isDone: boolean;
-    /** Whether the end as done was taken note of; until then it may be lost with its worker. */
-    isNoted: boolean;
-    /** Whether it was started again after it was done. */
-    isRepeated: boolean;
+    /** Runs that ended as done. Until such an end is taken note of it may be lost with its worker. */
+    doneRuns: Map<number, { isNoted: boolean; isRepeated: boolean }>;
 }
 
 /** Builds a judge; `isKnown` says whether a caller handed a job in. */
@@ -62,9 +59,7 @@
     function accountOf(task: string): TaskAccount {
         const account = tasks.get(task) ?? {
             runningOn: new Map<string, number>(),
-            isDone: false,
-            isNoted: false,
-            isRepeated: false,
+            doneRuns: new Map<number, { isNoted: boolean; isRepeated: boolean }>(),
         };
         tasks.set(task, account);
         const job = parseTaskName(task)?.job ?? "";
@@ -77,9 +72,12 @@
         if (!isKnown(parseTaskName(task)?.job ?? "")) {
             broken.push({ promise: "asked", detail: `${task} was started on ${worker}`, atMs });
         }
-        account.isRepeated ||= account.isDone;
-        if (account.isNoted) {
-            broken.push({ promise: "once", detail: `${task} run ${run} starts after it was done`, atMs });
+        for (const [doneRun, done] of account.doneRuns) {
+            done.isRepeated = true;
+            if (done.isNoted) {
+                const detail = `${task} run ${run} starts after run ${doneRun} was done`;
+                broken.push({ promise: "once", detail, atMs });
+            }
         }
         if (account.runningOn.size > 0) {
             const others = [...account.runningOn.keys()].join(" ");
@@ -93,12 +91,12 @@
     }
 
     function noteForgotten({ task, run, end, atMs }: WorkerEvent): void {
-        const account = accountOf(task);
-        if (end !== "done") {
+        const done = accountOf(task).doneRuns.get(run);
+        if (end !== "done" || !done) {
             return;
         }
-        account.isNoted = true;
-        if (account.isRepeated) {
+        done.isNoted = true;
+        if (done.isRepeated) {
             broken.push({
                 promise: "once",
                 detail: `${task} was started again after run ${run} was done`,
@@ -132,11 +130,13 @@
             ends.set(end, (ends.get(end) ?? 0) + 1);
             const account = accountOf(event.task);
             account.runningOn.delete(event.worker);
-            account.isDone ||= end === "done";
+            if (end === "done") {
+                account.doneRuns.set(event.run, { isNoted: false, isRepeated: false });
+            }
         },
         doneTasks(job) {
             const names = [...(jobs.get(job) ?? [])];
-            return new Set(names.filter(task => tasks.get(task)?.isDone));
+            return new Set(names.filter(task => (tasks.get(task)?.doneRuns.size ?? 0) > 0));
         },
         runningTasks(job) {
             const names = [...(jobs.get(job) ?? [])];
