Quarantine workers that fail everything, and repeat failed groups elsewhere

Change: two groups that fail in a row, or one stall, put a worker into quarantine (1 s, doubling to 8 s, then one group as a probe), unless more than a third of the workers are concerned; a group is repeated on a worker where it failed only if it fits nowhere else. Ruled out: trust as an order of choice only, which it was.

--- a/packages/decisions/src/plan/planBook.spec.ts
+++ b/packages/decisions/src/plan/planBook.spec.ts
@@ -199,6 +199,18 @@
             expect(input().workers[0]?.suspicion).to.be.greaterThan(0);
         });
 
+        it("keeps a worker that fails all that it is given from further groups", () => {
+            const worker = addWorker("a");
+            addWorker("b");
+            for (const [number, id] of ["j", "k"].entries()) {
+                addPlaced(id, stepOf(), ["a"]);
+                const ended = [{ number: number + 1, task: `${id}.0.0.0`, run: 1, end: "failed" as const }];
+                applyReport(book, worker, reportOf(descriptionOf("a"), { ended }), now);
+            }
+            expect(input().workers.map(view => view.isOpen)).to.deep.equal([false, true]);
+            expect([...input().waiting[0]!.failedOn]).to.deep.equal(["a"]);
+        });
+
         it("leaves a run alone whose agent is not heard of, as its progress is not known", () => {
             // Found by the soak (seed 1): after a loss of all agents every run counted as standing still.
             const worker = addWorker("a");
--- a/packages/decisions/src/plan/planBook.ts
+++ b/packages/decisions/src/plan/planBook.ts
@@ -4,6 +4,7 @@
 import { occurrencesOf, taskGroupsOf, type TaskGroup } from "../job/taskGroups.ts";
 import { workOf } from "../schedule/jobValue.ts";
 import type { RunName, SyncReport, WorkerDescription } from "../worker/workerReport.ts";
+import { withFault, type WorkerFault } from "./workerTrust.ts";
 
 /** What the leader knows of one task of an open run. */
 export interface TaskWatch {
@@ -40,6 +41,8 @@
     isWriting: boolean;
     /** Open runs by group. */
     runs: Map<string, RunWatch>;
+    /** Workers on which a group has failed, by group; it is repeated on another one if there is one. */
+    failedOn: Map<string, Set<string>>;
 }
 
 /** An agent and its worker in the leader's book. */
@@ -54,8 +57,8 @@
     ends: Map<number, { job: string | undefined; version: number }>;
     /** Runs that the worker lists and the leader did not open. */
     strays: RunName[];
-    /** Times of recent failures on the leader's clock. */
-    faults: number[];
+    /** Failures since the last success, oldest first. */
+    faults: WorkerFault[];
 }
 
 /** Everything that the leader plans with. */
@@ -93,6 +96,7 @@
         recordedVersion: 0,
         isWriting: false,
         runs: new Map(),
+        failedOn: new Map(),
     };
     for (const { key } of groups) {
         if (groupProgress(entry.progress, key).placements.length > 0) {
@@ -136,6 +140,18 @@
     return true;
 }
 
+/** Holds a failure of a group's task against the worker, for other groups and for the repeat of this one. */
+export function noteFault(
+    worker: WorkerEntry,
+    entry: JobEntry,
+    key: string,
+    { now, isStall }: { now: number; isStall: boolean },
+): void {
+    worker.faults = withFault(worker.faults, { at: now, source: `${entry.job.id}.${key}`, isStall });
+    const failedOn = entry.failedOn.get(key) ?? new Set();
+    entry.failedOn.set(key, failedOn.add(worker.name));
+}
+
 /** Rules of a group's step and queue. */
 export function rulesOf(entry: JobEntry, group: TaskGroup): GroupRules {
     return {
--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -4,6 +4,7 @@
 import { runKey, type EndedTask, type RunName, type SyncReport } from "../worker/workerReport.ts";
 import {
     changeGroup,
+    noteFault,
     openPlacements,
     rulesOf,
     type JobEntry,
@@ -139,7 +140,7 @@
     const isOurs = placement?.worker === worker.name && (!boot || sameBoot(placement.boot, boot));
     if (isOurs && applyEnd(found, { ...row, end: row.end })) {
         events.push({ ...eventOf("ended", worker, row, entry.job.id), detail: row.end });
-        noteTrust(worker, row.end, now);
+        noteTrust(worker, found, row.end, now);
         if (!entry.progress.begun) {
             entry.progress = { ...entry.progress, begun: true };
         }
@@ -148,9 +149,9 @@
 }
 
 /** A failed run may be the worker's fault; a completed one speaks for it. */
-function noteTrust(worker: WorkerEntry, end: TaskEnd, now: number): void {
+function noteTrust(worker: WorkerEntry, { entry, group }: FoundTask, end: TaskEnd, now: number): void {
     if (end === "failed") {
-        worker.faults.push(now);
+        noteFault(worker, entry, group.key, { now, isStall: false });
     } else if (end === "done") {
         worker.faults = [];
     }
@@ -173,7 +174,7 @@
         return;
     }
     if (reason === "unhealthy") {
-        worker.faults.push(now);
+        noteFault(worker, found.entry, found.group.key, { now, isStall: false });
     }
     changeGroup(found.entry, found.group.key, closeRun(progress));
     events.push({ ...eventOf("refused", worker, run, found.entry.job.id), detail: reason });
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -23,6 +23,8 @@
     type WorkerEntry,
 } from "./planBook.ts";
 
+import { isQuarantineCredible, isQuarantined, suspicionOf } from "./workerTrust.ts";
+
 /** What a round needs to know besides the book. */
 export interface RoundContext {
     /** The leader's monotonic and wall clocks in milliseconds. */
@@ -35,8 +37,6 @@
 
 /** Silence after which a worker takes no new tasks. */
 const UNHEARD_MS = 1_700;
-/** For how long a failure counts against a worker. */
-const FAULT_MEMORY_MS = 10_000;
 
 /** Prepares a round from the book. */
 export function roundInput(book: PlanBook, context: RoundContext): RoundInput {
@@ -61,6 +61,7 @@
                     isGuaranteed: guaranteed.has(entry.job.id),
                     priority: terms.priority,
                     value: values(entry, group),
+                    failedOn: entry.failedOn.get(group.key) ?? NO_WORKERS,
                 });
             }
         }
@@ -74,6 +75,8 @@
     };
 }
 
+const NO_WORKERS: ReadonlySet<string> = new Set();
+
 type Values = (entry: JobEntry, group: TaskGroup) => JobValue;
 
 /** Values of the jobs, measured against the mean work of their queue's jobs and the room of their service. */
@@ -140,6 +143,7 @@
         sums.steps.set(key, (sums.steps.get(key) ?? 0) + 1);
         used.set(placement.worker, sums);
     }
+    const quarantined = quarantinedWorkers(book, new Set(used.keys()), now);
     const views: WorkerView[] = [];
     for (const worker of book.workers.values()) {
         const { description } = worker;
@@ -157,14 +161,25 @@
             capacity: description.capacity,
             free: subtractResources(description.capacity, taken),
             closing,
-            isOpen: isOpen(worker, now),
-            suspicion: worker.faults.filter(at => now - at < FAULT_MEMORY_MS).length,
+            isOpen: isOpen(worker, now) && !quarantined.has(worker.name),
+            suspicion: suspicionOf(worker.faults, now),
             tasksByStep: sums?.steps ?? new Map(),
         });
     }
     return views;
 }
 
+/** The workers that fail what they are given, unless there are too many of them to be at fault. */
+function quarantinedWorkers(book: PlanBook, busy: Set<string>, now: number): Set<string> {
+    const names = new Set<string>();
+    for (const { name, faults } of book.workers.values()) {
+        if (isQuarantined(faults, busy.has(name), now)) {
+            names.add(name);
+        }
+    }
+    return isQuarantineCredible(names.size, book.workers.size) ? names : new Set();
+}
+
 /** A worker with runs that the leader cannot account for takes nothing until they are stopped. */
 function isOpen(worker: WorkerEntry, now: number): boolean {
     const isHeard = worker.hasReported && now - worker.heardAt < UNHEARD_MS;
--- a/packages/decisions/src/plan/planStalls.ts
+++ b/packages/decisions/src/plan/planStalls.ts
@@ -2,7 +2,7 @@
 import type { Placement } from "../job/progressTypes.ts";
 import type { TaskGroup } from "../job/taskGroups.ts";
 import { estimateOf } from "../schedule/jobValue.ts";
-import { changeGroup, type JobEntry, type PlanBook, type RunWatch } from "./planBook.ts";
+import { changeGroup, noteFault, type JobEntry, type PlanBook, type RunWatch } from "./planBook.ts";
 
 /** A run that was closed because it did not progress. */
 export interface StalledRun {
@@ -37,7 +37,10 @@
             }
             const workers = standingWorkers(book, entry, group, now);
             for (const name of workers) {
-                book.workers.get(name)?.faults.push(now, now);
+                const worker = book.workers.get(name);
+                if (worker) {
+                    noteFault(worker, entry, group.key, { now, isStall: true });
+                }
             }
             changeGroup(entry, group.key, closeRun(progress));
             stalled.push({ job: entry.job.id, group: group.key, workers, stalledMs });
--- a/packages/decisions/src/schedule/placementSearch.ts
+++ b/packages/decisions/src/schedule/placementSearch.ts
@@ -23,12 +23,7 @@
     workers: WorkerView[],
     available: AvailableCapacity,
 ): TaskPlace[] | undefined {
-    const { step, indexes } = waiting.group;
-    const candidates = findCandidates(waiting, workers, available);
-    const near = step.dataRack
-        ? candidates.filter(candidate => candidate.worker.rack === step.dataRack)
-        : candidates;
-    return isRackBound(waiting.group) ? fillOneRack(near, indexes) : fill(near, indexes);
+    return nearPlaces(waiting, allowedWorkers(waiting, workers), available);
 }
 
 /** Finds places anywhere. */
@@ -37,7 +32,38 @@
     workers: WorkerView[],
     available: AvailableCapacity,
 ): TaskPlace[] | undefined {
-    return fill(findCandidates(waiting, workers, available), waiting.group.indexes);
+    const allowed = allowedWorkers(waiting, workers);
+    return fill(findCandidates(waiting, allowed, available), waiting.group.indexes);
+}
+
+function nearPlaces(
+    waiting: WaitingGroup,
+    allowed: WorkerView[],
+    available: AvailableCapacity,
+): TaskPlace[] | undefined {
+    const { step, indexes } = waiting.group;
+    const candidates = findCandidates(waiting, allowed, available);
+    const near = step.dataRack
+        ? candidates.filter(candidate => candidate.worker.rack === step.dataRack)
+        : candidates;
+    return isRackBound(waiting.group) ? fillOneRack(near, indexes) : fill(near, indexes);
+}
+
+/** The open workers that the step admits; those on which the group has failed only if it does not fit elsewhere. */
+function allowedWorkers(waiting: WaitingGroup, workers: WorkerView[]): WorkerView[] {
+    const { job, group, failedOn } = waiting;
+    const { requiredLabel } = group.step;
+    const allowed = workers.filter(
+        worker =>
+            worker.isOpen &&
+            worker.service === job.service &&
+            (requiredLabel === undefined || worker.labels.includes(requiredLabel)),
+    );
+    if (failedOn.size === 0) {
+        return allowed;
+    }
+    const others = allowed.filter(worker => !failedOn.has(worker.name));
+    return nearPlaces(waiting, others, worker => worker.capacity) ? others : allowed;
 }
 
 function isRackBound({ step, indexes }: WaitingGroup["group"]): boolean {
@@ -47,27 +73,21 @@
 /** The workers that can take at least one task of the group. */
 function findCandidates(
     waiting: WaitingGroup,
-    workers: WorkerView[],
+    allowed: WorkerView[],
     available: AvailableCapacity,
 ): Candidate[] {
-    const { job, group } = waiting;
-    const { step } = group;
+    const { group } = waiting;
+    const { resources } = group.step;
     const candidates: Candidate[] = [];
-    for (const worker of workers) {
-        if (!worker.isOpen || worker.service !== job.service) {
-            continue;
-        }
-        if (step.requiredLabel !== undefined && !worker.labels.includes(step.requiredLabel)) {
-            continue;
-        }
+    for (const worker of allowed) {
         const free = available(worker);
         const slots = Math.min(
-            timesFitting(free, step.resources),
+            timesFitting(free, resources),
             slotsLeft(worker, waiting),
             group.indexes.length,
         );
         if (slots > 0) {
-            candidates.push({ worker, slots, leftover: leftoverOf(worker, free, step.resources, slots) });
+            candidates.push({ worker, slots, leftover: leftoverOf(worker, free, resources, slots) });
         }
     }
     return candidates.sort(compareCandidates);
--- a/packages/decisions/src/schedule/scheduleTypes.ts
+++ b/packages/decisions/src/schedule/scheduleTypes.ts
@@ -30,6 +30,8 @@
     isGuaranteed: boolean;
     priority: number;
     value: JobValue;
+    /** Workers on which the group has failed. */
+    failedOn: ReadonlySet<string>;
 }
 
 /** A group with open placements. */
--- a/packages/decisions/src/schedule/schedulingRound.spec.ts
+++ b/packages/decisions/src/schedule/schedulingRound.spec.ts
@@ -45,6 +45,7 @@
             isGuaranteed: false,
             priority: job.terms.priority,
             value: valueOf(),
+            failedOn: new Set<string>(),
             ...changes,
         }));
     }
@@ -93,6 +94,24 @@
         return [];
     }
 
+    describe("with a group that has failed on a worker", () => {
+        const gang = () => jobOf("j", [stepOf({ count: 9, gang: true })]);
+
+        it("waits for another worker, as a faulty one would use up the job's attempts", () => {
+            // ckw-deck scale-2, seed 11: four jobs failed four times within 1.2 s on the one worker that was free.
+            const busy = workerOf("busy", { free: resourcesOf(0, 0) });
+            const failedOn = new Set(["faulty"]);
+            const waiting = waitingOf(jobOf("j", [stepOf()]), { failedOn });
+            expect(round({ workers: [workerOf("faulty"), busy], waiting })).to.deep.equal([]);
+        });
+
+        it("takes the worker again if no other one can ever hold the group", () => {
+            const waiting = waitingOf(gang(), { failedOn: new Set(["a"]) });
+            const decisions = round({ workers: [workerOf("a"), workerOf("b")], waiting });
+            expect(placesOf(decisions, "j")).to.have.length(9);
+        });
+    });
+
     describe("with room", () => {
         it("fills the worker that is used already, so that whole workers stay free", () => {
             const used = workerOf("used", { free: { cpuMillis: 20_000, memoryMb: 9_000, gpus: 3 } });
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -10,6 +10,7 @@
     changeGroup,
     createPlanBook,
     isClosed,
+    noteFault,
     workerEntry,
     type JobEntry,
     type PlanBook,
@@ -382,7 +383,10 @@
                 }
                 for (const placement of progress.placements) {
                     if (!run.tasks.has(placement.index)) {
-                        state.book.workers.get(placement.worker)?.faults.push(now);
+                        const worker = state.book.workers.get(placement.worker);
+                        if (worker) {
+                            noteFault(worker, entry, key, { now, isStall: false });
+                        }
                     }
                 }
                 log.warn("A run did not start in time.", { term, job: entry.job.id, group: key });
