Keep the output of all lives of a process in the soak's logs

Change: the output of earlier lives is kept, a process whose start failed can be started again, and the finding names the entry that answered.

--- a/scripts/soak/soakCallers.ts
+++ b/scripts/soak/soakCallers.ts
@@ -97,7 +97,8 @@
 
     async function ask(entry: SoakJob): Promise<void> {
         const askedAt = now();
-        const { status, state } = await askState(anyAddress(), entry.job);
+        const asked = random.pick(deployment.entries);
+        const { status, state } = await askState(asked.callerProxy.address, entry.job);
         const { job } = entry;
         const isOld = entry.acceptedAtMs !== undefined && askedAt - entry.acceptedAtMs > VISIBLE_MS;
         if (status === 410 && isOld) {
@@ -117,7 +118,7 @@
             judge.accuse("true-state", `${job.id} is shown as cancelled`, askedAt);
         }
         if (entry.state === "completed" && state !== undefined && state !== "completed") {
-            judge.accuse("true-state", `${job.id} was completed and is ${state}`, askedAt);
+            judge.accuse("true-state", `${job.id} was completed and is ${state} at ${asked.name}`, askedAt);
         }
         entry.state = state ?? entry.state;
     }
--- a/standins/src/emulator/emulatedDeployment.ts
+++ b/standins/src/emulator/emulatedDeployment.ts
@@ -91,7 +91,7 @@
         agents,
         accounts,
         writeManifest,
-        output: () => [...entries, ...agents].map(one => one.child.output()).join(""),
+        output: () => [...entries, ...agents].map(one => one.output()).join(""),
         stop: () => stopAll(context, entries, agents, storeServer),
     };
 }
@@ -177,9 +177,14 @@
         ...settings,
     };
     let starting: Promise<void> | undefined;
+    let earlierOutput = "";
     async function start(): Promise<void> {
-        process.child = await group.start("tanagerdeck", all, role);
-        starting = undefined;
+        earlierOutput += process.child.output();
+        try {
+            process.child = await group.start("tanagerdeck", all, role);
+        } finally {
+            starting = undefined;
+        }
     }
     const process: EmulatedProcess = {
         name,
@@ -191,6 +196,7 @@
             }
             await starting;
         },
+        output: () => earlierOutput + process.child.output(),
     };
     return process;
 }
--- a/standins/src/emulator/emulatorTypes.ts
+++ b/standins/src/emulator/emulatorTypes.ts
@@ -25,6 +25,8 @@
     storeProxy: ProxyStandin;
     /** Starts the program again if it has ended. */
     restart(): Promise<void>;
+    /** Text that all its lives printed. */
+    output(): string;
 }
 
 /** An entry with the address that callers use. */
