Add the command trace, which prints a job's way through log files

Change: 'tanagerdeck trace ID FILE...' prints the lines of one job in order of time, with the warnings of the store, the leader and the agents between them. Arguments that may be repeated are passed on one by one.

--- /dev/null
+++ b/packages/operator/src/jobTrace/jobTrace.spec.ts
@@ -0,0 +1,41 @@
+import { expect } from "chai";
+import { traceJob } from "./jobTrace.ts";
+
+describe("the trace of a job", () => {
+    function line(seconds: number, name: string, msg: string, fields: object = {}, level = 30): string {
+        const time = `2026-12-04T10:00:${String(seconds).padStart(2, "0")}.000Z`;
+        return JSON.stringify({ name, hostname: "h", pid: 1, level, ...fields, msg, time, v: 0 });
+    }
+
+    const logs = [
+        "  17.2418 entry-2 " +
+            line(4, "entry-2", "planner: A run has ended.", { task: "aa.0.0.0", detail: "done" }),
+        line(1, "entry-1", "desk: A job was accepted.", { job: "aa" }),
+        line(2, "entry-2", "planner: A group was placed.", { job: "aa", group: "0.0" }),
+        line(2, "entry-2", "planner: A group was placed.", { job: "aab", group: "0.0" }),
+        line(3, "entry-2", "store: The store does not answer.", {}, 40),
+        line(9, "entry-2", "store: The store does not answer.", {}, 40),
+        line(3, "entry-2", "planner: A group gives way.", { job: "bb", for: "aa" }),
+        '{"ready":true}',
+        "no log line {",
+    ].join("\n");
+
+    it("has the job's lines of all processes, in order of time", () => {
+        expect(
+            traceJob("aa", logs).map(({ time, process }) => `${time.slice(17, 19)} ${process}`),
+        ).to.deep.equal(["01 entry-1", "02 entry-2", "03 entry-2", "03 entry-2", "04 entry-2"]);
+    });
+
+    it("shows what happened to the store in the job's time, as no line of the job tells of it", () => {
+        const sentences = traceJob("aa", logs).map(({ sentence }) => sentence);
+        expect(sentences.filter(sentence => sentence.startsWith("store:"))).to.have.length(1);
+    });
+
+    it("keeps the fields that decided and drops those of the log's format", () => {
+        expect(traceJob("aa", logs).at(-1)?.fields).to.deep.equal({ task: "aa.0.0.0", detail: "done" });
+    });
+
+    it("is empty for a job that no line names", () => {
+        expect(traceJob("cc", logs)).to.deep.equal([]);
+    });
+});
--- a/packages/tanagerdeck/src/commands/commandLine.ts
+++ b/packages/tanagerdeck/src/commands/commandLine.ts
@@ -29,7 +29,7 @@
         registered.action(async (...parts: unknown[]) => {
             const parsed = parts.pop() as CommandOptions;
             const options = { ...parsed, ...textValues(command, cli.rawArgs) };
-            const args = parts.map(part => (Array.isArray(part) ? part.join(" ") : String(part)));
+            const args = parts.flat().map(String);
             const result = await command.run(args, options, io);
             printResult(result, Boolean(options.json), io);
             process.exitCode = exitCode(result);
--- a/packages/tanagerdeck/src/commands/commands.spec.ts
+++ b/packages/tanagerdeck/src/commands/commands.spec.ts
@@ -110,6 +110,19 @@
         expect(JSON.stringify(ended)).to.match(detail);
     }
 
+    describe("given log files", () => {
+        it("trace prints a job's way, and fails if no line names it", async () => {
+            const fields = { name: "entry-1", level: 30, job: "aa", msg: "desk: A job was accepted." };
+            files.set("log", Buffer.from(JSON.stringify({ ...fields, time: "2026-12-04T10:00:00.000Z" })));
+            expect(await run("trace", ["aa", "log"])).to.include({
+                kind: "done",
+                text: "2026-12-04T10:00:00.000Z entry-1 desk: A job was accepted. job=aa",
+            });
+            await expectExit(run("trace", ["bb", "log"]), 3, /not-found/);
+            await expectExit(run("trace", ["aa", "absent"]), 2, /cannot be read/);
+        });
+    });
+
     describe("before a document is accepted", () => {
         it("submit is not accepted, so that nothing runs without a configuration", () =>
             expectExit(run("submit", ["quote"], { body: "{}" }), 3, /no-configuration/));
--- a/packages/tanagerdeck/src/commands/commands.ts
+++ b/packages/tanagerdeck/src/commands/commands.ts
@@ -8,6 +8,7 @@
 import { promoteCommand } from "./promoteCommand.ts";
 import { statusCommand } from "./statusCommand.ts";
 import { submitCommand } from "./submitCommand.ts";
+import { traceCommand } from "./traceCommand.ts";
 import { usageCommand } from "./usageCommand.ts";
 
 /** The operators' and callers' commands, by name. */
@@ -22,4 +23,5 @@
     drain: drainCommand,
     submit: submitCommand,
     cancel: cancelCommand,
+    trace: traceCommand,
 };
--- /dev/null
+++ b/packages/tanagerdeck/src/commands/traceCommand.ts
@@ -0,0 +1,29 @@
+import { Either, Left } from "purify-ts/Either";
+import { traceJob, type TracedLine } from "@tanagerdeck/operator/jobTrace/jobTrace";
+import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { Command, CommandResult } from "./commandTypes.ts";
+import { readText } from "./entryOptions.ts";
+
+/** Prints the way of one job through the log files of all processes. */
+export const traceCommand: Command = {
+    usage: "trace <id> <...files>",
+    description: "Print a job's way through log files, in order of time",
+    options: [],
+    async run([id = "", ...paths], _options, io) {
+        return Either.sequence(paths.map(path => readText(path, io)))
+            .chain<CommandResult, CommandResult>(texts => {
+                const lines = traceJob(id, texts.join("\n"));
+                if (lines.length === 0) {
+                    return Left(failure("not-run", "not-found", `No line names the job ${id}.`));
+                }
+                const text = lines.map(formatLine).join("\n");
+                return Either.of({ kind: "done", value: { id, lines }, text });
+            })
+            .extract();
+    },
+};
+
+function formatLine({ time, process, sentence, fields }: TracedLine): string {
+    const rest = Object.entries(fields).map(([name, value]) => `${name}=${String(value)}`);
+    return [time, process, sentence, ...rest].join(" ");
+}
