--- a/packages/decisions/src/schedule/schedulingRound.ts
+++ b/packages/decisions/src/schedule/schedulingRound.ts
@@ -1,5 +1,4 @@
 import { addResources, subtractResources, type Resources } from "../job/jobTypes.ts";
-import type { TaskGroup } from "../job/taskGroups.ts";
 import { estimateOf, urgencyOf, worthAt } from "./jobValue.ts";
 import { dependsOnPlace, findAnyPlaces, findNearPlaces, type AvailableCapacity } from "./placementSearch.ts";
 import { findPlannedPlace, type PlaceSearch, type PlannedPlace } from "./plannedPlace.ts";
@@ -124,46 +123,36 @@
 
 /** A group without a near place waits for one, runs far away or takes the place of less urgent ones. */
 function serveBlocked(round: Round, candidate: WaitingGroup): void {
-    const { workers, placed, nowMs } = round.input;
-    const { value, group, job } = candidate;
+    const { workers, placed, farFactor } = round.input;
+    const durationMs = estimateOf(candidate.group.step);
     const planned = findPlannedPlace(candidate, workers, placed, freeNow(round), findNearPlaces);
-    const plannedEndMs = planned ? planned.afterMs + value.runMs : Number.POSITIVE_INFINITY;
-    const far = findFarPlaces(round, candidate);
-    const farEndMs = far ? value.runMs + far.extraMs : Number.POSITIVE_INFINITY;
-    const laterWorth = Math.max(worthAt(value, nowMs + plannedEndMs), worthAt(value, nowMs + farEndMs));
-
-    const isUrgent = (other: PlacedGroup) => !other.isGuaranteed && other.priority > candidate.priority;
+    if (dependsOnPlace(candidate)) {
+        const farMs = durationMs * farFactor;
+        const isFarSooner = !planned || farMs < planned.afterMs + durationMs;
+        const far = isFarSooner ? findAnyPlaces(candidate, workers, freeFor(round, farMs)) : undefined;
+        if (far) {
+            place(round, candidate, far, true);
+            return;
+        }
+    }
+    const isUrgent = (group: PlacedGroup) => !group.isGuaranteed && group.priority > candidate.priority;
     const plan = planVictims(round, candidate, findNearPlaces, isUrgent);
-    // A job is worth nothing before all its groups are done, so each counts for its share.
-    const groups = round.waitingOfJob.get(job.id) ?? 1;
-    const gain = (worthAt(value, nowMs + STOP_MS + value.runMs) - laterWorth) / groups;
-    if (plan && gain > plan.cost * GAIN_FACTOR) {
+    if (plan && gainOf(round, candidate, planned) > plan.cost * GAIN_FACTOR) {
         preempt(round, candidate, plan);
         return;
     }
-    if (far && farEndMs < plannedEndMs) {
-        place(round, candidate, far.places, true);
-        return;
-    }
     if (planned && round.plannedGroups < PLANNED_GROUPS) {
         round.plannedGroups += 1;
-        keepPlanned(round, group, planned);
+        keepPlanned(round, candidate, planned);
     }
 }
 
-/** Places for a group that is slower there, and how much longer it takes. */
-function findFarPlaces(
-    round: Round,
-    candidate: WaitingGroup,
-): { places: TaskPlace[]; extraMs: number } | undefined {
-    if (!dependsOnPlace(candidate)) {
-        return undefined;
-    }
-    const { workers, farFactor } = round.input;
-    const durationMs = estimateOf(candidate.group.step);
-    const farMs = durationMs * farFactor;
-    const places = findAnyPlaces(candidate, workers, freeFor(round, farMs));
-    return places && { places, extraMs: farMs - durationMs };
+/** What it is worth to start the group now instead of at its planned place, as its share of the job. */
+function gainOf(round: Round, { job, value }: WaitingGroup, planned: PlannedPlace | undefined): number {
+    const { nowMs } = round.input;
+    const soon = worthAt(value, nowMs + STOP_MS + value.runMs);
+    const later = planned ? worthAt(value, nowMs + planned.afterMs + value.runMs) : 0;
+    return (soon - later) / (round.waitingOfJob.get(job.id) ?? 1);
 }
 
 function planVictims(
@@ -214,7 +203,7 @@
 }
 
 /** Keeps tasks that would outlast the wait from taking the planned places. */
-function keepPlanned(round: Round, group: TaskGroup, planned: PlannedPlace): void {
+function keepPlanned(round: Round, { group }: WaitingGroup, planned: PlannedPlace): void {
     const needed = new Map<string, Resources>();
     for (const { worker } of planned.places) {
         const before = needed.get(worker);
