Split the planner's task and log the inputs of its decisions

Change: loading, log lines and types have files of their own; runs that do not start in time are closed by a tested decision; a placement is logged with the time waited, the workers where the group failed and the age of the reports, a stop with both priorities and the time that is lost; quarantine has a line at its begin and end. The trace of a job also shows what befell the store shortly before its first line.

--- a/packages/decisions/src/plan/planBook.spec.ts
+++ b/packages/decisions/src/plan/planBook.spec.ts
@@ -14,7 +14,7 @@
 import { ordersOf } from "./planOrders.ts";
 import { applyReport, closeUnheard } from "./planReport.ts";
 import { applyDecision, roundInput } from "./planRound.ts";
-import { closeStalled } from "./planStalls.ts";
+import { closeStalled, closeStuckStarts } from "./planStalls.ts";
 
 describe("the leader's book", () => {
     const CLOSED_AFTER_MS = 16_000;
@@ -199,6 +199,16 @@
             expect(input().workers[0]?.suspicion).to.be.greaterThan(0);
         });
 
+        it("closes a recorded run whose start got no answer, so that it starts elsewhere", () => {
+            addWorker("a");
+            const entry = addPlaced("j", stepOf(), ["a"]);
+            now = 2_000;
+            expect(closeStuckStarts(book, now)).to.deep.equal([]);
+            now = 2_200;
+            expect(closeStuckStarts(book, now)).to.deep.equal([{ job: "j", group: "0.0.0", workers: ["a"] }]);
+            expect(phaseOf(entry)).to.equal("closing");
+        });
+
         it("keeps a worker that fails all that it is given from further groups", () => {
             const worker = addWorker("a");
             addWorker("b");
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -143,7 +143,7 @@
         sums.steps.set(key, (sums.steps.get(key) ?? 0) + 1);
         used.set(placement.worker, sums);
     }
-    const quarantined = quarantinedWorkers(book, new Set(used.keys()), now);
+    const quarantined = quarantinedWorkers(book, now);
     const views: WorkerView[] = [];
     for (const worker of book.workers.values()) {
         const { description } = worker;
@@ -170,7 +170,11 @@
 }
 
 /** The workers that fail what they are given, unless there are too many of them to be at fault. */
-function quarantinedWorkers(book: PlanBook, busy: Set<string>, now: number): Set<string> {
+export function quarantinedWorkers(book: PlanBook, now: number): Set<string> {
+    const busy = new Set<string>();
+    for (const { placement } of openPlacements(book)) {
+        busy.add(placement.worker);
+    }
     const names = new Set<string>();
     for (const { name, faults } of book.workers.values()) {
         if (isQuarantined(faults, busy.has(name), now)) {
--- a/packages/decisions/src/plan/planStalls.ts
+++ b/packages/decisions/src/plan/planStalls.ts
@@ -13,6 +13,11 @@
     stalledMs: number;
 }
 
+/** A run whose tasks did not all start in time. */
+export type StuckStart = Pick<StalledRun, "job" | "group" | "workers">;
+
+/** After this time without all tasks started a run is closed; gangs wait for each other 3 s or more. */
+const START_LIMIT_MS = 2_200;
 /** Least time without progress; reports are up to two seconds apart. */
 const STALL_MS = 3_000;
 /** A slow worker takes several times the estimate for each hundredth of the work. */
@@ -49,6 +54,34 @@
     return stalled;
 }
 
+/** Closes recorded runs of which some tasks have not started in time, so that they start elsewhere. */
+export function closeStuckStarts(book: PlanBook, now: number): StuckStart[] {
+    const stuck: StuckStart[] = [];
+    for (const entry of book.jobs.values()) {
+        for (const [key, run] of entry.runs) {
+            const progress = groupProgress(entry.progress, key);
+            const isWaiting =
+                progress.phase === "placed" &&
+                entry.recordedVersion >= run.version &&
+                run.tasks.size < progress.placements.length;
+            if (!isWaiting || now - run.openedAt < START_LIMIT_MS) {
+                continue;
+            }
+            const missing = progress.placements.filter(({ index }) => !run.tasks.has(index));
+            for (const { worker: name } of missing) {
+                const worker = book.workers.get(name);
+                if (worker) {
+                    noteFault(worker, entry, key, { now, isStall: false });
+                }
+            }
+            changeGroup(entry, key, closeRun(progress));
+            const workers = missing.map(placement => placement.worker);
+            stuck.push({ job: entry.job.id, group: key, workers });
+        }
+    }
+    return stuck;
+}
+
 /** Time up to which all workers of a run have reported; an agent that is not heard of says nothing of progress. */
 function lastReportOf(book: PlanBook, placements: Placement[]): number {
     let reportedAt = Number.MAX_SAFE_INTEGER;
--- a/packages/operator/src/jobTrace/jobTrace.spec.ts
+++ b/packages/operator/src/jobTrace/jobTrace.spec.ts
@@ -14,6 +14,7 @@
         line(2, "entry-2", "planner: A group was placed.", { job: "aa", group: "0.0" }),
         line(2, "entry-2", "planner: A group was placed.", { job: "aab", group: "0.0" }),
         line(3, "entry-2", "store: The store does not answer.", {}, 40),
+        line(0, "entry-2", "replica: The store cannot be watched.", {}, 40),
         line(9, "entry-2", "store: The store does not answer.", {}, 40),
         line(3, "entry-2", "planner: A group gives way.", { job: "bb", for: "aa" }),
         '{"ready":true}',
@@ -23,12 +24,12 @@
     it("has the job's lines of all processes, in order of time", () => {
         expect(
             traceJob("aa", logs).map(({ time, process }) => `${time.slice(17, 19)} ${process}`),
-        ).to.deep.equal(["01 entry-1", "02 entry-2", "03 entry-2", "03 entry-2", "04 entry-2"]);
+        ).to.deep.equal(["00 entry-2", "01 entry-1", "02 entry-2", "03 entry-2", "03 entry-2", "04 entry-2"]);
     });
 
-    it("shows what happened to the store in the job's time, as no line of the job tells of it", () => {
+    it("shows what happened to the store before and in the job's time, as no line of the job tells of it", () => {
         const sentences = traceJob("aa", logs).map(({ sentence }) => sentence);
-        expect(sentences.filter(sentence => sentence.startsWith("store:"))).to.have.length(1);
+        expect(sentences.filter(sentence => /^(store|replica):/.test(sentence))).to.have.length(2);
     });
 
     it("keeps the fields that decided and drops those of the log's format", () => {
--- a/packages/operator/src/jobTrace/jobTrace.ts
+++ b/packages/operator/src/jobTrace/jobTrace.ts
@@ -21,6 +21,9 @@
 /** Events of the shared parts that are no warnings but change who decides. */
 const SHARED_SENTENCES = ["This process leads.", "This process resigns.", "Planning begins."];
 
+/** Causes of a job's first line, such as an outage of the store, are this much older at most. */
+const CONTEXT_MS = 10_000;
+
 /**
  * The lines of one job, of all processes in order of time, and between them what happened to the store, the leader
  * and the agents. Lines may have a prefix before their JSON object; other text is left out.
@@ -39,8 +42,10 @@
     if (first < 0) {
         return [];
     }
+    const from = Date.parse(lines[first]!.time) - CONTEXT_MS;
     return lines
-        .slice(first, last + 1)
+        .slice(0, last + 1)
+        .filter(line => Date.parse(line.time) >= from)
         .filter(line => concerns(line, id) || isShared(line))
         .map(describe);
 }
--- /dev/null
+++ b/packages/peer/src/planner/bookLoading.ts
@@ -0,0 +1,58 @@
+import type { Job } from "@tanagerdeck/decisions/job/jobTypes";
+import { closeRun, groupProgress } from "@tanagerdeck/decisions/job/progressChange";
+import type { Progress } from "@tanagerdeck/decisions/job/progressTypes";
+import {
+    addJob,
+    changeGroup,
+    isClosed,
+    workerEntry,
+    type JobEntry,
+    type PlanBook,
+} from "@tanagerdeck/decisions/plan/planBook";
+import type { Item } from "@tanagerdeck/store/keyvalue/keyValueTypes";
+import { decodeContent } from "@tanagerdeck/store/replica/recordCodec";
+import { parseStoreKey } from "@tanagerdeck/store/replica/storeKeys";
+
+/** Fills an empty book from the stored items. `startedAt` counts as the workers' latest report. */
+export function loadBook(book: PlanBook, items: Item[], startedAt: number, now: number): void {
+    const progress = new Map<string, { progress: Progress; revision: number }>();
+    const jobs: Job[] = [];
+    for (const item of items) {
+        const key = parseStoreKey(item.key);
+        if (key?.kind !== "job") {
+            continue;
+        }
+        if (key.part === "cancel") {
+            book.cancelledEarly.add(key.id);
+        }
+        if (key.part === "definition") {
+            const job = decodeContent("definition", item.value);
+            jobs.push(...(job ? [job] : []));
+        }
+        if (key.part === "progress") {
+            const content = decodeContent("progress", item.value);
+            if (content) {
+                progress.set(key.id, { progress: content, revision: item.revision });
+            }
+        }
+    }
+    for (const job of jobs) {
+        const entry = addJob(book, job, progress.get(job.id), now);
+        closeRuns(entry);
+        for (const group of Object.values(entry.progress.groups)) {
+            for (const placement of group.placements) {
+                workerEntry(book, placement.worker, startedAt);
+            }
+        }
+    }
+}
+
+/** Closes all open runs of a job that is cancelled or has ended. */
+export function closeRuns(entry: JobEntry): void {
+    if (!isClosed(entry)) {
+        return;
+    }
+    for (const { key } of entry.groups) {
+        changeGroup(entry, key, closeRun(groupProgress(entry.progress, key)));
+    }
+}
--- /dev/null
+++ b/packages/peer/src/planner/plannerTypes.ts
@@ -0,0 +1,56 @@
+import type { Either } from "purify-ts/Either";
+import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
+import type { ManifestIndex } from "@tanagerdeck/decisions/manifest/access";
+import type { Decision } from "@tanagerdeck/decisions/schedule/scheduleTypes";
+import type { RoundInput } from "@tanagerdeck/decisions/schedule/schedulingRound";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { SyncReport } from "@tanagerdeck/decisions/worker/workerReport";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { SchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
+import type { Reply } from "@tanagerdeck/runtime/task/task";
+import type { Change, CommitReply, Transaction } from "@tanagerdeck/store/keyvalue/keyValueTypes";
+import type { Listing } from "@tanagerdeck/store/keyvalue/listing";
+import type { AgentOrders } from "../session/sessionTask.ts";
+import type { RecordWrite } from "./recording.ts";
+
+/** Messages of the planner's task. */
+export type PlannerMessage =
+    | { kind: "loaded"; result: Either<Failure, Listing> }
+    | { kind: "changed"; change: Change }
+    | { kind: "manifest"; index: ManifestIndex }
+    | { kind: "report"; agent: string; report: SyncReport }
+    | { kind: "suspend" }
+    | { kind: "resume" }
+    | { kind: "plan" }
+    | { kind: "tick" }
+    | { kind: "recorded"; write: RecordWrite; result: Either<Failure, CommitReply> }
+    | { kind: "halt"; reply: Reply<void> };
+
+/** The planner's side of the sessions with the agents. */
+export interface Sessions {
+    /** Opens a session, or tells an open one of a new address. */
+    open(agent: string, address: string): void;
+    order(agent: string, orders: AgentOrders): void;
+    grants(isAllowed: boolean): void;
+}
+
+/** Dependencies of the planner's task. */
+export interface PlannerOptions {
+    term: number;
+    times: LeaseTimes;
+    clock: Clock;
+    log: Log;
+    metrics: SchedulerMetrics;
+    newWriteId: () => string;
+    list: () => Promise<Either<Failure, Listing>>;
+    commit: (transaction: Transaction) => Promise<Either<Failure, CommitReply>>;
+    sessions: Sessions;
+    schedule: (input: RoundInput) => Decision[];
+    /** Called when the store shows that the term has ended. */
+    termEnded: () => void;
+    /** How many times slower tasks run far from their data or from each other. */
+    farFactor: number;
+    /** For how long the state of an ended job is kept. */
+    keepMs: number;
+}
--- /dev/null
+++ b/packages/peer/src/planner/planningLog.ts
@@ -0,0 +1,159 @@
+import type { QueueTerms } from "@tanagerdeck/decisions/job/jobTypes";
+import { dueAtMs, parseTaskName } from "@tanagerdeck/decisions/job/taskGroups";
+import type { JobEntry, PlanBook } from "@tanagerdeck/decisions/plan/planBook";
+import type { PlanEvent } from "@tanagerdeck/decisions/plan/planReport";
+import type { StalledRun, StuckStart } from "@tanagerdeck/decisions/plan/planStalls";
+import type { Decision } from "@tanagerdeck/decisions/schedule/scheduleTypes";
+import type { RoundInput } from "@tanagerdeck/decisions/schedule/schedulingRound";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { SchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
+
+/** Tells the log and the metrics what a planner decides and what it learns. */
+export interface PlanningLog {
+    events(book: PlanBook, events: PlanEvent[]): void;
+    round(book: PlanBook, input: RoundInput): void;
+    /** Call it before the decision is applied to the book. */
+    decision(book: PlanBook, decision: Decision): void;
+    stalled(run: StalledRun): void;
+    stuckStart(run: StuckStart): void;
+    quarantine(workers: ReadonlySet<string>): void;
+    ended(entry: JobEntry): void;
+}
+
+/** Dependencies of a planning log. */
+export interface PlanningLogOptions {
+    term: number;
+    clock: Clock;
+    log: Log;
+    metrics: SchedulerMetrics;
+    termsOf: (entry: JobEntry) => QueueTerms;
+}
+
+const EVENT_SENTENCES: Record<PlanEvent["kind"], string> = {
+    started: "A run has started.",
+    "all-started": "All tasks of a run have started.",
+    ended: "A run has ended.",
+    closed: "A run can no longer be running.",
+    refused: "A start was refused.",
+    stray: "A worker runs what this leader did not order.",
+};
+
+/** Builds the log of one term's planner. */
+export function createPlanningLog({ term, clock, log, metrics, termsOf }: PlanningLogOptions): PlanningLog {
+    let quarantined: ReadonlySet<string> = new Set();
+
+    function noteStart(entry: JobEntry | undefined, occurrence: number): void {
+        if (entry) {
+            const sinceMs = Math.max(entry.job.acceptedAtMs, dueAtMs(entry.job, occurrence));
+            metrics.groupStarted(termsOf(entry).priority, (clock.wall() - sinceMs) / 1_000);
+        }
+    }
+
+    function placed(book: PlanBook, { job, group, places, isFar }: Decision & { kind: "place" }): void {
+        metrics.groupPlaced(isFar);
+        const entry = book.jobs.get(job);
+        let reportAgeMs = 0;
+        for (const { worker } of places) {
+            const heardAt = book.workers.get(worker)?.heardAt ?? 0;
+            reportAgeMs = Math.max(reportAgeMs, clock.now() - heardAt);
+        }
+        log.info("A group was placed.", {
+            term,
+            job,
+            group,
+            workers: places.map(place => place.worker).join(" "),
+            isFar,
+            priority: entry && termsOf(entry).priority,
+            waitedMs: entry && Math.round(clock.wall() - entry.job.acceptedAtMs),
+            failedOn: [...(entry?.failedOn.get(group) ?? [])].join(" ") || undefined,
+            reportAgeMs: Math.round(reportAgeMs),
+        });
+    }
+
+    function preempted(book: PlanBook, decision: Decision & { kind: "preempt" }): void {
+        metrics.groupPreempted();
+        const entry = book.jobs.get(decision.job);
+        const wanted = book.jobs.get(decision.for);
+        const openedAt = entry?.runs.get(decision.group)?.openedAt;
+        log.info("A group gives way.", {
+            term,
+            job: decision.job,
+            group: decision.group,
+            for: decision.for,
+            priority: entry && termsOf(entry).priority,
+            forPriority: wanted && termsOf(wanted).priority,
+            openMs: openedAt === undefined ? undefined : Math.round(clock.now() - openedAt),
+        });
+    }
+
+    return {
+        events(book, events) {
+            for (const { kind, job, task, run, worker, detail } of events) {
+                log.info(EVENT_SENTENCES[kind], { term, job, task, run, worker, detail });
+                if (kind === "ended" || kind === "closed") {
+                    metrics.runEnded(detail ?? "lost");
+                } else if (kind === "stray") {
+                    metrics.strayFound();
+                } else if (kind === "all-started") {
+                    noteStart(book.jobs.get(job), parseTaskName(task)?.occurrence ?? 0);
+                }
+            }
+        },
+        round(book, { waiting, placed }) {
+            const workers = conditionsOf(book);
+            metrics.fleet({ workers, waitingGroups: waiting.length, placedGroups: placed.length });
+        },
+        decision(book, decision) {
+            if (decision.kind === "place") {
+                placed(book, decision);
+            } else {
+                preempted(book, decision);
+            }
+        },
+        stalled({ job, group, workers, stalledMs }) {
+            log.warn("A run does not progress.", {
+                term,
+                job,
+                group,
+                suspects: workers.join(" "),
+                stalledMs,
+            });
+        },
+        stuckStart({ job, group, workers }) {
+            log.warn("A run did not start in time.", { term, job, group, suspects: workers.join(" ") });
+        },
+        quarantine(workers) {
+            for (const worker of workers) {
+                if (!quarantined.has(worker)) {
+                    log.warn("A worker fails what it is given and takes nothing for a while.", {
+                        term,
+                        worker,
+                    });
+                }
+            }
+            for (const worker of quarantined) {
+                if (!workers.has(worker)) {
+                    log.info("A worker takes tasks again.", { term, worker });
+                }
+            }
+            quarantined = workers;
+        },
+        ended(entry) {
+            const { final = "failed" } = entry.progress;
+            const seconds = (clock.wall() - entry.job.acceptedAtMs) / 1_000;
+            metrics.jobEnded(final, termsOf(entry).priority, seconds);
+            log.info("A job has ended.", { term, job: entry.job.id, state: final, seconds });
+        },
+    };
+}
+
+/** Number of workers by condition; one that has not been described yet counts as unknown. */
+function conditionsOf(book: PlanBook): Record<string, number> {
+    const counts: Record<string, number> = { ready: 0, draining: 0, silent: 0, gone: 0, unknown: 0 };
+    for (const { description } of book.workers.values()) {
+        const condition = description?.condition ?? "unknown";
+        counts[condition] = (counts[condition] ?? 0) + 1;
+    }
+    return counts;
+}
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -5,7 +5,8 @@
 import { scheduleRound } from "@tanagerdeck/decisions/schedule/schedulingRound";
 import { deskOf, startDeskTask } from "@tanagerdeck/caller/desk/deskTask";
 import { startPeerListener } from "@tanagerdeck/peer/link/peerListener";
-import { startPlannerTask, type PlannerMessage } from "@tanagerdeck/peer/planner/plannerTask";
+import { startPlannerTask } from "@tanagerdeck/peer/planner/plannerTask";
+import type { PlannerMessage } from "@tanagerdeck/peer/planner/plannerTypes";
 import { createPlanClients } from "@tanagerdeck/peer/session/planClients";
 import { createEntryPlanRouter } from "@tanagerdeck/peer/session/planRouters";
 import { startJobListener } from "@tanagerdeck/platform/ingress/jobListener";
--- a/packages/tanagerdeck/src/platform/sessionSet.ts
+++ b/packages/tanagerdeck/src/platform/sessionSet.ts
@@ -1,5 +1,5 @@
 import type { SyncReport } from "@tanagerdeck/decisions/worker/workerReport";
-import type { Sessions } from "@tanagerdeck/peer/planner/plannerTask";
+import type { Sessions } from "@tanagerdeck/peer/planner/plannerTypes";
 import {
     startSessionTask,
     type SessionMessage,
