--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -1,4 +1,4 @@
-import type { Boot } from "@tanagerdeck/decisions/job/progressTypes";
+import { sameBoot, type Boot } from "@tanagerdeck/decisions/job/progressTypes";
 import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import { lapseAfterMs } from "@tanagerdeck/decisions/lease/leaseTimes";
 import {
@@ -34,6 +34,8 @@
     state: "idle" | "calling" | "answered" | "other-boot";
     /** The worker's clock when it answered. */
     answeredClockMs: number;
+    /** Whether the log has its closure, which each report repeats. */
+    isLogged: boolean;
 }
 
 /** A call of the leader that waits for news. */
@@ -181,6 +183,28 @@
     };
 }
 
+/** Takes a heartbeat unless a newer one or a later start of the worker is known. */
+export function takeHeartbeat(
+    state: AgentState,
+    heartbeat: WorkerHeartbeat,
+    now: number,
+): { boot: Boot; isNews: boolean } | undefined {
+    const known = state.worker;
+    const isRepeat =
+        heartbeat.bornMs === known?.boot.bornMs && heartbeat.sequence <= known.heartbeat.sequence;
+    if (heartbeat.bornMs < state.bornMs || isRepeat) {
+        return undefined;
+    }
+    const boot = { id: heartbeat.id, bornMs: heartbeat.bornMs };
+    const isNews = !known || !sameBoot(known.boot, boot);
+    if (state.bornMs !== boot.bornMs) {
+        beginBoot(state, boot.bornMs);
+    }
+    state.worker = { boot, heartbeat, hasLeft: false };
+    state.workerClock ??= { clockMs: heartbeat.clockMs, at: now };
+    return { boot, isNews };
+}
+
 /** Forgets what belonged to an earlier boot; starts that may still be executed are remembered as stray. */
 export function beginBoot(state: AgentState, bornMs: number): void {
     state.bornMs = bornMs;
--- a/packages/backend/src/agent/agentTask.spec.ts
+++ b/packages/backend/src/agent/agentTask.spec.ts
@@ -11,7 +11,8 @@
 import { silentSchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
 import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
 import { createScriptedWorker, type ScriptedWorker } from "@tanagerdeck/standins/agent/scriptedWorker";
-import { startAgentTask, type AgentMessage } from "./agentTask.ts";
+import { startAgentTask } from "./agentTask.ts";
+import type { AgentMessage } from "./agentTypes.ts";
 import type { WorkerHeartbeat } from "./workerPort.ts";
 
 describe("the agent beside a worker", () => {
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -1,67 +1,23 @@
-import type { Either } from "purify-ts/Either";
 import { sameBoot } from "@tanagerdeck/decisions/job/progressTypes";
-import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
-import {
-    runKey,
-    type OrderState,
-    type RunName,
-    type StartOrder,
-    type StopOrder,
-    type SyncReply,
-    type SyncReport,
-    type SyncRequest,
-} from "@tanagerdeck/decisions/worker/workerReport";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { Clock } from "@tanagerdeck/runtime/clock/clock";
-import type { Log } from "@tanagerdeck/runtime/log/log";
-import type { CallResult, SchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
-import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+import { runKey, type SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
+import { startTask, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+import { takeStarts, takeStops } from "./agentOrders.ts";
+import { applyLists, reportOf } from "./agentReport.ts";
 import {
     beginBoot,
     closureOf,
     conditionOf,
     createAgentState,
-    describeWorker,
     isGranted,
     SILENT_HOLDS,
+    takeHeartbeat,
     workerNow,
     type AgentState,
     type StartAttempt,
-    type StopAttempt,
 } from "./agentState.ts";
-import type {
-    WorkerAcceptance,
-    WorkerHeartbeat,
-    WorkerLists,
-    WorkerPort,
-    WorkerRefusal,
-} from "./workerPort.ts";
-
-/** Messages of the agent's task. */
-export type AgentMessage =
-    /** The reply says whether the heartbeat is acknowledged. */
-    | { kind: "heartbeat"; heartbeat: WorkerHeartbeat; reply: Reply<void> }
-    | { kind: "left"; id: string; reply: Reply<void> }
-    | { kind: "sync"; request: SyncRequest; reply: Reply<SyncReply> }
-    | { kind: "poll-ended"; reply: Reply<SyncReply> }
-    | { kind: "hold"; waitMs: number }
-    | { kind: "held"; sentAt: number; result: Either<Failure, WorkerLists | WorkerRefusal> }
-    | { kind: "call-start"; key: string }
-    | { kind: "start-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
-    | { kind: "call-stop"; key: string }
-    | { kind: "stop-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
-    | { kind: "stray-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
-    | { kind: "last-hold"; reply: Reply<void> };
-
-/** Dependencies of the agent's task. */
-export interface AgentOptions {
-    port: WorkerPort;
-    times: LeaseTimes;
-    incarnation: string;
-    clock: Clock;
-    log: Log;
-    metrics: SchedulerMetrics;
-}
+import type { AgentMessage, AgentOptions } from "./agentTypes.ts";
+import { callResult } from "./workerCalls.ts";
 
 /** Time for which the worker may wait for an end before it answers. */
 const HOLD_WAIT_MS = 1_000;
@@ -91,71 +47,15 @@
         }
         poll.stopTimer();
         state.poll = undefined;
-        poll.reply({ kind: "report", report: reportOf(state) });
-    }
-
-    function reportOf(state: AgentState): SyncReport {
-        return {
-            stamp: { incarnation: state.incarnation, now: clock.now(), wall: clock.wall() },
-            version: state.version,
-            worker: describeWorker(state, clock, times),
-            running: [...state.running.values()].map(({ task, run, saved, percent }) => ({
-                task,
-                run,
-                saved,
-                percent,
-            })),
-            ended: state.ended,
-            starts: [...state.starts.values()].map(attempt => ({
-                run: nameOf(attempt.order),
-                state: startState(attempt),
-            })),
-            stops: [...state.stops.values()].map(attempt => ({
-                run: nameOf(attempt.order),
-                state: stopState(state, attempt),
-            })),
-        };
-    }
-
-    function stopState(state: AgentState, attempt: StopAttempt): OrderState {
-        const closure = closureOf(state, attempt, clock, times);
-        if (closure) {
-            const { task, run } = attempt.order;
-            log.info("A stopped run is closed.", { task, run, closure });
-        }
-        return { kind: closure ? "closed" : "pending" };
-    }
-
-    function takeStarts(state: AgentState, orders: StartOrder[], context: Context): void {
-        const listed = new Set(orders.map(runKey));
-        for (const [key, attempt] of state.starts) {
-            if (!listed.has(key) && attempt.state !== "calling") {
-                state.starts.delete(key);
-            }
-        }
-        for (const order of orders) {
-            const key = runKey(order);
-            if (!state.starts.has(key)) {
-                const listedAt = clock.now();
-                state.starts.set(key, { order, state: "idle", listedAt, isUnanswered: false });
-                context.post({ kind: "call-start", key });
-            }
-        }
+        poll.reply({ kind: "report", report: reportOf(state, { clock, times, log }) });
     }
 
-    function takeStops(state: AgentState, orders: StopOrder[], context: Context): void {
-        const listed = new Set(orders.map(runKey));
-        for (const [key, attempt] of state.stops) {
-            if (!listed.has(key) && attempt.state !== "calling") {
-                state.stops.delete(key);
-            }
+    function takeOrders(state: AgentState, { starts, stops }: SyncRequest, context: Context): void {
+        for (const key of takeStarts(state, starts, clock.now())) {
+            context.post({ kind: "call-start", key });
         }
-        for (const order of orders) {
-            const key = runKey(order);
-            if (!state.stops.has(key)) {
-                state.stops.set(key, { order, state: "idle", answeredClockMs: 0 });
-                context.post({ kind: "call-stop", key });
-            }
+        for (const key of takeStops(state, stops)) {
+            context.post({ kind: "call-stop", key });
         }
     }
 
@@ -185,35 +85,6 @@
         state.nextHold = context.after(delayMs, { kind: "hold", waitMs: HOLD_WAIT_MS });
     }
 
-    function applyLists(state: AgentState, lists: WorkerLists): void {
-        if (lists.clockMs < state.listsClockMs) {
-            return;
-        }
-        state.listsClockMs = lists.clockMs;
-        state.workerClock = { clockMs: lists.clockMs, at: clock.now() };
-        const running: AgentState["running"] = new Map();
-        for (const row of lists.running) {
-            running.set(runKey(row), { ...row, sinceClockMs: lists.clockMs });
-        }
-        for (const [key, row] of state.running) {
-            // A start that was answered after these lists were made is missing from them.
-            if (!running.has(key) && row.sinceClockMs >= lists.clockMs) {
-                running.set(key, row);
-            }
-        }
-        const hasChanged = running.size !== state.running.size || lists.ended.length !== state.ended.length;
-        state.running = running;
-        state.ended = lists.ended.filter(row => row.number > state.recorded);
-        for (const row of state.ended) {
-            state.running.delete(runKey(row));
-        }
-        const lastEnd = state.ended.at(-1)?.number ?? state.lastEnd;
-        if (lastEnd > state.lastEnd || hasChanged) {
-            state.lastEnd = Math.max(lastEnd, state.lastEnd);
-            touch(state);
-        }
-    }
-
     /** Lists made in the same millisecond as a stop's answer do not settle it. */
     function lookAgain(state: AgentState, context: Context): void {
         for (const attempt of state.stops.values()) {
@@ -294,25 +165,15 @@
         handlers: {
             heartbeat(state, { heartbeat, reply }, context) {
                 reply();
-                const known = state.worker;
-                const isOlder =
-                    heartbeat.bornMs < state.bornMs ||
-                    (heartbeat.bornMs === known?.boot.bornMs &&
-                        heartbeat.sequence <= known.heartbeat.sequence);
-                if (isOlder) {
-                    return;
-                }
-                const boot = { id: heartbeat.id, bornMs: heartbeat.bornMs };
                 const before = conditionOf(state);
-                const isNews = !known || !sameBoot(known.boot, boot);
-                if (state.bornMs !== boot.bornMs) {
-                    beginBoot(state, boot.bornMs);
+                const heard = takeHeartbeat(state, heartbeat, clock.now());
+                if (!heard) {
+                    return;
                 }
+                const { boot, isNews } = heard;
                 if (isNews) {
                     log.info("The worker is known.", { worker: boot.id, bornMs: boot.bornMs });
                 }
-                state.worker = { boot, heartbeat, hasLeft: false };
-                state.workerClock ??= { clockMs: heartbeat.clockMs, at: clock.now() };
                 if (isNews) {
                     stopStrays(state, context);
                     scheduleHold(state, 0, context);
@@ -358,8 +219,7 @@
                     state.recorded = Math.max(state.recorded, recorded.number);
                     state.ended = state.ended.filter(row => row.number > state.recorded);
                 }
-                takeStarts(state, request.starts, context);
-                takeStops(state, request.stops, context);
+                takeOrders(state, request, context);
                 if (isFirst) {
                     scheduleHold(state, 0, context);
                 }
@@ -382,7 +242,7 @@
             },
             held(state, { sentAt, result }, context) {
                 state.holdsInFlight -= 1;
-                metrics.workerCalled("hold", resultOf(result));
+                metrics.workerCalled("hold", callResult(result));
                 const tookMs = clock.now() - sentAt;
                 scheduleHold(state, Math.max(0, HOLD_GAP_MS - tookMs), context);
                 result.caseOf({
@@ -407,7 +267,9 @@
                             state.worker = undefined;
                             touch(state);
                         }
-                        applyLists(state, lists);
+                        if (applyLists(state, lists, clock.now())) {
+                            touch(state);
+                        }
                         lookAgain(state, context);
                         if (wasAway && conditionOf(state) !== before) {
                             log.info("The worker answers again.", { condition: conditionOf(state) });
@@ -432,7 +294,7 @@
                 startCall(state, key, attempt, context);
             },
             "start-answered"(state, { key, result }, context) {
-                metrics.workerCalled("start", resultOf(result));
+                metrics.workerCalled("start", callResult(result));
                 const attempt = state.starts.get(key);
                 if (!attempt) {
                     return;
@@ -485,7 +347,7 @@
                 );
             },
             "stop-answered"(state, { key, result }, context) {
-                metrics.workerCalled("stop", resultOf(result));
+                metrics.workerCalled("stop", callResult(result));
                 const attempt = state.stops.get(key);
                 if (!attempt) {
                     return;
@@ -538,24 +400,3 @@
         },
     });
 }
-
-function resultOf(result: Either<Failure, { kind: string }>): CallResult | "refused" {
-    return result.caseOf<CallResult | "refused">({
-        Left: () => "unanswered",
-        Right: ({ kind }) => (kind === "refused" ? "refused" : "answered"),
-    });
-}
-
-function nameOf({ task, run }: RunName): RunName {
-    return { task, run };
-}
-
-function startState(attempt: StartAttempt): OrderState {
-    if (attempt.state === "started") {
-        return { kind: "started" };
-    }
-    if (attempt.state === "refused") {
-        return { kind: "refused", reason: attempt.reason ?? "invalid" };
-    }
-    return { kind: "pending" };
-}
--- /dev/null
+++ b/packages/backend/src/agent/agentTypes.ts
@@ -0,0 +1,41 @@
+import type { Either } from "purify-ts/Either";
+import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { SyncReply, SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { SchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
+import type { Reply } from "@tanagerdeck/runtime/task/task";
+import type {
+    WorkerAcceptance,
+    WorkerHeartbeat,
+    WorkerLists,
+    WorkerPort,
+    WorkerRefusal,
+} from "./workerPort.ts";
+
+/** Messages of the agent's task. */
+export type AgentMessage =
+    /** The reply says whether the heartbeat is acknowledged. */
+    | { kind: "heartbeat"; heartbeat: WorkerHeartbeat; reply: Reply<void> }
+    | { kind: "left"; id: string; reply: Reply<void> }
+    | { kind: "sync"; request: SyncRequest; reply: Reply<SyncReply> }
+    | { kind: "poll-ended"; reply: Reply<SyncReply> }
+    | { kind: "hold"; waitMs: number }
+    | { kind: "held"; sentAt: number; result: Either<Failure, WorkerLists | WorkerRefusal> }
+    | { kind: "call-start"; key: string }
+    | { kind: "start-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
+    | { kind: "call-stop"; key: string }
+    | { kind: "stop-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
+    | { kind: "stray-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
+    | { kind: "last-hold"; reply: Reply<void> };
+
+/** Dependencies of the agent's task. */
+export interface AgentOptions {
+    port: WorkerPort;
+    times: LeaseTimes;
+    incarnation: string;
+    clock: Clock;
+    log: Log;
+    metrics: SchedulerMetrics;
+}
