--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -4,6 +4,7 @@
 import { cac } from "cac";
 import { bundlePrograms } from "@tanagerdeck/standins/processes/programBundle";
 import { runSoak, type SoakResult } from "./soakRun.ts";
+import { FAILED_SEEDS } from "./soakSeeds.ts";
 
 const cli = cac("soak");
 
@@ -13,18 +14,20 @@
     .option("--seconds <seconds>", "Time under faults for each seed", { default: 30 })
     .option("--entries <count>", "Entries", { default: 3 })
     .option("--workers <count>", "Workers, each with its agent", { default: 6 })
+    .option("--failed", "Play the seeds that have failed before instead")
     .option("--logs <folder>", "Where the logs of failed seeds go", { default: "" })
     .action(async options => {
         const programs = mkdtempSync(join(tmpdir(), "tanagerdeck-soak-"));
         await bundlePrograms(programs);
         let failed = 0;
-        for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
+        for (const { seed, seconds } of options.failed ? FAILED_SEEDS : seedsOf(options)) {
             const result = await runSoak({
                 seed,
                 programs,
-                seconds: Number(options.seconds),
+                seconds,
                 entries: Number(options.entries),
                 workers: Number(options.workers),
+                progress: line => process.stderr.write(`${line}\n`),
             });
             failed += result.broken.length > 0 ? 1 : 0;
             print(result);
@@ -38,6 +41,18 @@
 cli.help();
 cli.parse();
 
+function seedsOf(options: {
+    seed: number;
+    seeds: number;
+    seconds: number;
+}): { seed: number; seconds: number }[] {
+    const first = Number(options.seed);
+    return Array.from({ length: Number(options.seeds) }, (_, index) => ({
+        seed: first + index,
+        seconds: Number(options.seconds),
+    }));
+}
+
 function print({ output: _output, faults, ...result }: SoakResult): void {
     const shown = result.broken.length > 0 ? { ...result, faults } : { ...result, faults: faults.length };
     process.stdout.write(`${JSON.stringify(shown)}\n`);
--- /dev/null
+++ b/scripts/soak/soakRun.spec.ts
@@ -0,0 +1,29 @@
+import { expect } from "chai";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { bundlePrograms } from "@tanagerdeck/standins/processes/programBundle";
+import { runSoak } from "./soakRun.ts";
+
+describe("the promises under random faults", function () {
+    this.timeout(150_000);
+    /** Long enough for six faults or more that overlap; the jobs may then take a minute to end. */
+    const SECONDS = 8;
+    let programs: string;
+
+    before(async () => {
+        programs = mkdtempSync(join(tmpdir(), "tanagerdeck-soak-"));
+        await bundlePrograms(programs);
+    });
+
+    after(() => rmSync(programs, { recursive: true, force: true }));
+
+    for (const seed of [1, 125]) {
+        it(`are kept with seed ${seed}: tasks run once, accepted jobs end, refused ones never run`, async () => {
+            const result = await runSoak({ seed, programs, seconds: SECONDS, entries: 3, workers: 6 });
+            expect(result.broken, result.output).to.deep.equal([]);
+            expect(result.accepted).to.be.greaterThan(0);
+            expect(result.faults.length).to.be.greaterThan(0);
+        });
+    }
+});
--- a/scripts/soak/soakRun.ts
+++ b/scripts/soak/soakRun.ts
@@ -17,6 +17,8 @@
     seconds: number;
     entries: number;
     workers: number;
+    /** Called with each fault as it begins. */
+    progress?: (line: string) => void;
 }
 
 /** What a soak found. */
@@ -61,6 +63,7 @@
     active: Set<ActiveFault>;
     isOver: boolean;
     startedAt: number;
+    progress: (line: string) => void;
 }
 
 /** Runs one seed. */
@@ -96,6 +99,7 @@
         active: new Set(),
         isOver: false,
         startedAt: now(),
+        progress: options.progress ?? (() => undefined),
     };
     await pause(3_000);
     const loops = [submitLoop(soak), askLoop(soak), manifestLoop(soak), faultLoop(soak)];
@@ -166,10 +170,11 @@
         await pause(random.between(...FAULT_PAUSE_MS));
         const fault = await random.pick(FAULT_MAKERS)(deployment, random);
         if (fault) {
-            process.stderr.write(`${elapsed(soak)} ${fault.name} for ${fault.durationMs} ms\n`);
             soak.active.add(fault);
             soak.calmSince = undefined;
-            soak.faults.push(`${elapsed(soak)} ${fault.name} for ${fault.durationMs} ms`);
+            const line = `${elapsed(soak)} ${fault.name} for ${fault.durationMs} ms`;
+            soak.faults.push(line);
+            soak.progress(line);
             endings.push(endFault(soak, fault));
         }
     }
