--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -329,20 +329,14 @@
                 if (attempt?.state !== "idle") {
                     return;
                 }
-                const { order } = attempt;
                 if (closureOf(state, attempt, clock, times)) {
                     touch(state);
                     return;
                 }
+                const { boot, task, run } = attempt.order;
                 attempt.state = "calling";
                 context.start(
-                    () =>
-                        port.stop({
-                            id: order.boot.id,
-                            fence: state.term,
-                            task: order.task,
-                            run: order.run,
-                        }),
+                    () => port.stop({ id: boot.id, fence: state.term, task, run }),
                     result => ({ kind: "stop-answered", key, result }),
                 );
             },
