--- a/standins/src/emulator/emulatedDeployment.ts
+++ b/standins/src/emulator/emulatedDeployment.ts
@@ -13,7 +13,7 @@
 } from "./emulatorTypes.ts";
 import { createGangRoom, type GangRoom } from "./gangRoom.ts";
 import { startStoreServer } from "./storeServer.ts";
-import type { WorkerEvent } from "./taskTypes.ts";
+import type { DrainEvent, WorkerEvent } from "./taskTypes.ts";
 import { createTaskWorker, type TaskWorker } from "./taskWorker.ts";
 import { startWorkerServer } from "./workerServer.ts";
 
@@ -43,13 +43,13 @@
     storeAddress: string;
     seeds: string[];
     room: GangRoom;
-    report: (event: WorkerEvent) => void;
+    report: (event: WorkerEvent | DrainEvent) => void;
 }
 
 /** Starts a deployment; `report` is told what the workers do. */
 export async function startEmulatedDeployment(
     options: EmulatorOptions,
-    report: (event: WorkerEvent) => void,
+    report: (event: WorkerEvent | DrainEvent) => void,
 ): Promise<EmulatedDeployment> {
     const network = `127.${1 + ((process.pid >> 8) & 0x7f)}.${process.pid & 0xff}`;
     const store = createMemoryStore(systemClock);
@@ -113,6 +113,7 @@
     const registrationAddress = `${ip}:${REGISTRATION_PORT}`;
     const workerAddress = `${ip}:${WORKER_PORT}`;
     let life = 0;
+    const late = { isExecuting: false };
     const createWorker = (): TaskWorker =>
         createTaskWorker({
             name,
@@ -125,7 +126,7 @@
             gangMs: options.gangMs,
             clock: systemClock,
             room,
-            report,
+            report: event => report(late.isExecuting ? { ...event, isLate: true } : event),
         });
     let worker = createWorker();
     const server = await startWorkerServer({
@@ -139,6 +140,8 @@
         heartbeatMs: options.heartbeatMs,
         clock: systemClock,
         lateMs: () => LATE_CALL_MS,
+        late,
+        drainAcknowledged: () => report({ kind: "draining", worker: name, atMs: systemClock.now() }),
     });
     const settings = { registrationAddress, workerAddress };
     const process = await startProcess(context, "platform-agent", name, ip, settings);
@@ -149,6 +152,7 @@
             worker.crash();
             worker = createWorker();
             agent.worker = worker;
+            report({ kind: "replaced", worker: name, atMs: systemClock.now() });
             server.replace(worker);
         },
     });
--- a/standins/src/emulator/promiseJudge.spec.ts
+++ b/standins/src/emulator/promiseJudge.spec.ts
@@ -18,6 +18,33 @@
         return judge.broken.map(({ promise }) => promise);
     }
 
+    describe("of a worker that leaves", () => {
+        function startAfterNotice(atMs: number, isLate = false): void {
+            judge.note({ kind: "draining", worker: "a", atMs: 1_000 });
+            judge.note({ kind: "draining", worker: "a", atMs: 2_000 });
+            judge.note({ kind: "started", task, run: 1, worker: "a", atMs, isLate });
+        }
+
+        it("finds a start later than the bound after the first acknowledgement", () => {
+            startAfterNotice(3_600);
+            expect(broken()).to.deep.equal(["drained"]);
+        });
+
+        it("allows a start within the bound, and one that the worker executed late", () => {
+            startAfterNotice(3_400);
+            judge.note({ kind: "ended", task, run: 1, worker: "a", end: "stopped", atMs: 3_500 });
+            startAfterNotice(9_000, true);
+            expect(broken()).to.deep.equal([]);
+        });
+
+        it("allows starts in the worker's next life", () => {
+            judge.note({ kind: "draining", worker: "a", atMs: 0 });
+            judge.note({ kind: "replaced", worker: "a", atMs: 5_000 });
+            judge.note({ kind: "started", task, run: 1, worker: "a", atMs: 9_000 });
+            expect(broken()).to.deep.equal([]);
+        });
+    });
+
     describe("of a task that runs once", () => {
         it("accuses nobody of a run after one that failed", () => {
             note("started", 1);
--- a/standins/src/emulator/promiseJudge.ts
+++ b/standins/src/emulator/promiseJudge.ts
@@ -1,5 +1,5 @@
 import { parseTaskName } from "@tanagerdeck/decisions/job/taskGroups";
-import type { WorkerEvent } from "./taskTypes.ts";
+import type { DrainEvent, WorkerEvent } from "./taskTypes.ts";
 
 /** A promise of the users' pages. */
 export type PromiseName =
@@ -30,7 +30,7 @@
 /** Watches what workers do and keeps the account of each task. */
 export interface PromiseJudge {
     /** Takes what a worker did. */
-    note(event: WorkerEvent): void;
+    note(event: WorkerEvent | DrainEvent): void;
     /** Reports a promise as broken. */
     accuse(promise: PromiseName, detail: string, atMs: number): void;
     /** Names of the tasks of a job that are done. */
@@ -43,6 +43,9 @@
     ends: Map<string, number>;
 }
 
+/** From the acknowledgement that a worker leaves until nothing new may start there. */
+const DRAIN_BOUND_MS = 2_500;
+
 interface TaskAccount {
     runningOn: Map<string, number>;
     /** Runs that ended as done. Until such an end is taken note of it may be lost with its worker. */
@@ -55,6 +58,8 @@
     const jobs = new Map<string, Set<string>>();
     const broken: BrokenPromise[] = [];
     const ends = new Map<string, number>();
+    /** Times of the first acknowledgement, of workers that leave. */
+    const drainingSince = new Map<string, number>();
 
     function accountOf(task: string): TaskAccount {
         const account = tasks.get(task) ?? {
@@ -67,8 +72,13 @@
         return account;
     }
 
-    function noteStart({ task, run, worker, atMs }: WorkerEvent): void {
+    function noteStart({ task, run, worker, atMs, isLate }: WorkerEvent): void {
         const account = accountOf(task);
+        const drainingMs = atMs - (drainingSince.get(worker) ?? atMs);
+        if (drainingMs > DRAIN_BOUND_MS && !isLate) {
+            const detail = `${task} starts on ${worker} ${Math.round(drainingMs)} ms after its notice`;
+            broken.push({ promise: "drained", detail, atMs });
+        }
         if (!isKnown(parseTaskName(task)?.job ?? "")) {
             broken.push({ promise: "asked", detail: `${task} was started on ${worker}`, atMs });
         }
@@ -90,6 +100,14 @@
         account.runningOn.set(worker, run);
     }
 
+    function noteLeaving({ kind, worker, atMs }: DrainEvent): void {
+        if (kind === "replaced") {
+            drainingSince.delete(worker);
+        } else if (!drainingSince.has(worker)) {
+            drainingSince.set(worker, atMs);
+        }
+    }
+
     function noteForgotten({ task, run, end, atMs }: WorkerEvent): void {
         const done = accountOf(task).doneRuns.get(run);
         if (end !== "done" || !done) {
@@ -110,6 +128,10 @@
         ends,
         accuse: (promise, detail, atMs) => broken.push({ promise, detail, atMs }),
         note(event) {
+            if (!("task" in event)) {
+                noteLeaving(event);
+                return;
+            }
             if (event.kind === "started") {
                 noteStart(event);
                 return;
--- a/standins/src/emulator/taskTypes.ts
+++ b/standins/src/emulator/taskTypes.ts
@@ -19,11 +19,20 @@
     worker: string;
     task: string;
     run: number;
+    /** Whether the worker executed the order long after it was sent. */
+    isLate?: boolean;
     end?: TaskEnd;
     /** Time on the emulator's clock. */
     atMs: number;
 }
 
+/** A worker's announcement that it leaves was acknowledged, or its next life has begun. */
+export interface DrainEvent {
+    kind: "draining" | "replaced";
+    worker: string;
+    atMs: number;
+}
+
 /** The text of a script. */
 export function writeScript(script: TaskScript): string {
     return JSON.stringify(script);
--- a/standins/src/emulator/workerServer.ts
+++ b/standins/src/emulator/workerServer.ts
@@ -32,6 +32,10 @@
     clock: Clock;
     /** Delay of late calls. */
     lateMs: () => number;
+    /** `isExecuting` is set while a call is executed long after it was sent. */
+    late: { isExecuting: boolean };
+    /** Called when an announcement that the worker leaves was acknowledged. */
+    drainAcknowledged: () => void;
 }
 
 const BODY_LIMIT_BYTES = 64 * 1024;
@@ -71,7 +75,11 @@
         };
         if (server.mood === "late") {
             // The caller hangs up long before; the call is executed all the same.
-            clock.startTimer(lateMs(), execute);
+            clock.startTimer(lateMs(), () => {
+                options.late.isExecuting = true;
+                execute();
+                options.late.isExecuting = false;
+            });
             return;
         }
         if (server.mood === "mute") {
@@ -161,9 +169,15 @@
             clock_ms: worker.clockMs(),
             seq: ++sequence,
         });
+        const isDraining = remainingMs !== undefined;
         const url = `http://${options.registrationAddress}/v1/Instances.Heartbeat/${worker.id}`;
         sendRequest(url, { method: "POST", body, headers: { "content-type": "application/json" } }).then(
-            reply => reply.body.dump(),
+            reply => {
+                if (isDraining && reply.statusCode === 200) {
+                    options.drainAcknowledged();
+                }
+                return reply.body.dump();
+            },
             () => undefined,
         );
         stopBeat = clock.startTimer(options.heartbeatMs, beat);
