Forget orders that are no longer listed in one place

Cause: starts and stops dropped their unlisted attempts by the same loop, written twice. Change: one function for both. No behaviour changes.

--- a/packages/backend/src/agent/agentOrders.ts
+++ b/packages/backend/src/agent/agentOrders.ts
@@ -1,14 +1,14 @@
-import { runKey, type StartOrder, type StopOrder } from "@tanagerdeck/decisions/worker/workerReport";
+import {
+    runKey,
+    type RunName,
+    type StartOrder,
+    type StopOrder,
+} from "@tanagerdeck/decisions/worker/workerReport";
 import type { AgentState } from "./agentState.ts";
 
 /** Takes the listed starts, forgets those that are no longer listed, and returns the keys of new ones. */
 export function takeStarts(state: AgentState, orders: StartOrder[], now: number): string[] {
-    const listed = new Set(orders.map(runKey));
-    for (const [key, attempt] of state.starts) {
-        if (!listed.has(key) && attempt.state !== "calling") {
-            state.starts.delete(key);
-        }
-    }
+    dropUnlisted(state.starts, orders);
     const added: string[] = [];
     for (const order of orders) {
         const key = runKey(order);
@@ -22,12 +22,7 @@
 
 /** Takes the listed stops, forgets those that are no longer listed, and returns the keys of new ones. */
 export function takeStops(state: AgentState, orders: StopOrder[]): string[] {
-    const listed = new Set(orders.map(runKey));
-    for (const [key, attempt] of state.stops) {
-        if (!listed.has(key) && attempt.state !== "calling") {
-            state.stops.delete(key);
-        }
-    }
+    dropUnlisted(state.stops, orders);
     const added: string[] = [];
     for (const order of orders) {
         const key = runKey(order);
@@ -38,3 +33,13 @@
     }
     return added;
 }
+
+/** An attempt whose call is under way stays until it is answered. */
+function dropUnlisted(attempts: Map<string, { state: string }>, orders: RunName[]): void {
+    const listed = new Set(orders.map(runKey));
+    for (const [key, { state }] of attempts) {
+        if (!listed.has(key) && state !== "calling") {
+            attempts.delete(key);
+        }
+    }
+}
