Let entries on larger VMs campaign first

Cause: on the grown deployments entries have 0.32 to 1.35 cores, and planning takes up to half a core or more; whichever entry campaigned first led, the small ones included. Ruled out: a leader that hands over to a larger entry, which would cost a change of the term.

--- a/packages/store/src/leadership/leadershipTask.ts
+++ b/packages/store/src/leadership/leadershipTask.ts
@@ -44,7 +44,7 @@
     log: Log;
     /** A unique text for each write. */
     newWriteId: () => string;
-    /** Delay before a campaign, so that the candidate nearest to the store tends to win. */
+    /** Delay before a campaign, so that the candidate that suits best tends to win. */
     campaignDelayMs: () => number;
     notify: (event: LeadershipEvent) => void;
 }
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -1,5 +1,6 @@
 import type { Either } from "purify-ts/Either";
 import { nanoid } from "nanoid";
+import { campaignDelayOf } from "@tanagerdeck/decisions/lease/campaignDelay";
 import { closedAfterMs, leaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import { checkAccess, indexManifest, type ManifestIndex } from "@tanagerdeck/decisions/manifest/access";
 import { scheduleRound } from "@tanagerdeck/decisions/schedule/schedulingRound";
@@ -38,7 +39,6 @@
 const RECORD_LIMIT_MS = 2_000;
 /** Ended jobs are kept this much longer than promised. */
 const KEEP_EXTRA_MS = 30_000;
-const CAMPAIGN_SPREAD_MS = 60;
 /** The platform takes a process out of rotation after two missed checks, one a second. */
 const ROTATION_MS = 2_500;
 
@@ -194,7 +194,8 @@
         clock,
         log: log.part("leadership"),
         newWriteId,
-        campaignDelayMs: () => Math.random() * CAMPAIGN_SPREAD_MS,
+        campaignDelayMs: () =>
+            campaignDelayOf({ share: settings.cpuShare, speed: settings.cpuSpeed }, Math.random()),
         notify,
     });
     const replica = startReplicaTask({
--- a/packages/tanagerdeck/src/platform/platformSettings.ts
+++ b/packages/tanagerdeck/src/platform/platformSettings.ts
@@ -27,6 +27,9 @@
     readyAddress: address,
     /** How many times slower tasks run far from their data or from each other. */
     farFactor: z.number().min(1),
+    /** Part of a core that the process may use, and how many times as fast as a standard core it is. */
+    cpuShare: z.number().positive().default(1),
+    cpuSpeed: z.number().positive().default(1),
 });
 
 /** Settings of an agent. */
