--- a/packages/decisions/src/plan/planBook.spec.ts
+++ b/packages/decisions/src/plan/planBook.spec.ts
@@ -6,6 +6,7 @@
 import {
     addJob,
     createPlanBook,
+    placementsByWorker,
     workerEntry,
     type JobEntry,
     type PlanBook,
@@ -66,6 +67,20 @@
             expect(ordersOf(book, worker).starts.map(order => order.task)).to.deep.equal(["j.0.0.0"]);
         });
 
+        it("forms the same orders from one pass over all placements as for each worker alone", () => {
+            const workers = [addWorker("a"), addWorker("b"), addWorker("c")];
+            addPlaced("first", stepOf({ count: 2, gang: true }), ["a", "b"]);
+            addPlaced("second", stepOf(), ["b"]);
+            const placements = placementsByWorker(book);
+            const starts: string[] = [];
+            for (const worker of workers) {
+                const orders = ordersOf(book, worker, placements.get(worker.name) ?? []);
+                expect(orders).to.deep.equal(ordersOf(book, worker));
+                starts.push(...orders.starts.map(order => `${worker.name} ${order.task}`));
+            }
+            expect(starts).to.deep.equal(["a first.0.0.0", "b first.0.0.1", "b second.0.0.0"]);
+        });
+
         it("orders nothing more once the worker lists the run", () => {
             const worker = addWorker("a");
             const entry = addPlaced("j", stepOf(), ["a"]);
--- a/packages/decisions/src/schedule/schedulingRound.spec.ts
+++ b/packages/decisions/src/schedule/schedulingRound.spec.ts
@@ -310,6 +310,24 @@
             expect(placesOf(round({ workers, waiting }), "high")).to.deep.equal(["a"]);
         });
 
+        it("places other steps after a task of a step was left waiting, so that a wide step blocks nothing", () => {
+            const workers = [workerOf("a", { free: resourcesOf(4, 1) })];
+            const waiting = [
+                ...waitingOf(jobOf("wide", [stepOf({ count: 3, resources: resourcesOf(8, 8) })]), {
+                    value: valueOf({ worth: 9 }),
+                }),
+                ...waitingOf(jobOf("small", [stepOf({ estimateMs: 100 })])),
+            ];
+            const decisions = round({ workers, waiting });
+            expect(decisions.map(decision => decision.job)).to.deep.equal(["small"]);
+        });
+
+        it("places as many tasks of a step as fit before it leaves the others waiting", () => {
+            const workers = [workerOf("a", { free: { cpuMillis: 8_000, memoryMb: 9_000, gpus: 2 } })];
+            const decisions = round({ workers, waiting: waitingOf(jobOf("wide", [stepOf({ count: 5 })])) });
+            expect(decisions.filter(({ kind }) => kind === "place")).to.have.length(2);
+        });
+
         it("serves what will be late soon before what can wait", () => {
             const workers = [workerOf("a", { free: resourcesOf(4, 1) })];
             const waiting = [
