Declare the type of a place search beside the searches

Cause: the type of a search for places stood in the module on freed capacity, which no reader would look into for it. Change: it moves to the module of the searches; one doc comment says what is added.

--- a/packages/decisions/src/schedule/freedCapacity.ts
+++ b/packages/decisions/src/schedule/freedCapacity.ts
@@ -1,13 +1,6 @@
 import { addResources, type Resources } from "../job/jobTypes.ts";
 import type { AvailableCapacity } from "./placementSearch.ts";
-import type { PlacedGroup, TaskPlace, WaitingGroup, WorkerView } from "./scheduleTypes.ts";
-
-/** A search for places within some capacity. */
-export type PlaceSearch = (
-    waiting: WaitingGroup,
-    workers: WorkerView[],
-    available: AvailableCapacity,
-) => TaskPlace[] | undefined;
+import type { PlacedGroup } from "./scheduleTypes.ts";
 
 /** Capacity that groups free when they end, by worker. */
 export type FreedCapacity = Map<string, Resources>;
@@ -25,7 +18,7 @@
     return freed;
 }
 
-/** What is available once that capacity is free. */
+/** What is available once the freed capacity is added. */
 export function withFreed(available: AvailableCapacity, freed: FreedCapacity): AvailableCapacity {
     return worker => {
         const extra = freed.get(worker.name);
--- a/packages/decisions/src/schedule/placementSearch.ts
+++ b/packages/decisions/src/schedule/placementSearch.ts
@@ -4,6 +4,13 @@
 /** Which capacity of a worker counts as available. */
 export type AvailableCapacity = (worker: WorkerView) => Resources;
 
+/** A search for places within some capacity. */
+export type PlaceSearch = (
+    waiting: WaitingGroup,
+    workers: WorkerView[],
+    available: AvailableCapacity,
+) => TaskPlace[] | undefined;
+
 /** A worker with the number of the group's tasks that it can take. */
 interface Candidate {
     worker: WorkerView;
--- a/packages/decisions/src/schedule/plannedPlace.ts
+++ b/packages/decisions/src/schedule/plannedPlace.ts
@@ -1,5 +1,5 @@
-import { releaseGroups, withFreed, type FreedCapacity, type PlaceSearch } from "./freedCapacity.ts";
-import type { AvailableCapacity } from "./placementSearch.ts";
+import { releaseGroups, withFreed, type FreedCapacity } from "./freedCapacity.ts";
+import type { AvailableCapacity, PlaceSearch } from "./placementSearch.ts";
 import type { PlacedGroup, TaskPlace, WaitingGroup, WorkerView } from "./scheduleTypes.ts";
 import { shortestPrefix } from "./shortestPrefix.ts";
 
--- a/packages/decisions/src/schedule/schedulingRound.ts
+++ b/packages/decisions/src/schedule/schedulingRound.ts
@@ -1,7 +1,12 @@
 import { addResources, subtractResources, type Resources } from "../job/jobTypes.ts";
-import type { PlaceSearch } from "./freedCapacity.ts";
 import { estimateOf, urgencyOf, worthAt } from "./jobValue.ts";
-import { dependsOnPlace, findAnyPlaces, findNearPlaces, type AvailableCapacity } from "./placementSearch.ts";
+import {
+    dependsOnPlace,
+    findAnyPlaces,
+    findNearPlaces,
+    type AvailableCapacity,
+    type PlaceSearch,
+} from "./placementSearch.ts";
 import { findPlannedPlace, type PlannedPlace } from "./plannedPlace.ts";
 import {
     stepKey,
--- a/packages/decisions/src/schedule/victimSearch.ts
+++ b/packages/decisions/src/schedule/victimSearch.ts
@@ -1,7 +1,7 @@
 import { timesFitting } from "../job/jobTypes.ts";
 import { worthAt } from "./jobValue.ts";
-import type { AvailableCapacity } from "./placementSearch.ts";
-import { releaseGroups, withFreed, type PlaceSearch } from "./freedCapacity.ts";
+import type { AvailableCapacity, PlaceSearch } from "./placementSearch.ts";
+import { releaseGroups, withFreed } from "./freedCapacity.ts";
 import { shortestPrefix } from "./shortestPrefix.ts";
 import type { PlacedGroup, TaskPlace, WaitingGroup, WorkerView } from "./scheduleTypes.ts";
 
