Search a scheduling round's places on columns of numbers

Cause: at 160 workers a round took 49 ms (median, the issue's profile), 78 times that of 11 workers: each search built maps of freed capacity and sorted candidates anew, seven times in a bisection for each waiting group. Change: the round keeps its workers in columns by position; the search for a planned place forecasts the room once for each shape; the search for victims grows the room group by group; shapes that found no place are not searched again. The plain searches move to standins/src/plan/plain. Ruled out: other decisions.

--- a/packages/decisions/src/schedule/placementSearch.ts
+++ b/packages/decisions/src/schedule/placementSearch.ts
@@ -1,18 +1,37 @@
-import { subtractResources, countFitting, type Resources } from "../job/jobTypes.ts";
+import { countFitting, subtractResources, type Resources } from "../job/jobTypes.ts";
+import {
+    addAt,
+    copyColumns,
+    countFittingAt,
+    resourcesAt,
+    schedulableWorkers,
+    type FleetTable,
+    type ResourceColumns,
+} from "./fleetTable.ts";
 import { stepKey, type TaskPlace, type WaitingGroup, type WorkerView } from "./scheduleTypes.ts";
 
-/** Returns the capacity of a worker that a search may use. */
-export type AvailableCapacity = (worker: WorkerView) => Resources;
+/**
+ * Which workers a search may use.
+ * - `near`: those that satisfy the group's rack constraints, so that no task is slowed down.
+ * - `any`: all that the step allows.
+ */
+export type SearchScope = "near" | "any";
 
-/** Finds workers for all tasks of a group within the available capacity; undefined if they do not fit. */
-export type PlaceSearch = (
-    waiting: WaitingGroup,
-    workers: WorkerView[],
-    available: AvailableCapacity,
-) => TaskPlace[] | undefined;
+/** What a search looks for: room for all tasks of a group. */
+export interface PlaceRequest {
+    waiting: WaitingGroup;
+    scope: SearchScope;
+    /** Positions of the workers that may take tasks of the group. */
+    allowed: number[];
+    needed: Resources;
+    count: number;
+    /** Whether all tasks must be placed within one rack. */
+    isWithinRack: boolean;
+}
 
 /** A worker with the number of the group's tasks that it can take. */
 interface Candidate {
+    position: number;
     worker: WorkerView;
     slots: number;
     /** Sum of the unused fractions of each resource if the worker took `slots` tasks; smaller is a tighter fit. */
@@ -24,79 +43,153 @@
     return group.step.dataRack !== undefined || requiresSameRack(group);
 }
 
-/** Finds places that satisfy the group's rack constraints, so that no task is slowed down. */
-export function findNearPlaces(
-    waiting: WaitingGroup,
-    workers: WorkerView[],
-    available: AvailableCapacity,
-): TaskPlace[] | undefined {
-    return nearPlaces(waiting, eligibleWorkers(waiting, workers), available);
+/** Creates the request of a waiting group for one scope. */
+export function createRequest(fleet: FleetTable, waiting: WaitingGroup, scope: SearchScope): PlaceRequest {
+    const { job, group, failedOn } = waiting;
+    const { resources, requiredLabel, dataRack } = group.step;
+    const requestFor = (positions: number[], requestScope: SearchScope): PlaceRequest => ({
+        waiting,
+        scope: requestScope,
+        allowed: requestScope === "near" ? nearWorkers(fleet, positions, dataRack) : positions,
+        needed: resources,
+        count: group.indexes.length,
+        isWithinRack: requestScope === "near" && requiresSameRack(group),
+    });
+    const schedulable = schedulableWorkers(fleet, job.service, requiredLabel);
+    if (failedOn.size > 0) {
+        // A retry avoids the workers on which the group has failed, unless it can never fit on the others.
+        const others = schedulable.filter(position => !failedOn.has(fleet.workers[position]!.name));
+        if (fits(fleet, requestFor(others, "near"), fleet.capacity)) {
+            return requestFor(others, scope);
+        }
+    }
+    return requestFor(schedulable, scope);
 }
 
-/** Finds places regardless of racks. */
-export function findAnyPlaces(
-    waiting: WaitingGroup,
-    workers: WorkerView[],
-    available: AvailableCapacity,
-): TaskPlace[] | undefined {
-    const allowed = eligibleWorkers(waiting, workers);
-    return assignTasks(findCandidates(waiting, allowed, available), waiting.group.indexes);
+function nearWorkers(fleet: FleetTable, positions: number[], dataRack: string | undefined): number[] {
+    return dataRack === undefined
+        ? positions
+        : positions.filter(position => fleet.workers[position]!.rack === dataRack);
+}
+
+function requiresSameRack({ step, indexes }: WaitingGroup["group"]): boolean {
+    return step.sameRack && indexes.length > 1;
+}
+
+/** Whether all tasks of the request fit into the room. */
+export function fits(fleet: FleetTable, request: PlaceRequest, room: ResourceColumns): boolean {
+    const { allowed, needed, count, isWithinRack } = request;
+    const slotsByRack = isWithinRack ? new Int32Array(fleet.rackCount) : undefined;
+    let total = 0;
+    for (const position of allowed) {
+        const slots = countFittingAt(room, position, needed, slotLimit(fleet, request, position));
+        total += slots;
+        if (!slotsByRack) {
+            if (total >= count) {
+                return true;
+            }
+            continue;
+        }
+        const rack = fleet.racks[position]!;
+        slotsByRack[rack]! += slots;
+        if (slotsByRack[rack]! >= count) {
+            return true;
+        }
+    }
+    return count === 0;
 }
 
-function nearPlaces(
-    waiting: WaitingGroup,
-    allowed: WorkerView[],
-    available: AvailableCapacity,
+/** Finds workers for all tasks of the request within the room; undefined if they do not fit. */
+export function findPlaces(
+    fleet: FleetTable,
+    request: PlaceRequest,
+    room: ResourceColumns,
 ): TaskPlace[] | undefined {
-    const { step, indexes } = waiting.group;
-    const candidates = findCandidates(waiting, allowed, available);
-    const nearCandidates = step.dataRack
-        ? candidates.filter(candidate => candidate.worker.rack === step.dataRack)
-        : candidates;
-    return requiresSameRack(waiting.group)
-        ? assignWithinRack(nearCandidates, indexes)
-        : assignTasks(nearCandidates, indexes);
-}
-
-/** Schedulable workers that match the step; without those where the group has failed, if it can fit on the others. */
-function eligibleWorkers(waiting: WaitingGroup, workers: WorkerView[]): WorkerView[] {
-    const { job, group, failedOn } = waiting;
-    const { requiredLabel } = group.step;
-    const allowed = workers.filter(
-        worker =>
-            worker.isSchedulable &&
-            worker.service === job.service &&
-            (requiredLabel === undefined || worker.labels.includes(requiredLabel)),
-    );
-    if (failedOn.size === 0) {
-        return allowed;
+    if (!fits(fleet, request, room)) {
+        return undefined;
     }
-    const others = allowed.filter(worker => !failedOn.has(worker.name));
-    return nearPlaces(waiting, others, worker => worker.capacity) ? others : allowed;
+    const candidates = findCandidates(fleet, request, room);
+    const { indexes } = request.waiting.group;
+    return request.isWithinRack
+        ? assignWithinRack(fleet, candidates, indexes)
+        : assignTasks(candidates, indexes);
 }
 
-function requiresSameRack({ step, indexes }: WaitingGroup["group"]): boolean {
-    return step.sameRack && indexes.length > 1;
+/** Follows whether a request fits while room is added worker by worker. */
+export interface GrowingRoom {
+    room: ResourceColumns;
+    /** Adds an amount at one position. */
+    add(position: number, amount: Resources): void;
+    /** Number of tasks that fit: on all workers, or on those of the best rack if the request needs one rack. */
+    slots(): number;
+}
+
+/** Starts with a copy of `initial`; each addition costs the same for any number of workers. */
+export function createGrowingRoom(
+    fleet: FleetTable,
+    request: PlaceRequest,
+    initial: ResourceColumns,
+): GrowingRoom {
+    const { allowed, needed, isWithinRack } = request;
+    const room = copyColumns(initial);
+    const isAllowed = new Uint8Array(fleet.workers.length);
+    const slots = new Int32Array(fleet.workers.length);
+    const slotsByRack = new Int32Array(fleet.rackCount);
+    let total = 0;
+    let largestRack = 0;
+    const countSlots = (position: number) => {
+        const now = countFittingAt(room, position, needed, workerLimit(fleet, request, position));
+        const gained = now - slots[position]!;
+        slots[position] = now;
+        total += gained;
+        const rack = fleet.racks[position]!;
+        slotsByRack[rack]! += gained;
+        largestRack = Math.max(largestRack, slotsByRack[rack]!);
+    };
+    for (const position of allowed) {
+        isAllowed[position] = 1;
+        countSlots(position);
+    }
+    return {
+        room,
+        add(position, amount) {
+            addAt(room, position, amount);
+            if (isAllowed[position] === 1) {
+                countSlots(position);
+            }
+        },
+        slots: () => (isWithinRack ? largestRack : total),
+    };
+}
+
+/** Largest number of the group's tasks that a search may put on a worker. */
+function slotLimit(fleet: FleetTable, request: PlaceRequest, position: number): number {
+    return Math.min(request.count, workerLimit(fleet, request, position));
 }
 
-/** The workers that can take at least one task of the group. */
-function findCandidates(
-    waiting: WaitingGroup,
-    allowed: WorkerView[],
-    available: AvailableCapacity,
-): Candidate[] {
-    const { group } = waiting;
-    const { resources } = group.step;
+/** Largest number of tasks that the step allows on a worker, whatever the group's size. */
+function workerLimit(fleet: FleetTable, { waiting }: PlaceRequest, position: number): number {
+    const { maxPerWorker } = waiting.group.step;
+    if (maxPerWorker === undefined) {
+        return MAX_SLOTS;
+    }
+    const { tasksByStep } = fleet.workers[position]!;
+    return maxPerWorker - (tasksByStep.get(stepKey(waiting.job.id, waiting.group)) ?? 0);
+}
+
+/** Limit for tasks that need no resources. */
+const MAX_SLOTS = 1_000_000;
+
+/** The workers that can take at least one task of the group, best first. */
+function findCandidates(fleet: FleetTable, request: PlaceRequest, room: ResourceColumns): Candidate[] {
+    const { allowed, needed } = request;
     const candidates: Candidate[] = [];
-    for (const worker of allowed) {
-        const free = available(worker);
-        const slots = Math.min(
-            countFitting(free, resources),
-            slotsLeft(worker, waiting),
-            group.indexes.length,
-        );
+    for (const position of allowed) {
+        const free = resourcesAt(room, position);
+        const slots = Math.min(countFitting(free, needed), slotLimit(fleet, request, position));
         if (slots > 0) {
-            candidates.push({ worker, slots, leftover: leftoverOf(worker, free, resources, slots) });
+            const worker = fleet.workers[position]!;
+            candidates.push({ position, worker, slots, leftover: leftoverOf(worker, free, needed, slots) });
         }
     }
     return candidates.sort(compareCandidates);
@@ -112,14 +205,6 @@
     );
 }
 
-function slotsLeft(worker: WorkerView, { job, group }: WaitingGroup): number {
-    const { maxPerWorker } = group.step;
-    if (maxPerWorker === undefined) {
-        return Number.MAX_SAFE_INTEGER;
-    }
-    return maxPerWorker - (worker.tasksByStep.get(stepKey(job.id, group)) ?? 0);
-}
-
 function leftoverOf(worker: WorkerView, free: Resources, needed: Resources, slots: number): number {
     const left = subtractResources(free, {
         cpuMillis: needed.cpuMillis * slots,
@@ -138,14 +223,23 @@
 }
 
 /** Assigns all tasks to one rack: the one with the fewest recent faults on the used workers, then the fewest slots. */
-function assignWithinRack(candidates: Candidate[], indexes: number[]): TaskPlace[] | undefined {
-    const racks = new Map<string, Candidate[]>();
+function assignWithinRack(
+    fleet: FleetTable,
+    candidates: Candidate[],
+    indexes: number[],
+): TaskPlace[] | undefined {
+    const membersByRack = new Map<number, Candidate[]>();
     for (const candidate of candidates) {
-        const rack = candidate.worker.rack ?? candidate.worker.name;
-        racks.set(rack, [...(racks.get(rack) ?? []), candidate]);
+        const rack = fleet.racks[candidate.position]!;
+        const members = membersByRack.get(rack);
+        if (members) {
+            members.push(candidate);
+        } else {
+            membersByRack.set(rack, [candidate]);
+        }
     }
     let best: { places: TaskPlace[]; recentFaults: number; slots: number } | undefined;
-    for (const members of racks.values()) {
+    for (const members of membersByRack.values()) {
         const places = assignTasks(members, indexes);
         if (!places) {
             continue;
@@ -162,7 +256,7 @@
             recentFaults < best.recentFaults ||
             (recentFaults === best.recentFaults && slots < best.slots);
         if (isBetter) {
-            best = { places, recentFaults: recentFaults, slots };
+            best = { places, recentFaults, slots };
         }
     }
     return best?.places;
--- a/packages/decisions/src/schedule/plannedPlace.ts
+++ b/packages/decisions/src/schedule/plannedPlace.ts
@@ -1,50 +1,92 @@
-import { capacityOf, addFreedCapacity, type FreedCapacity } from "./freedCapacity.ts";
-import type { AvailableCapacity, PlaceSearch } from "./placementSearch.ts";
-import type { PlacedGroup, TaskPlace, WaitingGroup, WorkerView } from "./scheduleTypes.ts";
-import { shortestPrefix } from "./shortestPrefix.ts";
+import type { Resources } from "../job/jobTypes.ts";
+import { positionsOf, type FleetTable, type ResourceColumns } from "./fleetTable.ts";
+import { createGrowingRoom, findPlaces, type GrowingRoom, type PlaceRequest } from "./placementSearch.ts";
+import type { PlacedGroup, TaskPlace } from "./scheduleTypes.ts";
 
 /** Workers on which a waiting group is expected to fit, and when. */
 export interface PlannedPlace {
     places: TaskPlace[];
     /** Expected time until the places are free, in milliseconds. */
     afterMs: number;
-    /** What running groups are expected to free until then, by worker. */
-    freed: FreedCapacity;
+    /** Room of all workers at that time. */
+    roomThen: ResourceColumns;
+}
+
+/** Running groups whose expected ends are close together. */
+export interface EndBatch {
+    /** Expected time until the last group of the batch ends, in milliseconds. */
+    afterMs: number;
+    groups: { resources: Resources; positions: number[] }[];
 }
 
 /** Expected ends less than this time apart are treated as one batch. */
 const SAME_END_MS = 200;
 
-/** Finds the earliest time at which a group fits, if running groups end as expected. */
+/** Groups the placed groups by their expected end, earliest first. */
+export function batchesByEnd(fleet: FleetTable, placed: PlacedGroup[]): EndBatch[] {
+    const ending = [...placed].sort((left, right) => left.remainingMs - right.remainingMs);
+    const batches: EndBatch[] = [];
+    for (const { remainingMs, workers, group } of ending) {
+        const ends = { resources: group.step.resources, positions: positionsOf(fleet, workers) };
+        const batch = batches.at(-1);
+        if (batch && remainingMs - batch.afterMs < SAME_END_MS) {
+            batch.groups.push(ends);
+            batch.afterMs = remainingMs;
+        } else {
+            batches.push({ afterMs: remainingMs, groups: [ends] });
+        }
+    }
+    return batches;
+}
+
+/** Number of tasks of one shape for which there is room after each batch of expected ends. */
+export interface EndForecast {
+    /** The earliest time at which `count` tasks fit, and the number of batches that have ended by then. */
+    earliestFor(count: number): { afterMs: number; batches: number } | undefined;
+}
+
+/**
+ * Forecasts the room for tasks like those of the request, from the capacity that is free now. The forecast holds for any
+ * number of tasks until a decision takes capacity.
+ */
+export function createEndForecast(
+    fleet: FleetTable,
+    request: PlaceRequest,
+    batches: EndBatch[],
+): EndForecast {
+    const growing = createGrowingRoom(fleet, request, fleet.free);
+    const slotsAfter = new Float64Array(batches.length);
+    for (const [number, batch] of batches.entries()) {
+        addEnds(growing, batch);
+        slotsAfter[number] = growing.slots();
+    }
+    return {
+        earliestFor(count) {
+            const number = slotsAfter.findIndex(slots => slots >= count);
+            const batch = batches[number];
+            return batch && { afterMs: batch.afterMs, batches: number + 1 };
+        },
+    };
+}
+
+/** Finds the places of a group and the room of all workers after the given number of batches of expected ends. */
 export function findPlannedPlace(
-    waiting: WaitingGroup,
-    workers: WorkerView[],
-    placed: PlacedGroup[],
-    available: AvailableCapacity,
-    search: PlaceSearch,
+    fleet: FleetTable,
+    request: PlaceRequest,
+    endedBatches: EndBatch[],
 ): PlannedPlace | undefined {
-    const ending = [...placed].sort((left, right) => left.remainingMs - right.remainingMs);
-    const batches = countsByEnd(ending);
-    const earliest = shortestPrefix(batches.length, length => {
-        const freed = capacityOf(ending.slice(0, batches[length - 1]));
-        const places = search(waiting, workers, addFreedCapacity(available, freed));
-        return places && { places, freed };
-    });
-    if (!earliest) {
-        return undefined;
+    const growing = createGrowingRoom(fleet, request, fleet.free);
+    for (const batch of endedBatches) {
+        addEnds(growing, batch);
     }
-    const lastEnding = ending[batches[earliest.length - 1]! - 1]!;
-    return { ...earliest.found, afterMs: lastEnding.remainingMs };
+    const places = findPlaces(fleet, request, growing.room);
+    return places && { places, afterMs: endedBatches.at(-1)?.afterMs ?? 0, roomThen: growing.room };
 }
 
-/** Cumulative number of ended groups after each batch of ends that are close together. */
-function countsByEnd(ending: PlacedGroup[]): number[] {
-    const counts: number[] = [];
-    for (const [position, group] of ending.entries()) {
-        const next = ending[position + 1];
-        if (!next || next.remainingMs - group.remainingMs >= SAME_END_MS) {
-            counts.push(position + 1);
+function addEnds(growing: GrowingRoom, { groups }: EndBatch): void {
+    for (const { resources, positions } of groups) {
+        for (const position of positions) {
+            growing.add(position, resources);
         }
     }
-    return counts;
 }
--- a/packages/decisions/src/schedule/schedulingRound.ts
+++ b/packages/decisions/src/schedule/schedulingRound.ts
@@ -1,13 +1,31 @@
-import { addResources, subtractResources, type Resources } from "../job/jobTypes.ts";
+import type { Resources } from "../job/jobTypes.ts";
+import {
+    addAt,
+    copyColumns,
+    createFleetTable,
+    positionsOf,
+    resourcesAt,
+    setResources,
+    subtractAt,
+    type FleetTable,
+    type ResourceColumns,
+} from "./fleetTable.ts";
 import { estimateOf, urgencyOf, valueAt } from "./jobValue.ts";
 import {
+    createRequest,
+    findPlaces,
     isLocalitySensitive,
-    findAnyPlaces,
-    findNearPlaces,
-    type AvailableCapacity,
-    type PlaceSearch,
+    type PlaceRequest,
+    type SearchScope,
 } from "./placementSearch.ts";
-import { findPlannedPlace, type PlannedPlace } from "./plannedPlace.ts";
+import {
+    batchesByEnd,
+    createEndForecast,
+    findPlannedPlace,
+    type EndBatch,
+    type EndForecast,
+    type PlannedPlace,
+} from "./plannedPlace.ts";
 import {
     stepKey,
     type Decision,
@@ -19,8 +37,9 @@
 import {
     findVictims,
     FIXED_PREEMPTION_COST,
-    type VictimSearchOptions,
+    rankByPreemptionCost,
     type PreemptionPlan,
+    type RankedGroup,
 } from "./victimSearch.ts";
 
 /** Input of a scheduling round. */
@@ -37,17 +56,28 @@
 /** State of a scheduling round in progress. */
 interface Round {
     input: RoundInput;
+    fleet: FleetTable;
     decisions: Decision[];
-    /** Capacity that the round has allocated, by worker. */
-    allocated: Map<string, Resources>;
-    /** Capacity that tasks outlasting `afterMs` may use without delaying a planned place, by worker. */
-    besidePlanned: Map<string, { left: Resources; afterMs: number }>;
+    /** Capacity that tasks outlasting `afterMs` may use without delaying a planned place, by worker position. */
+    besidePlanned: Map<number, { left: Resources; afterMs: number }>;
     plannedGroups: number;
     victims: Set<PlacedGroup>;
     /** Number of waiting groups by job; a job has no value until all are done, so a gain is divided among them. */
     waitingOfJob: Map<string, number>;
     /** Steps with a task that did not fit; free capacity only shrinks in a round, so the others do not fit either. */
     blockedSteps: Set<string>;
+    /** The smallest group of each shape that found no near place; larger ones of the shape find none either. */
+    blockedShapes: Map<string, { count: number; durationMs: number }>;
+    /** Expected ends of the placed groups; computed when first needed. */
+    endBatches: EndBatch[] | undefined;
+    /** Placed groups by the cost of their preemption; computed when first needed. */
+    ranked: RankedGroup[] | undefined;
+    /** What may be preempted for groups of each kind, by cost; cleared when groups are preempted. */
+    preemptible: Map<string, RankedGroup[]>;
+    /** Forecasts of the room by shape; cleared when capacity is allocated. */
+    forecasts: Map<string, EndForecast>;
+    /** Searches for victims that found none, by shape and kind; cleared when capacity is allocated. */
+    vainSearches: Map<string, { count: number; costLimit: number }>;
 }
 
 /** Number of blocked groups that get planned places, so that shorter work does not starve them. */
@@ -61,13 +91,19 @@
 export function scheduleRound(input: RoundInput): Decision[] {
     const round: Round = {
         input,
+        fleet: createFleetTable(input.workers),
         decisions: [],
-        allocated: new Map(),
         besidePlanned: new Map(),
         plannedGroups: 0,
         victims: new Set(),
         waitingOfJob: new Map(),
         blockedSteps: new Set(),
+        blockedShapes: new Map(),
+        endBatches: undefined,
+        ranked: undefined,
+        preemptible: new Map(),
+        forecasts: new Map(),
+        vainSearches: new Map(),
     };
     for (const { job } of input.waiting) {
         round.waitingOfJob.set(job.id, (round.waitingOfJob.get(job.id) ?? 0) + 1);
@@ -96,49 +132,82 @@
 }
 
 function scheduleGroup(round: Round, candidate: WaitingGroup): void {
-    const { workers } = round.input;
     const step = stepKey(candidate.job.id, candidate.group);
     const isInterchangeable = !candidate.group.step.gang && candidate.failedOn.size === 0;
     if (isInterchangeable && round.blockedSteps.has(step)) {
         return;
     }
     const durationMs = estimateOf(candidate.group.step);
-    const near = findNearPlaces(candidate, workers, freeFor(round, durationMs));
+    const request = createRequest(round.fleet, candidate, "near");
+    const isBlocked = isShapeBlocked(round, candidate, durationMs);
+    const near = isBlocked ? undefined : findPlaces(round.fleet, request, freeFor(round, durationMs));
     if (near) {
         place(round, candidate, near, false);
         return;
     }
+    if (!isBlocked) {
+        blockShape(round, candidate, durationMs);
+    }
     if (candidate.isGuaranteed) {
         scheduleGuaranteed(round, candidate);
         return;
     }
-    if (!scheduleBlocked(round, candidate) && isInterchangeable) {
+    if (!scheduleBlocked(round, candidate, request) && isInterchangeable) {
         round.blockedSteps.add(step);
     }
 }
 
+/** Whether a group of the same shape that is not larger and not longer has found no near place in this round. */
+function isShapeBlocked(round: Round, candidate: WaitingGroup, durationMs: number): boolean {
+    const blocked = hasPlainShape(candidate) ? round.blockedShapes.get(shapeKey(candidate)) : undefined;
+    return (
+        blocked !== undefined &&
+        candidate.group.indexes.length >= blocked.count &&
+        durationMs >= blocked.durationMs
+    );
+}
+
+function blockShape(round: Round, candidate: WaitingGroup, durationMs: number): void {
+    if (!hasPlainShape(candidate)) {
+        return;
+    }
+    const key = shapeKey(candidate);
+    const known = round.blockedShapes.get(key);
+    const count = candidate.group.indexes.length;
+    if (!known || (count <= known.count && durationMs <= known.durationMs)) {
+        round.blockedShapes.set(key, { count, durationMs });
+    }
+}
+
+/** Whether the workers that may take the group depend on its step only, and not on its history or its job. */
+function hasPlainShape({ group, failedOn }: WaitingGroup): boolean {
+    return failedOn.size === 0 && group.step.maxPerWorker === undefined;
+}
+
+/** Key of all that decides where tasks fit, except for their number and duration. */
+function shapeKey({ job, group }: WaitingGroup): string {
+    const { resources, requiredLabel, dataRack, sameRack } = group.step;
+    const { cpuMillis, memoryMb, gpus } = resources;
+    return JSON.stringify([job.service, requiredLabel, dataRack, sameRack, cpuMillis, memoryMb, gpus]);
+}
+
 /** Places a guaranteed group, preempting groups without a guarantee if necessary. */
 function scheduleGuaranteed(round: Round, candidate: WaitingGroup): void {
-    const { workers } = round.input;
-    const searches: PlaceSearch[] = isLocalitySensitive(candidate)
-        ? [findNearPlaces, findAnyPlaces]
-        : [findNearPlaces];
-    for (const search of searches) {
-        const now = search(candidate, workers, freeNow(round));
+    const { fleet } = round;
+    const scopes: SearchScope[] = isLocalitySensitive(candidate) ? ["near", "any"] : ["near"];
+    for (const scope of scopes) {
+        const request = createRequest(fleet, candidate, scope);
+        const now = findPlaces(fleet, request, fleet.free);
         if (now) {
-            place(round, candidate, now, search !== findNearPlaces);
+            place(round, candidate, now, scope !== "near");
             return;
         }
-        const soon = search(candidate, workers, freeAfterClosing(round));
+        const soon = findPlaces(fleet, request, fleet.freeAfterClosing);
         if (soon) {
             allocate(round, candidate, soon);
             return;
         }
-        const plan = planVictims(round, candidate, {
-            search,
-            isPreemptible: group => !group.isGuaranteed,
-            costLimit: Infinity,
-        });
+        const plan = planVictims(round, request, Infinity);
         if (plan) {
             preempt(round, candidate, plan);
             return;
@@ -150,82 +219,121 @@
  * Handles a group without a near place: it runs far from its data, preempts less urgent groups or waits for a planned
  * place. Returns whether it is placed now or will be as soon as its victims have stopped.
  */
-function scheduleBlocked(round: Round, candidate: WaitingGroup): boolean {
-    const { workers, placed, farFactor } = round.input;
+function scheduleBlocked(round: Round, candidate: WaitingGroup, request: PlaceRequest): boolean {
+    const { fleet } = round;
     const durationMs = estimateOf(candidate.group.step);
-    const planned = findPlannedPlace(candidate, workers, placed, freeNow(round), findNearPlaces);
+    // The forecast is costly and is made only where it can change the decision.
+    const lookUpEarliest = once(() => forecastOf(round, request).earliestFor(request.count));
     if (isLocalitySensitive(candidate)) {
-        const farMs = durationMs * farFactor;
-        const isFarSooner = !planned || farMs < planned.afterMs + durationMs;
-        const far = isFarSooner ? findAnyPlaces(candidate, workers, freeFor(round, farMs)) : undefined;
-        if (far) {
+        const farMs = durationMs * round.input.farFactor;
+        const far = findPlaces(fleet, createRequest(fleet, candidate, "any"), freeFor(round, farMs));
+        const earliest = far && lookUpEarliest();
+        if (far && (!earliest || farMs < earliest.afterMs + durationMs)) {
             place(round, candidate, far, true);
             return true;
         }
     }
-    const gain = gainOfStartingNow(round, candidate, planned);
-    // The search for victims is the most expensive part of a round.
-    if (gain > FIXED_PREEMPTION_COST * GAIN_FACTOR) {
-        const isLessUrgent = (group: PlacedGroup) =>
-            !group.isGuaranteed && group.priority > candidate.priority;
+    const minGain = FIXED_PREEMPTION_COST * GAIN_FACTOR;
+    if (gainOfStartingNow(round, candidate, undefined) > minGain) {
+        const gain = gainOfStartingNow(round, candidate, lookUpEarliest()?.afterMs);
         const costLimit = gain / GAIN_FACTOR;
-        const plan = planVictims(round, candidate, {
-            search: findNearPlaces,
-            isPreemptible: isLessUrgent,
-            costLimit,
-        });
+        const plan = gain > minGain ? planVictims(round, request, costLimit) : undefined;
         if (plan && plan.cost < costLimit) {
             preempt(round, candidate, plan);
             return true;
         }
     }
-    if (planned && round.plannedGroups < MAX_PLANNED_GROUPS) {
+    const earliest = round.plannedGroups < MAX_PLANNED_GROUPS ? lookUpEarliest() : undefined;
+    const planned =
+        earliest && findPlannedPlace(fleet, request, endBatchesOf(round).slice(0, earliest.batches));
+    if (planned) {
         round.plannedGroups += 1;
         reservePlanned(round, candidate, planned);
     }
     return false;
 }
 
-/** Value gained by starting the group now instead of at its planned place, divided by the job's waiting groups. */
-function gainOfStartingNow(
-    round: Round,
-    { job, value }: WaitingGroup,
-    planned: PlannedPlace | undefined,
-): number {
+/** Returns a function that computes a value on the first call and returns it on each further one. */
+function once<T>(compute: () => T): () => T {
+    let known: { value: T } | undefined;
+    return () => {
+        known ??= { value: compute() };
+        return known.value;
+    };
+}
+
+function endBatchesOf(round: Round): EndBatch[] {
+    round.endBatches ??= batchesByEnd(round.fleet, round.input.placed);
+    return round.endBatches;
+}
+
+/** The forecast of the room for tasks like those of the request. */
+function forecastOf(round: Round, request: PlaceRequest): EndForecast {
+    const { fleet, forecasts } = round;
+    if (!hasPlainShape(request.waiting)) {
+        return createEndForecast(fleet, request, endBatchesOf(round));
+    }
+    const key = shapeKey(request.waiting);
+    const known = forecasts.get(key) ?? createEndForecast(fleet, request, endBatchesOf(round));
+    forecasts.set(key, known);
+    return known;
+}
+
+/**
+ * Value gained by starting the group now instead of after `laterMs`, divided by the job's waiting groups. Without a later
+ * start the gain is the largest possible one.
+ */
+function gainOfStartingNow(round: Round, { job, value }: WaitingGroup, laterMs: number | undefined): number {
     const { nowMs } = round.input;
     const soon = valueAt(value, nowMs + EXPECTED_STOP_MS + value.runMs);
-    const later = planned ? valueAt(value, nowMs + planned.afterMs + value.runMs) : 0;
+    const later = laterMs === undefined ? 0 : valueAt(value, nowMs + laterMs + value.runMs);
     return (soon - later) / (round.waitingOfJob.get(job.id) ?? 1);
 }
 
-function planVictims(
-    round: Round,
-    waiting: WaitingGroup,
-    {
-        isPreemptible,
-        ...terms
-    }: Pick<VictimSearchOptions, "search" | "costLimit"> & {
-        isPreemptible: (group: PlacedGroup) => boolean;
-    },
-): PreemptionPlan | undefined {
-    const { workers, placed, nowMs } = round.input;
-    const candidates = placed.filter(
-        group => !group.isClosing && !round.victims.has(group) && isPreemptible(group),
+/** Plans a preemption for the group: guaranteed ones may preempt all others, the rest those of a lower priority. */
+function planVictims(round: Round, request: PlaceRequest, costLimit: number): PreemptionPlan | undefined {
+    const { fleet, vainSearches } = round;
+    const { waiting, count } = request;
+    const kind = waiting.isGuaranteed ? "guaranteed" : String(waiting.priority);
+    const key = hasPlainShape(waiting) ? `${kind} ${request.scope} ${shapeKey(waiting)}` : undefined;
+    const vain = key === undefined ? undefined : vainSearches.get(key);
+    if (vain && count >= vain.count && costLimit <= vain.costLimit) {
+        return undefined;
+    }
+    const plan = findVictims(fleet, { request, ranked: preemptibleFor(round, waiting, kind), costLimit });
+    if (!plan && key !== undefined && (!vain || (count <= vain.count && costLimit >= vain.costLimit))) {
+        vainSearches.set(key, { count, costLimit });
+    }
+    return plan;
+}
+
+function preemptibleFor(round: Round, waiting: WaitingGroup, kind: string): RankedGroup[] {
+    const { fleet, input, victims, preemptible } = round;
+    const known = preemptible.get(kind);
+    if (known) {
+        return known;
+    }
+    round.ranked ??= rankByPreemptionCost(fleet, input.placed, input.nowMs);
+    const groups = round.ranked.filter(
+        ({ group }) =>
+            !group.isClosing &&
+            !group.isGuaranteed &&
+            !victims.has(group) &&
+            (waiting.isGuaranteed || group.priority > waiting.priority),
     );
-    return findVictims({ waiting, workers, candidates, available: freeAfterClosing(round), nowMs, ...terms });
+    preemptible.set(kind, groups);
+    return groups;
 }
 
 function preempt(round: Round, candidate: WaitingGroup, plan: PreemptionPlan): void {
-    const views = new Map(round.input.workers.map(worker => [worker.name, worker]));
+    const { fleet } = round;
+    round.preemptible.clear();
     for (const victim of plan.victims) {
         round.victims.add(victim);
-        for (const name of victim.workers) {
-            const view = views.get(name);
-            if (view) {
-                view.closing = addResources(view.closing, victim.group.step.resources);
-            }
-        }
         const { job, group } = victim;
+        for (const position of positionsOf(fleet, victim.workers)) {
+            addAt(fleet.freeAfterClosing, position, group.step.resources);
+        }
         round.decisions.push({ kind: "preempt", job: job.id, group: group.key, for: candidate.job.id });
     }
     allocate(round, candidate, plan.places);
@@ -238,65 +346,49 @@
 
 /** Allocates the places, so that later groups of the round do not use them. */
 function allocate(round: Round, { group, job }: WaitingGroup, places: TaskPlace[]): void {
-    const views = new Map(round.input.workers.map(worker => [worker.name, worker]));
+    const { fleet } = round;
+    round.forecasts.clear();
+    round.vainSearches.clear();
     const key = stepKey(job.id, group);
     for (const { worker } of places) {
-        const before = round.allocated.get(worker);
-        const { resources } = group.step;
-        round.allocated.set(worker, before ? addResources(before, resources) : resources);
-        const view = views.get(worker);
-        view?.tasksByStep.set(key, (view.tasksByStep.get(key) ?? 0) + 1);
+        const position = fleet.positions.get(worker)!;
+        subtractAt(fleet.free, position, group.step.resources);
+        subtractAt(fleet.freeAfterClosing, position, group.step.resources);
+        const { tasksByStep } = fleet.workers[position]!;
+        tasksByStep.set(key, (tasksByStep.get(key) ?? 0) + 1);
     }
 }
 
 /** Reserves the planned places against tasks that would still run when they are needed, as in backfilling. */
 function reservePlanned(round: Round, { group }: WaitingGroup, planned: PlannedPlace): void {
-    const needed = new Map<string, Resources>();
+    const { fleet } = round;
+    // A second planned place may replace the reservation of the first one, which frees capacity.
+    round.blockedShapes.clear();
+    const left = planned.roomThen;
     for (const { worker } of planned.places) {
-        const before = needed.get(worker);
-        const { resources } = group.step;
-        needed.set(worker, before ? addResources(before, resources) : resources);
+        subtractAt(left, fleet.positions.get(worker)!, group.step.resources);
     }
-    for (const worker of round.input.workers) {
-        const wanted = needed.get(worker.name);
-        if (wanted) {
-            const freeThen = addResources(freeOf(round, worker), planned.freed.get(worker.name) ?? NOTHING);
-            round.besidePlanned.set(worker.name, {
-                left: subtractResources(freeThen, wanted),
-                afterMs: planned.afterMs,
-            });
-        }
+    for (const { worker } of planned.places) {
+        const position = fleet.positions.get(worker)!;
+        round.besidePlanned.set(position, { left: resourcesAt(left, position), afterMs: planned.afterMs });
     }
 }
 
-const NOTHING: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
-
-function freeOf(round: Round, worker: WorkerView): Resources {
-    const allocated = round.allocated.get(worker.name);
-    return allocated ? subtractResources(worker.free, allocated) : worker.free;
-}
-
-function freeNow(round: Round): AvailableCapacity {
-    return worker => freeOf(round, worker);
-}
-
 /** Free capacity for tasks of the given duration; tasks that outlast the wait must not delay planned places. */
-function freeFor(round: Round, durationMs: number): AvailableCapacity {
-    return worker => {
-        const free = freeOf(round, worker);
-        const planned = round.besidePlanned.get(worker.name);
-        if (!planned || durationMs <= planned.afterMs) {
-            return free;
+function freeFor({ fleet, besidePlanned }: Round, durationMs: number): ResourceColumns {
+    if (besidePlanned.size === 0) {
+        return fleet.free;
+    }
+    const room = copyColumns(fleet.free);
+    for (const [position, { left, afterMs }] of besidePlanned) {
+        if (durationMs > afterMs) {
+            const free = resourcesAt(room, position);
+            setResources(room, position, {
+                cpuMillis: Math.min(free.cpuMillis, left.cpuMillis),
+                memoryMb: Math.min(free.memoryMb, left.memoryMb),
+                gpus: Math.min(free.gpus, left.gpus),
+            });
         }
-        return {
-            cpuMillis: Math.min(free.cpuMillis, planned.left.cpuMillis),
-            memoryMb: Math.min(free.memoryMb, planned.left.memoryMb),
-            gpus: Math.min(free.gpus, planned.left.gpus),
-        };
-    };
-}
-
-/** Free capacity once all closing runs have ended. */
-function freeAfterClosing(round: Round): AvailableCapacity {
-    return worker => addResources(freeOf(round, worker), worker.closing);
+    }
+    return room;
 }
--- a/packages/decisions/src/schedule/victimSearch.ts
+++ b/packages/decisions/src/schedule/victimSearch.ts
@@ -1,9 +1,15 @@
-import { countFitting } from "../job/jobTypes.ts";
+import {
+    addAt,
+    countFittingAt,
+    positionsOf,
+    schedulableWorkers,
+    subtractAt,
+    type FleetTable,
+    type ResourceColumns,
+} from "./fleetTable.ts";
 import { valueAt } from "./jobValue.ts";
-import type { AvailableCapacity, PlaceSearch } from "./placementSearch.ts";
-import { capacityOf, addFreedCapacity } from "./freedCapacity.ts";
-import { shortestPrefix } from "./shortestPrefix.ts";
-import type { PlacedGroup, TaskPlace, WaitingGroup, WorkerView } from "./scheduleTypes.ts";
+import { createGrowingRoom, findPlaces, type PlaceRequest } from "./placementSearch.ts";
+import type { PlacedGroup, TaskPlace } from "./scheduleTypes.ts";
 
 /** Places for a group, the groups to preempt for it, and the cost of the preemption. */
 export interface PreemptionPlan {
@@ -13,15 +19,20 @@
     cost: number;
 }
 
+/** A placed group with what its preemption costs. */
+export interface RankedGroup {
+    group: PlacedGroup;
+    /** Positions of its workers in the fleet, one for each task. */
+    positions: number[];
+    cost: number;
+    costPerGpu: number;
+}
+
 /** Inputs of a search for victims. */
 export interface VictimSearchOptions {
-    waiting: WaitingGroup;
-    workers: WorkerView[];
-    /** Groups that may be preempted. */
-    candidates: PlacedGroup[];
-    available: AvailableCapacity;
-    search: PlaceSearch;
-    nowMs: number;
+    request: PlaceRequest;
+    /** The groups that may be preempted, in the order in which they are considered. */
+    ranked: RankedGroup[];
     /** Groups whose preemption costs more than this are not considered; the caller discards plans of a higher cost. */
     costLimit: number;
 }
@@ -44,86 +55,88 @@
     return FIXED_PREEMPTION_COST + group.lostCoreSeconds * COST_PER_CORE_SECOND + (keptValue - delayedValue);
 }
 
+/** Ranks the placed groups by the cost of their preemption for each accelerator that it frees, lowest first. */
+export function rankByPreemptionCost(fleet: FleetTable, placed: PlacedGroup[], nowMs: number): RankedGroup[] {
+    const ranked: RankedGroup[] = [];
+    for (const group of placed) {
+        const cost = preemptionCost(group, nowMs);
+        const positions = positionsOf(fleet, group.workers);
+        ranked.push({ group, positions, cost, costPerGpu: cost / Math.max(1, groupGpus(group)) });
+    }
+    return ranked.sort((left, right) => left.costPerGpu - right.costPerGpu);
+}
+
 /**
  * Finds places for a group by preempting others, those with the lowest cost per GPU first. The search uses the
- * available capacity and the capacity that the victims would free.
+ * capacity that is free once all closing runs have ended, and the capacity that the victims would free.
  */
-export function findVictims(options: VictimSearchOptions): PreemptionPlan | undefined {
-    const { waiting, workers, available, search, nowMs, costLimit } = options;
-    const eligibleWorkers = usableWorkers(waiting, workers);
-    const ranked: { group: PlacedGroup; costPerGpu: number }[] = [];
-    for (const group of options.candidates) {
-        const cost = preemptionCost(group, nowMs);
-        if (cost <= costLimit && group.workers.some(worker => eligibleWorkers.has(worker))) {
-            ranked.push({ group, costPerGpu: cost / Math.max(1, groupGpus(group)) });
+export function findVictims(fleet: FleetTable, options: VictimSearchOptions): PreemptionPlan | undefined {
+    const { request, ranked, costLimit } = options;
+    const isUsable = usableWorkers(fleet, request);
+    const growing = createGrowingRoom(fleet, request, fleet.freeAfterClosing);
+    const chosen: RankedGroup[] = [];
+    for (const candidate of ranked) {
+        const { group, positions, cost } = candidate;
+        if (cost > costLimit || !positions.some(position => isUsable[position] === 1)) {
+            continue;
+        }
+        chosen.push(candidate);
+        for (const position of positions) {
+            growing.add(position, group.group.step.resources);
+        }
+        const places =
+            growing.slots() >= request.count ? findPlaces(fleet, request, growing.room) : undefined;
+        if (places) {
+            const victims = dropUnneededVictims(fleet, request, { chosen, places, room: growing.room });
+            let total = 0;
+            for (const victim of victims) {
+                total += victim.cost;
+            }
+            return { places, victims: victims.map(victim => victim.group), cost: total };
         }
     }
-    ranked.sort((left, right) => left.costPerGpu - right.costPerGpu);
-    const candidatesByCost = ranked.map(({ group }) => group);
-    const shortestSufficient = shortestPrefix(candidatesByCost.length, length => {
-        const freed = capacityOf(candidatesByCost.slice(0, length));
-        return search(waiting, workers, addFreedCapacity(available, freed));
-    });
-    if (!shortestSufficient) {
-        return undefined;
-    }
-    const places = shortestSufficient.found;
-    const victims = dropUnneededVictims(
-        candidatesByCost.slice(0, shortestSufficient.length),
-        places,
-        options,
-    );
-    let cost = 0;
-    for (const victim of victims) {
-        cost += preemptionCost(victim, nowMs);
-    }
-    return { places, victims, cost };
+    return undefined;
 }
 
 function groupGpus(placedGroup: PlacedGroup): number {
     return placedGroup.workers.length * Math.max(1, placedGroup.group.step.resources.gpus);
 }
 
-/** Names of the job's schedulable workers whose total capacity, free or not, is enough for a task of the group. */
-function usableWorkers({ job, group }: WaitingGroup, workers: WorkerView[]): Set<string> {
-    const names = new Set<string>();
-    for (const worker of workers) {
-        const isEligible = worker.isSchedulable && worker.service === job.service;
-        if (isEligible && countFitting(worker.capacity, group.step.resources) > 0) {
-            names.add(worker.name);
-        }
+/** Marks the job's schedulable workers whose total capacity, free or not, is enough for a task of the group. */
+function usableWorkers(fleet: FleetTable, { waiting, needed }: PlaceRequest): Uint8Array {
+    const isUsable = new Uint8Array(fleet.workers.length);
+    for (const position of schedulableWorkers(fleet, waiting.job.service, undefined)) {
+        isUsable[position] = countFittingAt(fleet.capacity, position, needed, 1);
     }
-    return names;
+    return isUsable;
 }
 
 /** Drops victims without which the places still fit, trying those with the highest cost per GPU first. */
 function dropUnneededVictims(
-    chosen: PlacedGroup[],
-    places: TaskPlace[],
-    options: VictimSearchOptions,
-): PlacedGroup[] {
-    let needed = chosen;
-    for (const candidate of [...chosen].reverse()) {
-        const rest = needed.filter(victim => victim !== candidate);
-        if (placesFit(places, rest, options)) {
-            needed = rest;
-        }
-    }
-    return needed;
-}
-
-function placesFit(places: TaskPlace[], victims: PlacedGroup[], options: VictimSearchOptions): boolean {
-    const { workers, waiting, available } = options;
-    const capacityAfter = addFreedCapacity(available, capacityOf(victims));
-    const counts = new Map<string, number>();
+    fleet: FleetTable,
+    { needed }: PlaceRequest,
+    { chosen, places, room }: { chosen: RankedGroup[]; places: TaskPlace[]; room: ResourceColumns },
+): RankedGroup[] {
+    const tasksAt = new Int32Array(fleet.workers.length);
     for (const { worker } of places) {
-        counts.set(worker, (counts.get(worker) ?? 0) + 1);
+        tasksAt[fleet.positions.get(worker)!]! += 1;
     }
-    for (const worker of workers) {
-        const count = counts.get(worker.name) ?? 0;
-        if (count > 0 && countFitting(capacityAfter(worker), waiting.group.step.resources) < count) {
-            return false;
+    const kept: RankedGroup[] = [];
+    for (const candidate of [...chosen].reverse()) {
+        const { resources } = candidate.group.group.step;
+        for (const position of candidate.positions) {
+            subtractAt(room, position, resources);
+        }
+        const isNeeded = candidate.positions.some(position => {
+            const tasks = tasksAt[position]!;
+            return countFittingAt(room, position, needed, tasks) < tasks;
+        });
+        if (isNeeded) {
+            kept.push(candidate);
+            for (const position of candidate.positions) {
+                addAt(room, position, resources);
+            }
         }
     }
-    return true;
+    return kept.reverse();
 }
--- a/scripts/bench/planBench.ts
+++ b/scripts/bench/planBench.ts
@@ -1,4 +1,4 @@
-import { findAnyPlaces, findNearPlaces } from "@tanagerdeck/decisions/schedule/placementSearch";
+import { findAnyPlaces, findNearPlaces } from "@tanagerdeck/standins/plan/plain/plainPlacementSearch";
 import { subtractResources } from "@tanagerdeck/decisions/job/jobTypes";
 import type { Decision } from "@tanagerdeck/decisions/schedule/scheduleTypes";
 import { scheduleRound, type RoundInput } from "@tanagerdeck/decisions/schedule/schedulingRound";
--- a/packages/decisions/src/schedule/freedCapacity.ts
+++ b/standins/src/plan/plain/freedCapacity.ts
@@ -1,6 +1,6 @@
-import { addResources, type Resources } from "../job/jobTypes.ts";
-import type { AvailableCapacity } from "./placementSearch.ts";
-import type { PlacedGroup } from "./scheduleTypes.ts";
+import { addResources, type Resources } from "@tanagerdeck/decisions/job/jobTypes";
+import type { AvailableCapacity } from "./plainPlacementSearch.ts";
+import type { PlacedGroup } from "@tanagerdeck/decisions/schedule/scheduleTypes";
 
 /** Capacity that ending groups free, by worker name. */
 export type FreedCapacity = Map<string, Resources>;
