Let the leader plan within a part of its processor time

Cause: a round was asked for 10 ms after every report, whatever the last one had cost, and each report scanned all placements of all jobs; on a small share of a core the leader missed its lease's renewals. New metric tanagerdeck_round_seconds. The test of orders from grouped placements is replaced by one that compares the index with a scan of all jobs after every kind of change, as the grouping is gone.

--- a/packages/decisions/src/plan/clusterState.spec.ts
+++ b/packages/decisions/src/plan/clusterState.spec.ts
@@ -6,8 +6,8 @@
 import {
     addJob,
     createClusterState,
-    openPlacementsByWorker,
     getOrAddWorker,
+    openPlacements,
     type JobEntry,
     type ClusterState,
     type WorkerEntry,
@@ -67,18 +67,46 @@
             expect(buildOrders(cluster, worker).starts.map(order => order.task)).to.deep.equal(["j.0.0.0"]);
         });
 
-        it("builds the same orders from placements grouped by worker as from a scan per worker", () => {
-            const workers = [addWorker("a"), addWorker("b"), addWorker("c")];
-            addPlaced("first", stepOf({ count: 2, gang: true }), ["a", "b"]);
-            addPlaced("second", stepOf(), ["b"]);
-            const placements = openPlacementsByWorker(cluster);
-            const starts: string[] = [];
-            for (const worker of workers) {
-                const orders = buildOrders(cluster, worker, placements.get(worker.name) ?? []);
-                expect(orders).to.deep.equal(buildOrders(cluster, worker));
-                starts.push(...orders.starts.map(order => `${worker.name} ${order.task}`));
-            }
-            expect(starts).to.deep.equal(["a first.0.0.0", "b first.0.0.1", "b second.0.0.0"]);
+        it("finds the placements of each worker as a scan of all jobs does, after every change", () => {
+            const workers = ["a", "b", "c"].map(name => addWorker(name));
+            const scan = (worker: string) => {
+                const tasks: string[] = [];
+                for (const entry of cluster.jobs.values()) {
+                    for (const [group, { placements }] of Object.entries(entry.progress.groups)) {
+                        for (const placement of placements) {
+                            tasks.push(
+                                ...(placement.worker === worker
+                                    ? [`${entry.job.id} ${group} ${placement.index}`]
+                                    : []),
+                            );
+                        }
+                    }
+                }
+                return tasks.sort();
+            };
+            const expectSame = () => {
+                for (const { name } of workers) {
+                    const found = [...openPlacements(cluster, name)].map(
+                        ({ entry, group, placement }) => `${entry.job.id} ${group.key} ${placement.index}`,
+                    );
+                    expect(found.sort()).to.deep.equal(scan(name));
+                }
+            };
+            addPlaced("first", stepOf({ count: 3, gang: true }), ["a", "b", "b"]);
+            const second = addPlaced("second", stepOf(), ["b"]);
+            expectSame();
+            expect(
+                buildOrders(cluster, workers[1]!)
+                    .starts.map(({ task }) => task)
+                    .sort(),
+            ).to.deep.equal(["first.0.0.1", "first.0.0.2", "second.0.0.0"]);
+            const ended = [{ number: 1, task: "first.0.0.1", run: 1, end: "broken" as const }];
+            applyReport(cluster, workers[1]!, reportOf(descriptionOf("b"), { ended }), now);
+            expectSame();
+            // A conflicting write replaces the job by what the store holds.
+            addJob(cluster, second.job, undefined, now);
+            expectSame();
+            expect([...openPlacements(cluster, "b")]).to.have.length(1);
         });
 
         it("sends no further start once the worker reports the run", () => {
--- a/packages/decisions/src/plan/clusterState.ts
+++ b/packages/decisions/src/plan/clusterState.ts
@@ -71,13 +71,15 @@
 export interface ClusterState {
     jobs: Map<string, JobEntry>;
     workers: Map<string, WorkerEntry>;
+    /** Groups with open placements, by worker and by job and group, so that a report costs what its worker runs. */
+    placements: Map<string, Map<string, { entry: JobEntry; group: TaskGroup }>>;
     /** Ids of jobs whose cancellation was read before their definition. */
     cancelledBeforeAdded: Set<string>;
 }
 
 /** Creates an empty cluster state. */
 export function createClusterState(): ClusterState {
-    return { jobs: new Map(), workers: new Map(), cancelledBeforeAdded: new Set() };
+    return { jobs: new Map(), workers: new Map(), placements: new Map(), cancelledBeforeAdded: new Set() };
 }
 
 /** Adds an accepted job with its recorded progress. */
@@ -105,9 +107,15 @@
         runs: new Map(),
         failedOn: new Map(),
     };
-    for (const { key } of groups) {
-        if (groupProgress(entry.progress, key).placements.length > 0) {
-            entry.runs.set(key, { version: 0, openedAt: now, tasks: new Map(), hasStarted: true });
+    const replaced = cluster.jobs.get(job.id);
+    for (const group of replaced?.groups ?? []) {
+        indexPlacements(cluster, replaced!, group, []);
+    }
+    for (const group of groups) {
+        const { placements } = groupProgress(entry.progress, group.key);
+        if (placements.length > 0) {
+            entry.runs.set(group.key, { version: 0, openedAt: now, tasks: new Map(), hasStarted: true });
+            indexPlacements(cluster, entry, group, placements);
         }
     }
     cluster.jobs.set(job.id, entry);
@@ -135,10 +143,20 @@
 }
 
 /** Replaces the progress of a group and increments the job's version; returns false if nothing changed. */
-export function updateGroup(entry: JobEntry, key: string, next: GroupProgress): boolean {
-    if (groupProgress(entry.progress, key) === next) {
+export function updateGroup(
+    cluster: ClusterState,
+    entry: JobEntry,
+    key: string,
+    next: GroupProgress,
+): boolean {
+    const previous = groupProgress(entry.progress, key);
+    if (previous === next) {
         return false;
     }
+    const group = entry.groupsByKey.get(key);
+    if (group && previous.placements !== next.placements) {
+        indexPlacements(cluster, entry, group, next.placements);
+    }
     entry.progress = { ...entry.progress, groups: { ...entry.progress.groups, [key]: next } };
     entry.version += 1;
     if (next.placements.length === 0) {
@@ -147,6 +165,23 @@
     return true;
 }
 
+/** Replaces a group's placements in the index by worker. */
+function indexPlacements(
+    cluster: ClusterState,
+    entry: JobEntry,
+    group: TaskGroup,
+    next: TaskPlacement[],
+): void {
+    const key = `${entry.job.id}.${group.key}`;
+    for (const { worker } of groupProgress(entry.progress, group.key).placements) {
+        cluster.placements.get(worker)?.delete(key);
+    }
+    for (const { worker } of next) {
+        const groups = cluster.placements.get(worker) ?? new Map();
+        cluster.placements.set(worker, groups.set(key, { entry, group }));
+    }
+}
+
 /** Records a fault of the worker, which affects later placements of all groups and the retry of this group. */
 export function addFault(
     worker: WorkerEntry,
@@ -183,33 +218,15 @@
 
 /** All open placements, of all workers or of one. */
 export function* openPlacements(cluster: ClusterState, worker?: string): Generator<OpenPlacement> {
-    for (const entry of cluster.jobs.values()) {
-        for (const key of entry.runs.keys()) {
-            const group = entry.groupsByKey.get(key);
-            const progress = groupProgress(entry.progress, key);
-            if (!group) {
-                continue;
-            }
+    const names = worker === undefined ? cluster.placements.keys() : [worker];
+    for (const name of names) {
+        for (const { entry, group } of cluster.placements.get(name)?.values() ?? []) {
+            const progress = groupProgress(entry.progress, group.key);
             for (const placement of progress.placements) {
-                if (worker === undefined || placement.worker === worker) {
+                if (placement.worker === name) {
                     yield { entry, group, progress, placement };
                 }
             }
         }
     }
 }
-
-/** Groups the open placements by worker, for callers that need them for many workers. */
-export function openPlacementsByWorker(cluster: ClusterState): Map<string, OpenPlacement[]> {
-    const byWorker = new Map<string, OpenPlacement[]>();
-    for (const open of openPlacements(cluster)) {
-        const { worker } = open.placement;
-        const known = byWorker.get(worker);
-        if (known) {
-            known.push(open);
-        } else {
-            byWorker.set(worker, [open]);
-        }
-    }
-    return byWorker;
-}
--- a/packages/decisions/src/plan/planOrders.ts
+++ b/packages/decisions/src/plan/planOrders.ts
@@ -4,7 +4,6 @@
     isCancelledOrEnded,
     openPlacements,
     type JobEntry,
-    type OpenPlacement,
     type ClusterState,
     type WorkerEntry,
 } from "./clusterState.ts";
@@ -17,15 +16,8 @@
     recorded: { boot: Boot; number: number } | undefined;
 }
 
-/**
- * Builds the starts and stops that a worker has not yet carried out, and the number up to which its ends are recorded.
- * `placements` holds the worker's open placements.
- */
-export function buildOrders(
-    cluster: ClusterState,
-    worker: WorkerEntry,
-    placements: Iterable<OpenPlacement> = openPlacements(cluster, worker.name),
-): WorkerOrders {
+/** Builds the starts and stops that a worker has not yet carried out, and the number up to which its ends are recorded. */
+export function buildOrders(cluster: ClusterState, worker: WorkerEntry): WorkerOrders {
     const starts: StartOrder[] = [];
     const stops: StopOrder[] = [];
     const boot = worker.description?.boot;
@@ -33,7 +25,7 @@
     for (const row of [...(worker.report?.running ?? []), ...(worker.report?.ended ?? [])]) {
         reportedRuns.add(runKey(row));
     }
-    for (const { entry, group, progress, placement } of placements) {
+    for (const { entry, group, progress, placement } of openPlacements(cluster, worker.name)) {
         const run = runIdOf(entry, group, placement.index, progress.run);
         if (progress.phase !== "placed" || isCancelledOrEnded(entry)) {
             stops.push({ ...run, boot: placement.boot });
--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -138,7 +138,7 @@
     const progress = groupProgress(entry.progress, found.group.key);
     const placement = progress.placements.find(open => open.index === found.index);
     const isExpected = placement?.worker === worker.name && (!boot || sameBoot(placement.boot, boot));
-    if (isExpected && applyEnd(found, { ...row, end: row.end })) {
+    if (isExpected && applyEnd(cluster, found, { ...row, end: row.end })) {
         events.push({ ...eventOf("ended", worker, row, entry.job.id), detail: row.end });
         updateFaults(worker, found, row.end, now);
         if (!entry.progress.begun) {
@@ -176,7 +176,7 @@
     if (reason === "unhealthy") {
         addFault(worker, found.entry, found.group.key, { now, isStall: false });
     }
-    updateGroup(found.entry, found.group.key, closeRun(progress));
+    updateGroup(cluster, found.entry, found.group.key, closeRun(progress));
     events.push({ ...eventOf("refused", worker, run, found.entry.job.id), detail: reason });
 }
 
@@ -192,7 +192,7 @@
         return;
     }
     const saved = found.entry.runs.get(found.group.key)?.tasks.get(found.index)?.saved;
-    if (applyEnd(found, { index: found.index, run: run.run, end: "lost", saved })) {
+    if (applyEnd(cluster, found, { index: found.index, run: run.run, end: "lost", saved })) {
         events.push(eventOf("closed", worker, run, found.entry.job.id));
     }
 }
@@ -209,7 +209,7 @@
     }
     for (const { entry, group, progress, placement } of [...openPlacements(cluster, worker.name)]) {
         if (!sameBoot(placement.boot, description.boot)) {
-            updateGroup(entry, group.key, closeRun(groupProgress(entry.progress, group.key)));
+            updateGroup(cluster, entry, group.key, closeRun(groupProgress(entry.progress, group.key)));
             continue;
         }
         if (description.hasLapsed) {
@@ -244,12 +244,13 @@
 }
 
 function applyEnd(
+    cluster: ClusterState,
     { entry, group, index }: FoundTask,
     { run, end, saved }: { index?: number; run: number; end: TaskEnd; saved?: string | undefined },
 ): boolean {
     const before = groupProgress(entry.progress, group.key);
     const next = applyTaskEnd(before, { index, run, end, saved }, groupRulesOf(entry, group));
-    return updateGroup(entry, group.key, next);
+    return updateGroup(cluster, entry, group.key, next);
 }
 
 function findTask(cluster: ClusterState, { task }: RunId): FoundTask | undefined {
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -81,7 +81,7 @@
 type ValueLookup = (entry: JobEntry, group: TaskGroup) => JobValue;
 
 /**
- * Returns a function that computes job values from the mean work of the queue's jobs and the total capacity of the
+ * Returns a function that computes the value of each job's occurrence once, from the mean work of the queue's jobs and the total capacity of the
  * service.
  */
 function createValueLookup(cluster: ClusterState, context: RoundContext): ValueLookup {
@@ -99,19 +99,23 @@
             capacityByService.set(description.service, addResources(serviceCapacity, description.capacity));
         }
     }
+    const values = new Map<string, JobValue>();
     return (entry, group) => {
         const { job } = entry;
+        const key = `${job.id}.${group.occurrence}`;
+        const known = values.get(key);
+        if (known) {
+            return known;
+        }
         const sum = sums.get(job.queue);
         const dueOrAcceptedAtMs = Math.max(job.acceptedAtMs, dueAtMs(job, group.occurrence));
         const meanCoreSeconds = sum ? sum.work / sum.count : 0;
         const serviceCapacity = capacityByService.get(job.service) ?? NO_RESOURCES;
         // `room` is the service's total capacity, not what is free.
-        return valueOf(
-            job,
-            context.termsOf(entry),
-            { meanCoreSeconds, room: serviceCapacity },
-            dueOrAcceptedAtMs,
-        );
+        const scale = { meanCoreSeconds, room: serviceCapacity };
+        const value = valueOf(job, context.termsOf(entry), scale, dueOrAcceptedAtMs);
+        values.set(key, value);
+        return value;
     };
 }
 
@@ -187,8 +191,10 @@
 /** Names of quarantined workers; empty if so many workers have faults that the tasks are more likely the cause. */
 export function quarantinedWorkers(cluster: ClusterState, now: number): Set<string> {
     const busy = new Set<string>();
-    for (const { placement } of openPlacements(cluster)) {
-        busy.add(placement.worker);
+    for (const [name, placements] of cluster.placements) {
+        if (placements.size > 0) {
+            busy.add(name);
+        }
     }
     const names = new Set<string>();
     for (const { name, faults } of cluster.workers.values()) {
@@ -266,7 +272,7 @@
     }
     const progress = groupProgress(entry.progress, decision.group);
     if (decision.kind === "preempt") {
-        updateGroup(entry, decision.group, closeRun(progress));
+        updateGroup(cluster, entry, decision.group, closeRun(progress));
         return;
     }
     const placements: TaskPlacement[] = [];
@@ -278,7 +284,7 @@
         }
         placements.push({ index, worker, boot });
     }
-    updateGroup(entry, decision.group, openRun(progress, placements));
+    updateGroup(cluster, entry, decision.group, openRun(progress, placements));
     entry.runs.set(decision.group, {
         version: entry.version,
         openedAt: now,
--- a/packages/decisions/src/plan/stallDetection.ts
+++ b/packages/decisions/src/plan/stallDetection.ts
@@ -53,7 +53,7 @@
                     addFault(worker, entry, group.key, { now, isStall: true });
                 }
             }
-            updateGroup(entry, group.key, closeRun(progress));
+            updateGroup(cluster, entry, group.key, closeRun(progress));
             stalled.push({ job: entry.job.id, group: group.key, workers, stalledMs });
         }
     }
@@ -80,7 +80,7 @@
                     addFault(worker, entry, key, { now, isStall: false });
                 }
             }
-            updateGroup(entry, key, closeRun(progress));
+            updateGroup(cluster, entry, key, closeRun(progress));
             const workers = missing.map(placement => placement.worker);
             stuck.push({ job: entry.job.id, group: key, workers });
         }
--- a/packages/peer/src/planner/clusterStateLoading.ts
+++ b/packages/peer/src/planner/clusterStateLoading.ts
@@ -38,7 +38,7 @@
     }
     for (const job of jobs) {
         const entry = addJob(cluster, job, progress.get(job.id), now);
-        closeRunsOfEndedJob(entry);
+        closeRunsOfEndedJob(cluster, entry);
         for (const group of Object.values(entry.progress.groups)) {
             for (const placement of group.placements) {
                 getOrAddWorker(cluster, placement.worker, startedAt);
@@ -48,11 +48,11 @@
 }
 
 /** Closes all open runs of a job that is cancelled or has ended. */
-export function closeRunsOfEndedJob(entry: JobEntry): void {
+export function closeRunsOfEndedJob(cluster: ClusterState, entry: JobEntry): void {
     if (!isCancelledOrEnded(entry)) {
         return;
     }
     for (const { key } of entry.groups) {
-        updateGroup(entry, key, closeRun(groupProgress(entry.progress, key)));
+        updateGroup(cluster, entry, key, closeRun(groupProgress(entry.progress, key)));
     }
 }
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -5,7 +5,6 @@
 import {
     addJob,
     createClusterState,
-    openPlacementsByWorker,
     getOrAddWorker,
     type JobEntry,
     type ClusterState,
@@ -13,7 +12,9 @@
 import { buildOrders } from "@tanagerdeck/decisions/plan/planOrders";
 import { applyReport, closeRunsOfLostAgents } from "@tanagerdeck/decisions/plan/planReport";
 import { closeStalled, closeStuckStarts } from "@tanagerdeck/decisions/plan/stallDetection";
+import { pauseBeforeRoundMs } from "@tanagerdeck/decisions/plan/planPace";
 import { applyDecision, quarantinedWorkers, buildRoundInput } from "@tanagerdeck/decisions/plan/planRound";
+import type { WorkerDescription } from "@tanagerdeck/decisions/worker/workerReport";
 import { startTask, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import type { Change, Item } from "@tanagerdeck/store/keyvalue/keyValueTypes";
 import type { Listing } from "@tanagerdeck/store/keyvalue/listing";
@@ -33,6 +34,8 @@
     /** The term has ended; it never plans again. */
     isHalted: boolean;
     isPlanDue: boolean;
+    /** End and duration of the latest round, with the recording and the orders that follow it. */
+    lastRound: { endedAt: number; durationMs: number };
     startedAt: number;
     /** Orders last sent to each agent, as JSON, so that unchanged ones are not sent again. */
     sentOrders: Map<string, string>;
@@ -42,8 +45,6 @@
 
 /** Interval of the checks for lost agents, stalled runs and expired jobs. */
 const TICK_MS = 100;
-/** Events that arrive within this time are handled in one scheduling round. */
-const PLAN_DELAY_MS = 10;
 const LOAD_RETRY_MS = 200;
 /** A new leader starts planning when all agents have reported, or after this time. */
 const INITIAL_REPORT_WAIT_MS = 600;
@@ -61,7 +62,8 @@
     function requestPlan(state: PlannerState, context: Context): void {
         if (!state.isPlanDue) {
             state.isPlanDue = true;
-            context.after(PLAN_DELAY_MS, { kind: "plan" });
+            const sinceEndMs = clock.now() - state.lastRound.endedAt;
+            context.after(pauseBeforeRoundMs(state.lastRound.durationMs, sinceEndMs), { kind: "plan" });
         }
     }
 
@@ -72,6 +74,7 @@
         isSuspended: false,
         isHalted: false,
         isPlanDue: false,
+        lastRound: { endedAt: clock.now(), durationMs: 0 },
         startedAt: clock.now(),
         sentOrders: new Map(),
         earlyChanges: [],
@@ -138,7 +141,7 @@
         if (!jobEntry.isCancelled) {
             jobEntry.isCancelled = true;
             jobEntry.version += 1;
-            closeRunsOfEndedJob(jobEntry);
+            closeRunsOfEndedJob(state.cluster, jobEntry);
             log.info("A job is cancelled.", { term, job: id, openRuns: jobEntry.runs.size });
         }
     }
@@ -183,7 +186,7 @@
 
     function recordProgress(state: PlannerState, context: Context): void {
         for (const jobEntry of setFinalStates(state.cluster, clock.wall())) {
-            closeRunsOfEndedJob(jobEntry);
+            closeRunsOfEndedJob(state.cluster, jobEntry);
             planningLog.ended(jobEntry);
         }
         for (const write of createWrites(state.cluster, term, newWriteId)) {
@@ -209,9 +212,8 @@
     }
 
     function sendOrders(state: PlannerState): void {
-        const placements = openPlacementsByWorker(state.cluster);
         for (const worker of state.cluster.workers.values()) {
-            const orders = buildOrders(state.cluster, worker, placements.get(worker.name) ?? []);
+            const orders = buildOrders(state.cluster, worker);
             const serializedOrders = JSON.stringify(orders);
             if (state.sentOrders.get(worker.name) !== serializedOrders) {
                 state.sentOrders.set(worker.name, serializedOrders);
@@ -317,8 +319,14 @@
             },
             report(state, { agent, report }, context) {
                 const worker = getOrAddWorker(state.cluster, agent, state.startedAt);
-                planningLog.events(state.cluster, applyReport(state.cluster, worker, report, clock.now()));
-                requestPlan(state, context);
+                const { hasReported, description } = worker;
+                const events = applyReport(state.cluster, worker, report, clock.now());
+                planningLog.events(state.cluster, events);
+                // A report that only confirms what is known can wait for the round of the next tick.
+                const isNews = events.length > 0 || !hasReported || isOtherWorker(description, report.worker);
+                if (isNews) {
+                    requestPlan(state, context);
+                }
             },
             suspend(state) {
                 state.isSuspended = true;
@@ -334,9 +342,13 @@
                 if (!canPlan(state)) {
                     return;
                 }
+                const startedAt = clock.now();
                 plan(state);
                 recordProgress(state, context);
                 sendOrders(state);
+                const endedAt = clock.now();
+                state.lastRound = { endedAt, durationMs: endedAt - startedAt };
+                metrics.roundEnded((endedAt - startedAt) / 1_000);
             },
             tick(state, _message, context) {
                 if (state.isHalted) {
@@ -402,6 +414,14 @@
     return task;
 }
 
+/** Whether a report describes another boot or condition of the worker than the one before it. */
+function isOtherWorker(
+    known: WorkerDescription | undefined,
+    reported: WorkerDescription | undefined,
+): boolean {
+    return known?.condition !== reported?.condition || known?.boot.bornMs !== reported?.boot.bornMs;
+}
+
 function describeError(error: unknown): string {
     return error instanceof Error ? (error.stack ?? error.message) : String(error);
 }
--- a/packages/runtime/src/metrics/schedulerMetrics.ts
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -26,6 +26,8 @@
     groupStarted(priority: number, seconds: number): void;
     groupPlaced(isFar: boolean): void;
     groupPreempted(): void;
+    /** Duration of a scheduling round with its records and orders, in seconds. */
+    roundEnded(seconds: number): void;
     runEnded(end: string): void;
     /** Counts a run that a worker listed and the leader did not open. */
     strayRunFound(): void;
@@ -45,6 +47,7 @@
     groupStarted() {},
     groupPlaced() {},
     groupPreempted() {},
+    roundEnded() {},
     runEnded() {},
     strayRunFound() {},
     leaderTerm() {},
@@ -56,6 +59,7 @@
 
 const CALL_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
 const JOB_BUCKETS_SECONDS = [1, 2.5, 5, 10, 20, 40, 80, 160, 600, 3_600];
+const ROUND_BUCKETS_SECONDS = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1];
 const START_BUCKETS_SECONDS = [0.05, 0.1, 0.25, 0.5, 1, 2, 3.4, 4.9, 10, 30];
 
 /** Registers the scheduler's metrics. `droppedLines` is called each time the metrics are read. */
@@ -99,6 +103,12 @@
         help: "Groups closed to make room for others.",
         registers,
     });
+    const rounds = new Histogram({
+        name: "tanagerdeck_round_seconds",
+        help: "Time of scheduling rounds, with building the records and orders that follow from them.",
+        buckets: ROUND_BUCKETS_SECONDS,
+        registers,
+    });
     const runs = new Counter({
         name: "tanagerdeck_run_ends_total",
         help: "Ends of runs, by how they ended.",
@@ -161,6 +171,7 @@
         groupStarted: (priority, seconds) => starts.observe({ priority }, seconds),
         groupPlaced: isFar => placements.inc({ far: String(isFar) }),
         groupPreempted: () => preemptions.inc(),
+        roundEnded: seconds => rounds.observe(seconds),
         runEnded: end => runs.inc({ end }),
         strayRunFound: () => strays.inc(),
         leaderTerm: value => term.set(value ?? 0),
