Let the changes of the store collect for 150 ms between two watches

Change: the replica waits 150 ms after a reply with changes before it watches again. Test: 200 changes cost 200 calls before, at most 110 now; each is delivered within 200 ms.

--- a/packages/store/src/replica/replicaTask.spec.ts
+++ b/packages/store/src/replica/replicaTask.spec.ts
@@ -13,15 +13,23 @@
     let changes: Change[];
     let loadCount: number;
     let confirmedAt: number;
+    let watchCalls: number;
 
     beforeEach(async () => {
         clock = createManualClock();
         store = createMemoryStore(clock);
         changes = [];
         loadCount = 0;
+        watchCalls = 0;
         store.write("x/a", "1");
         replica = startReplicaTask({
-            store,
+            store: {
+                ...store,
+                watch: (...call) => {
+                    watchCalls += 1;
+                    return store.watch(...call);
+                },
+            },
             prefix: "x/",
             clock,
             log: noopLog,
@@ -50,6 +58,26 @@
         expect(values()).to.deep.equal(["1", "2"]);
     });
 
+    describe("when many items change in a short time", () => {
+        it("collects the changes, so that the calls do not grow with them, and delivers each within 200 ms", async () => {
+            let longestMs = 0;
+            watchCalls = 0;
+            for (let number = 2; number < 102; number++) {
+                store.write("x/a", String(number));
+                const writtenAt = clock.now();
+                while (!values().includes(String(number)) && clock.now() - writtenAt < 500) {
+                    await clock.advance(10);
+                }
+                longestMs = Math.max(longestMs, clock.now() - writtenAt);
+                store.write("x/b", String(number));
+                await clock.advance(10);
+            }
+            expect(longestMs).to.be.at.most(200);
+            // 200 changes in the time that the 100 deliveries took.
+            expect(watchCalls).to.be.at.most(110);
+        });
+    });
+
     describe("when the store compacts its history", () => {
         it("lists again and reports the removals that it missed", async () => {
             store.faults.mode = "silent";
--- a/packages/store/src/replica/replicaTask.ts
+++ b/packages/store/src/replica/replicaTask.ts
@@ -42,6 +42,11 @@
 
 /** Duration of one long poll. It is short so that a watch on a dead connection is replaced soon. */
 const WATCH_WAIT_MS = 1_000;
+/**
+ * Pause after a reply with changes, in which further changes collect for the next one. Every entry watches all jobs, so a
+ * call for each change would cost the store and the entries a number of calls that grows with their product.
+ */
+const WATCH_PAUSE_MS = 150;
 const RETRY_MS = 250;
 
 /** Starts the task that keeps a local copy of all items below a prefix by listing and then watching the store. */
@@ -150,6 +155,10 @@
                         }
                         state.revision = Math.max(state.revision, reply.revision);
                         onConfirmed(clock.now());
+                        if (reply.changes.length > 0) {
+                            context.after(WATCH_PAUSE_MS, { kind: "watch" });
+                            return;
+                        }
                         watch(state, context);
                     },
                 });
