Expect ten seconds until a preempted group has room again

Change: the expected delay is 10 s, so groups that would be late after it are kept. The test fails with 3 s.

--- a/packages/decisions/src/schedule/schedulingRound.spec.ts
+++ b/packages/decisions/src/schedule/schedulingRound.spec.ts
@@ -276,6 +276,20 @@
             expect(round({ workers, placed, waiting: waitingOf(wanted, { priority: 0 }) })).to.deep.equal([]);
         });
 
+        it("keeps a group that would be late after its wait for new room, if the gain is not much larger", () => {
+            // Load pattern: bursts of urgent jobs on a full cluster, in which stopped gangs wait 20 s and more for room.
+            const full = workerOf("full");
+            const step = stepOf({ count: 1, resources: resourcesOf(8, 8) });
+            const inTimeIfRestartedAtOnce = valueOf({
+                objectiveAtMs: NOW + 16_000,
+                zeroValueAtMs: NOW + 17_000,
+            });
+            const placed = [placedOn(full, "victim", step, { value: inTimeIfRestartedAtOnce })];
+            const urgent = valueOf({ objectiveAtMs: NOW + 6_500, zeroValueAtMs: NOW + 7_000 });
+            const waiting = waitingOf(jobOf("urgent", [step]), { value: urgent, priority: 0 });
+            expect(round({ workers: [full], waiting, placed })).to.deep.equal([]);
+        });
+
         it("preempts nothing of its own priority", () => {
             const workers = [workerOf("a")];
             const placed = [placedOn(workers[0]!, "k", stepOf(), { priority: 0 })];
--- a/packages/decisions/src/schedule/victimSearch.ts
+++ b/packages/decisions/src/schedule/victimSearch.ts
@@ -42,8 +42,8 @@
 
 /** Fixed cost of a stop and a restart, which keeps the same groups from being preempted again and again. */
 export const FIXED_PREEMPTION_COST = 0.05;
-/** Expected time until a preempted group is placed again. */
-const EXPECTED_RESTART_DELAY_MS = 3_000;
+/** Expected time until a preempted group is placed again; groups are preempted only when there is no room. */
+const EXPECTED_RESTART_DELAY_MS = 10_000;
 
 /** Cost of stopping a group now and running it again later: fixed cost, lost work and lost value. */
 export function preemptionCost(group: PlacedGroup, nowMs: number): number {
