Plan all other jobs if the store holds a malformed item of one

Cause: a stored content was checked to be an object only, which null is, too. A progress without groups made every scheduling round throw, so that no job was planned; progress that could not be parsed was taken for none, and its write conflicted every 10 ms together with up to nine other jobs. Change: schemas (zod) for all stored contents; a job whose stored progress cannot be decoded is neither placed nor recorded, and is logged once. Tests: five cases of the planner and one of the codec fail before. Values of earlier releases and fields of later ones are decoded as before.

--- a/packages/decisions/src/plan/clusterState.ts
+++ b/packages/decisions/src/plan/clusterState.ts
@@ -39,6 +39,8 @@
     workCoreSeconds: number;
     progress: Progress;
     isCancelled: boolean;
+    /** Whether the stored progress cannot be decoded. What runs is then unknown, so nothing is placed or recorded. */
+    isUnreadable: boolean;
     /** Store revision of the recorded progress; 0 if there is none. */
     progressRevision: number;
     /** Incremented on each change of the progress. */
@@ -100,6 +102,7 @@
         workCoreSeconds: expectedCoreSeconds(job.steps),
         progress: recorded?.progress ?? emptyProgress(),
         isCancelled: cluster.cancelledBeforeAdded.has(job.id),
+        isUnreadable: false,
         progressRevision: recorded?.revision ?? 0,
         version: 0,
         recordedVersion: 0,
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -43,7 +43,7 @@
 export function buildRoundInput(cluster: ClusterState, context: RoundContext): RoundInput {
     const openJobs: { entry: JobEntry; terms: QueueTerms }[] = [];
     for (const entry of cluster.jobs.values()) {
-        if (!isCancelledOrEnded(entry)) {
+        if (!isCancelledOrEnded(entry) && !entry.isUnreadable) {
             openJobs.push({ entry, terms: context.termsOf(entry) });
         }
     }
--- /dev/null
+++ b/packages/peer/src/planner/plannerTask.spec.ts
@@ -0,0 +1,109 @@
+import { expect } from "chai";
+import { leaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
+import { scheduleRound } from "@tanagerdeck/decisions/schedule/schedulingRound";
+import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import { noopLog } from "@tanagerdeck/runtime/log/log";
+import { noopSchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
+import type { Task } from "@tanagerdeck/runtime/task/task";
+import { createMemoryStore, type MemoryStore } from "@tanagerdeck/standins/keyvalue/memoryStore";
+import { descriptionOf, jobOf, reportOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
+import { listAll } from "@tanagerdeck/store/keyvalue/listing";
+import { encodeContent } from "@tanagerdeck/store/replica/storedValueCodec";
+import { agentKey, jobKey, LEADER_KEY, ROOT_PREFIX } from "@tanagerdeck/store/replica/storeKeys";
+import { startPlannerTask } from "./plannerTask.ts";
+import type { PlannerMessage } from "./plannerTypes.ts";
+
+describe("the planner", () => {
+    let clock: ManualClock;
+    let store: MemoryStore;
+    let planner: Task<PlannerMessage> | undefined;
+    let started: Set<string>;
+    let errors: string[];
+    let writes: number;
+
+    beforeEach(() => {
+        clock = createManualClock();
+        store = createMemoryStore(clock);
+        planner = undefined;
+        started = new Set();
+        errors = [];
+        writes = 0;
+        const address = { name: "a", address: "h:1", availabilityZone: "z", incarnation: "n" };
+        store.write(agentKey("a"), encodeContent("registration", address, "w"));
+    });
+
+    afterEach(() => planner?.stop());
+
+    function accept(id: string): void {
+        store.write(jobKey(id, "definition"), encodeContent("definition", jobOf(id, [stepOf()]), `w-${id}`));
+    }
+
+    async function start(): Promise<void> {
+        const log: Log = { ...noopLog, error: message => errors.push(message) };
+        const term = store.write(LEADER_KEY, "leader");
+        planner = startPlannerTask({
+            term,
+            times: leaseTimes(6_000),
+            clock,
+            log,
+            metrics: noopSchedulerMetrics,
+            newWriteId: () => `write-${writes++}`,
+            list: () => listAll(store, ROOT_PREFIX),
+            commit: transaction => store.commit(transaction),
+            sessions: {
+                open() {},
+                grants() {},
+                order(_agent, orders) {
+                    for (const { task } of orders.starts) {
+                        started.add(task);
+                    }
+                },
+            },
+            schedule: scheduleRound,
+            termEnded() {},
+            farFactor: 3,
+            keepMs: 60_000,
+        });
+        await clock.advance(50);
+        planner.send({ kind: "report", agent: "a", report: reportOf(descriptionOf("a")) });
+        await clock.advance(1_000);
+    }
+
+    describe("when the store holds malformed items of one job", () => {
+        for (const value of ['{"write":"w","content":{}}', '{"write":"w","content":null}', "not JSON"]) {
+            it(`plans all other jobs and leaves that one alone: ${value}`, async () => {
+                accept("bad");
+                store.write(jobKey("bad", "progress"), value);
+                accept("good");
+                await start();
+                expect([...started]).to.deep.equal(["good.0.0.0"]);
+                expect(store.item(jobKey("bad", "progress"))?.value).to.equal(value);
+                expect(errors).to.deep.equal(["A stored item cannot be decoded; its job is left alone."]);
+            });
+        }
+
+        it("plans all other jobs if a definition cannot be decoded", async () => {
+            store.write(jobKey("bad", "definition"), '{"write":"w","content":{"id":"bad"}}');
+            accept("good");
+            await start();
+            expect([...started]).to.deep.equal(["good.0.0.0"]);
+        });
+    });
+
+    describe("when malformed progress appears while it plans", () => {
+        it("records the other jobs of the same write, and does not repeat the conflicting one", async () => {
+            await start();
+            store.write(jobKey("bad", "progress"), '{"write":"w","content":{}}');
+            for (const id of ["bad", "good"]) {
+                accept(id);
+                const { key, value, revision } = store.item(jobKey(id, "definition"))!;
+                planner!.send({ kind: "changed", change: { key, value, revision } });
+            }
+            await clock.advance(2_000);
+            expect([...started]).to.deep.equal(["good.0.0.0"]);
+            expect(writes).to.be.below(10);
+            expect(errors).to.have.length(1);
+        });
+    });
+});
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -96,7 +96,9 @@
                 register(state, item);
             }
         }
-        loadClusterState(state.cluster, items, state.startedAt, clock.now());
+        for (const key of loadClusterState(state.cluster, items, state.startedAt, clock.now())) {
+            log.error("A stored item cannot be decoded; its job is left alone.", { term, key });
+        }
     }
 
     function register(state: PlannerState, item: { key: string; value: string }): void {
@@ -125,6 +127,11 @@
             const job = decodeContent("definition", change.value);
             if (job) {
                 addJob(state.cluster, job, undefined, clock.now());
+            } else {
+                log.error("A stored item cannot be decoded; its job is left alone.", {
+                    term,
+                    key: change.key,
+                });
             }
         }
         if (key.part === "cancel") {
@@ -247,6 +254,13 @@
                         { progress, revision: storedProgress.revision },
                         clock.now(),
                     );
+                } else {
+                    // Written again, it would conflict again and hold up the other jobs of its transaction.
+                    jobEntry.isUnreadable = true;
+                    log.error("A stored item cannot be decoded; its job is left alone.", {
+                        term,
+                        key: storedProgress.key,
+                    });
                 }
             }
         }
--- a/packages/peer/src/planner/progressRecording.ts
+++ b/packages/peer/src/planner/progressRecording.ts
@@ -41,7 +41,7 @@
 export function createWrites(cluster: ClusterState, term: number, newWriteId: () => string): RecordWrite[] {
     const outdated: JobEntry[] = [];
     for (const entry of cluster.jobs.values()) {
-        if (entry.version > entry.recordedVersion && !entry.isWriting) {
+        if (entry.version > entry.recordedVersion && !entry.isWriting && !entry.isUnreadable) {
             outdated.push(entry);
         }
     }
--- /dev/null
+++ b/packages/store/src/replica/storedContentSchema.ts
@@ -0,0 +1,78 @@
+import { z } from "zod";
+
+const resources = z.object({ cpuMillis: z.number(), memoryMb: z.number(), gpus: z.number() });
+
+const step = z.looseObject({
+    count: z.int().nonnegative(),
+    resources,
+    estimateMs: z.number(),
+    after: z.array(z.int()),
+    gang: z.boolean(),
+    sameRack: z.boolean(),
+    dataRack: z.string().optional(),
+    requiredLabel: z.string().optional(),
+    maxPerWorker: z.number().optional(),
+    checkpointing: z.boolean(),
+    speculative: z.boolean(),
+    longRunning: z.boolean(),
+});
+
+const placement = z.object({
+    index: z.int(),
+    worker: z.string(),
+    boot: z.object({ id: z.string(), bornMs: z.number() }),
+});
+
+const group = z.looseObject({
+    phase: z.enum(["waiting", "placed", "closing", "done", "failed"]),
+    run: z.int().nonnegative(),
+    placements: z.array(placement),
+    failures: z.number(),
+    failedRun: z.number(),
+    saved: z.string().optional(),
+});
+
+const registration = z.looseObject({
+    name: z.string(),
+    address: z.string(),
+    availabilityZone: z.string(),
+    incarnation: z.string(),
+});
+
+/**
+ * Schemas of the stored contents, by kind. They hold for what this and earlier releases have written; fields that a
+ * later release adds are kept.
+ */
+export const STORED_CONTENT_SCHEMAS = {
+    definition: z.looseObject({
+        id: z.string(),
+        spec: z.string(),
+        steps: z.array(step),
+        schedule: z
+            .looseObject({
+                firstDueMs: z.number(),
+                intervalMs: z.number(),
+                occurrences: z.int().nonnegative(),
+            })
+            .optional(),
+        queue: z.string(),
+        service: z.string(),
+        clientAccount: z.string().optional(),
+        terms: z.looseObject({
+            priority: z.number(),
+            attempts: z.number(),
+            stretch: z.number(),
+            latencyTargetMs: z.number(),
+        }),
+        acceptedAtMs: z.number(),
+    }),
+    cancel: z.looseObject({ atMs: z.number() }),
+    progress: z.looseObject({
+        begun: z.boolean(),
+        final: z.enum(["completed", "failed", "cancelled"]).optional(),
+        endedAtMs: z.number().optional(),
+        groups: z.record(z.string(), group),
+    }),
+    registration,
+    leader: registration,
+} as const;
--- /dev/null
+++ b/packages/store/src/replica/storedValueCodec.spec.ts
@@ -0,0 +1,78 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { jobOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
+import type { Job } from "@tanagerdeck/decisions/job/jobTypes";
+import type { Progress } from "@tanagerdeck/decisions/job/progressTypes";
+import { decodeContent, encodeContent, type StoredContents } from "./storedValueCodec.ts";
+
+describe("stored values", () => {
+    const job: Job = jobOf("j", [stepOf({ count: 2, gang: true, dataRack: "r1", maxPerWorker: 1 })], {
+        schedule: { firstDueMs: 5, intervalMs: 10, occurrences: 3 },
+    });
+    const progress: Progress = {
+        begun: true,
+        groups: {
+            "0.0": {
+                phase: "placed",
+                run: 2,
+                placements: [{ index: 0, worker: "a", boot: { id: "i", bornMs: 1 } }],
+                failures: 1,
+                failedRun: 1,
+                saved: "0f",
+            },
+        },
+    };
+    const registration = { name: "e", address: "h:1", availabilityZone: "z", incarnation: "n" };
+    const contents: StoredContents = {
+        definition: job,
+        cancel: { atMs: 1 },
+        progress,
+        registration,
+        leader: registration,
+    };
+    const kinds = Object.keys(contents) as (keyof StoredContents)[];
+
+    describe("that this program wrote", () => {
+        it("are decoded to the same content", () => {
+            for (const kind of kinds) {
+                const decoded = decodeContent(kind, encodeContent(kind, contents[kind], "w"));
+                expect(decoded).to.deep.equal(contents[kind]);
+            }
+        });
+
+        it("keep fields that a later release has added", () => {
+            const later = { ...registration, region: "south" };
+            expect(decodeContent("registration", encodeContent("registration", later, "w"))).to.deep.equal(
+                later,
+            );
+        });
+    });
+
+    describe("that are malformed", () => {
+        // Guards against a single bad entry that stops the planning of all jobs: a content of `null` or without
+        // `groups` was taken for progress, and every scheduling round threw.
+        it("are not decoded if the content is null or lacks a field", () => {
+            for (const kind of kinds) {
+                for (const value of ["", "7", "[]", '{"content":null}', '{"write":"w","content":{}}']) {
+                    expect(decodeContent(kind, value), `${kind} ${value}`).to.equal(undefined);
+                }
+            }
+        });
+
+        it("never throw, whatever they hold", () => {
+            const values = fc.oneof(
+                fc.string({ unit: "binary" }),
+                fc.json(),
+                fc.json().map(content => `{"write":"w","content":${content}}`),
+                fc.nat({ max: 400 }).map(length => encodeContent("progress", progress, "w").slice(0, length)),
+                fc.nat({ max: 2_000 }).map(depth => "[".repeat(depth)),
+            );
+            fc.assert(
+                fc.property(fc.constantFrom(...kinds), values, (kind, value) => {
+                    decodeContent(kind, value);
+                }),
+                { seed: 19, numRuns: 500 },
+            );
+        });
+    });
+});
--- a/packages/store/src/replica/storedValueCodec.ts
+++ b/packages/store/src/replica/storedValueCodec.ts
@@ -1,5 +1,6 @@
 import type { Job } from "@tanagerdeck/decisions/job/jobTypes";
 import type { Progress } from "@tanagerdeck/decisions/job/progressTypes";
+import { STORED_CONTENT_SCHEMAS } from "./storedContentSchema.ts";
 
 /** Address and identity that a process publishes so that its peers can call it. */
 export interface Registration {
@@ -40,14 +41,15 @@
     return JSON.stringify(stored);
 }
 
-/** Decodes a stored value; returns undefined if it was not written by `encodeContent`. */
+/** Decodes a stored value; returns undefined if `encodeContent` cannot have written it as this kind of content. */
 export function decodeContent<K extends keyof StoredContents>(
-    _kind: K,
+    kind: K,
     value: string,
 ): StoredContents[K] | undefined {
     try {
-        const stored = JSON.parse(value) as Partial<StoredEnvelope<StoredContents[K]>>;
-        return typeof stored.content === "object" ? stored.content : undefined;
+        const stored = JSON.parse(value) as Partial<StoredEnvelope<unknown>> | null;
+        const parsed = STORED_CONTENT_SCHEMAS[kind].safeParse(stored?.content);
+        return parsed.success ? (parsed.data as StoredContents[K]) : undefined;
     } catch {
         return undefined;
     }
