--- a/scripts/bench/planBench.ts
+++ b/scripts/bench/planBench.ts
@@ -3,12 +3,17 @@
 import type { Decision } from "@tanagerdeck/decisions/schedule/scheduleTypes";
 import { scheduleRound, type RoundInput } from "@tanagerdeck/decisions/schedule/schedulingRound";
 import type { Measure } from "./benchTypes.ts";
+import { plainScheduleRound } from "@tanagerdeck/standins/plan/plain/plainSchedulingRound";
 import { simulatePlan, type PlanPolicy, type PlanResult } from "./planSimulation.ts";
 import { DEPLOYMENTS, planJobs } from "./planWorkload.ts";
 
+/** One of this many rounds is also decided by the plain searches, which take many times as long. */
+const PLAIN_ROUND_INTERVAL = 40;
+
 /**
- * Measures the earned value, the wasted work, the stops and the longest round of the scheduler under high load. The
- * baseline is first-come first-fit. The measure `worth` is the earned value divided by the value of all jobs.
+ * Measures the earned value, the wasted work, the stops and the time of a round of the scheduler under high load. The
+ * baseline is first-come first-fit, but for the median and the 95th percentile of a round: there it is the round with
+ * plain searches on the same input. The measure `worth` is the earned value divided by the value of all jobs.
  */
 export async function planBench(): Promise<Measure[]> {
     const measures: Measure[] = [];
@@ -17,7 +22,8 @@
             Array.from({ length: deployment.seeds }, (_, seed) =>
                 simulatePlan(deployment, planJobs(deployment, seed + 1), policy),
             );
-        const measured = run(scheduleRound);
+        const times = createRoundTimes();
+        const measured = run(times.policy);
         const baseline = run(firstComeFirstFit);
         const measure = (
             name: string,
@@ -37,14 +43,63 @@
                 mean(results.map(({ wastedWorkRatio }) => wastedWorkRatio)),
             ),
             measure("stops", "a minute", results => mean(results.map(({ stops }) => stops))),
-            measure("round.longest", "ms", results =>
-                Math.max(...results.map(({ longestRoundMs }) => longestRoundMs)),
-            ),
+            {
+                name: `plan.${deployment.name}.round.longest`,
+                unit: "ms",
+                value: Number(Math.max(...times.searchMs).toFixed(3)),
+                baseline: Number(
+                    Math.max(...baseline.map(({ longestRoundMs }) => longestRoundMs)).toFixed(3),
+                ),
+            },
         );
+        for (const [name, part] of [
+            ["median", 0.5],
+            ["p95", 0.95],
+        ] as const) {
+            measures.push({
+                name: `plan.${deployment.name}.round.${name}`,
+                unit: "ms",
+                value: Number(quantile(times.searchMs, part).toFixed(3)),
+                baseline: Number(quantile(times.plainMs, part).toFixed(3)),
+            });
+        }
     }
     return measures;
 }
 
+/** A policy that schedules rounds, with the durations of its rounds and of some decided by the plain searches. */
+function createRoundTimes(): { policy: PlanPolicy; searchMs: number[]; plainMs: number[] } {
+    const searchMs: number[] = [];
+    const plainMs: number[] = [];
+    const timed = (policy: PlanPolicy, input: RoundInput, durations: number[]): Decision[] => {
+        const startedAt = performance.now();
+        const decisions = policy(input);
+        durations.push(performance.now() - startedAt);
+        return decisions;
+    };
+    return {
+        searchMs,
+        plainMs,
+        policy(input) {
+            if (searchMs.length % PLAIN_ROUND_INTERVAL === 0) {
+                timed(plainScheduleRound, copyOf(input), plainMs);
+            }
+            return timed(scheduleRound, input, searchMs);
+        },
+    };
+}
+
+/** A copy of the input, as a round counts the tasks that it places in the views of the workers. */
+function copyOf(input: RoundInput): RoundInput {
+    const workers = input.workers.map(view => ({ ...view, tasksByStep: new Map(view.tasksByStep) }));
+    return { ...input, workers };
+}
+
+function quantile(values: number[], part: number): number {
+    const sorted = [...values].sort((left, right) => left - right);
+    return sorted[Math.min(sorted.length - 1, Math.floor(part * sorted.length))] ?? 0;
+}
+
 function mean(values: number[]): number {
     return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
