Move the searches of a scheduling round into a module of their own

schedulingRound.ts had grown to 470 lines, half of them about which results a round may reuse. No decision changes: the property test compares with the plain searches as before.

--- a/packages/decisions/src/schedule/schedulingRound.ts
+++ b/packages/decisions/src/schedule/schedulingRound.ts
@@ -18,14 +18,8 @@
     type PlaceRequest,
     type SearchScope,
 } from "./placementSearch.ts";
-import {
-    batchesByEnd,
-    createEndForecast,
-    findPlannedPlace,
-    type EndBatch,
-    type EndForecast,
-    type PlannedPlace,
-} from "./plannedPlace.ts";
+import type { PlannedPlace } from "./plannedPlace.ts";
+import { createRoundSearches, type RoundSearches } from "./roundSearches.ts";
 import {
     stepKey,
     type Decision,
@@ -34,13 +28,7 @@
     type WaitingGroup,
     type WorkerView,
 } from "./scheduleTypes.ts";
-import {
-    findVictims,
-    FIXED_PREEMPTION_COST,
-    rankByPreemptionCost,
-    type PreemptionPlan,
-    type RankedGroup,
-} from "./victimSearch.ts";
+import { FIXED_PREEMPTION_COST, type PreemptionPlan } from "./victimSearch.ts";
 
 /** Input of a scheduling round. */
 export interface RoundInput {
@@ -57,27 +45,15 @@
 interface Round {
     input: RoundInput;
     fleet: FleetTable;
+    searches: RoundSearches;
     decisions: Decision[];
     /** Capacity that tasks outlasting `afterMs` may use without delaying a planned place, by worker position. */
     besidePlanned: Map<number, { left: Resources; afterMs: number }>;
     plannedGroups: number;
-    victims: Set<PlacedGroup>;
     /** Number of waiting groups by job; a job has no value until all are done, so a gain is divided among them. */
     waitingOfJob: Map<string, number>;
     /** Steps with a task that did not fit; free capacity only shrinks in a round, so the others do not fit either. */
     blockedSteps: Set<string>;
-    /** The smallest group of each shape that found no near place; larger ones of the shape find none either. */
-    blockedShapes: Map<string, { count: number; durationMs: number }>;
-    /** Expected ends of the placed groups; computed when first needed. */
-    endBatches: EndBatch[] | undefined;
-    /** Placed groups by the cost of their preemption; computed when first needed. */
-    ranked: RankedGroup[] | undefined;
-    /** What may be preempted for groups of each kind, by cost; cleared when groups are preempted. */
-    preemptible: Map<string, RankedGroup[]>;
-    /** Forecasts of the room by shape; cleared when capacity is allocated. */
-    forecasts: Map<string, EndForecast>;
-    /** Searches for victims that found none, by shape and kind; cleared when capacity is allocated. */
-    vainSearches: Map<string, { count: number; costLimit: number }>;
 }
 
 /** Number of blocked groups that get planned places, so that shorter work does not starve them. */
@@ -89,21 +65,16 @@
 
 /** Decides which waiting groups start where, and which placed groups are preempted. */
 export function scheduleRound(input: RoundInput): Decision[] {
+    const fleet = createFleetTable(input.workers);
     const round: Round = {
         input,
-        fleet: createFleetTable(input.workers),
+        fleet,
+        searches: createRoundSearches(fleet, input),
         decisions: [],
         besidePlanned: new Map(),
         plannedGroups: 0,
-        victims: new Set(),
         waitingOfJob: new Map(),
         blockedSteps: new Set(),
-        blockedShapes: new Map(),
-        endBatches: undefined,
-        ranked: undefined,
-        preemptible: new Map(),
-        forecasts: new Map(),
-        vainSearches: new Map(),
     };
     for (const { job } of input.waiting) {
         round.waitingOfJob.set(job.id, (round.waitingOfJob.get(job.id) ?? 0) + 1);
@@ -139,15 +110,11 @@
     }
     const durationMs = estimateOf(candidate.group.step);
     const request = createRequest(round.fleet, candidate, "near");
-    const isBlocked = isShapeBlocked(round, candidate, durationMs);
-    const near = isBlocked ? undefined : findPlaces(round.fleet, request, freeFor(round, durationMs));
+    const near = round.searches.findNear(request, freeFor(round, durationMs));
     if (near) {
         place(round, candidate, near, false);
         return;
     }
-    if (!isBlocked) {
-        blockShape(round, candidate, durationMs);
-    }
     if (candidate.isGuaranteed) {
         scheduleGuaranteed(round, candidate);
         return;
@@ -157,40 +124,6 @@
     }
 }
 
-/** Whether a group of the same shape that is not larger and not longer has found no near place in this round. */
-function isShapeBlocked(round: Round, candidate: WaitingGroup, durationMs: number): boolean {
-    const blocked = hasPlainShape(candidate) ? round.blockedShapes.get(shapeKey(candidate)) : undefined;
-    return (
-        blocked !== undefined &&
-        candidate.group.indexes.length >= blocked.count &&
-        durationMs >= blocked.durationMs
-    );
-}
-
-function blockShape(round: Round, candidate: WaitingGroup, durationMs: number): void {
-    if (!hasPlainShape(candidate)) {
-        return;
-    }
-    const key = shapeKey(candidate);
-    const known = round.blockedShapes.get(key);
-    const count = candidate.group.indexes.length;
-    if (!known || (count <= known.count && durationMs <= known.durationMs)) {
-        round.blockedShapes.set(key, { count, durationMs });
-    }
-}
-
-/** Whether the workers that may take the group depend on its step only, and not on its history or its job. */
-function hasPlainShape({ group, failedOn }: WaitingGroup): boolean {
-    return failedOn.size === 0 && group.step.maxPerWorker === undefined;
-}
-
-/** Key of all that decides where tasks fit, except for their number and duration. */
-function shapeKey({ job, group }: WaitingGroup): string {
-    const { resources, requiredLabel, dataRack, sameRack } = group.step;
-    const { cpuMillis, memoryMb, gpus } = resources;
-    return JSON.stringify([job.service, requiredLabel, dataRack, sameRack, cpuMillis, memoryMb, gpus]);
-}
-
 /** Places a guaranteed group, preempting groups without a guarantee if necessary. */
 function scheduleGuaranteed(round: Round, candidate: WaitingGroup): void {
     const { fleet } = round;
@@ -207,7 +140,7 @@
             allocate(round, candidate, soon);
             return;
         }
-        const plan = planVictims(round, request, Infinity);
+        const plan = round.searches.planVictims(request, Infinity);
         if (plan) {
             preempt(round, candidate, plan);
             return;
@@ -220,10 +153,10 @@
  * place. Returns whether it is placed now or will be as soon as its victims have stopped.
  */
 function scheduleBlocked(round: Round, candidate: WaitingGroup, request: PlaceRequest): boolean {
-    const { fleet } = round;
+    const { fleet, searches } = round;
     const durationMs = estimateOf(candidate.group.step);
     // The forecast is costly and is made only where it can change the decision.
-    const lookUpEarliest = once(() => forecastOf(round, request).earliestFor(request.count));
+    const lookUpEarliest = once(() => searches.forecast(request).earliestFor(request.count));
     if (isLocalitySensitive(candidate)) {
         const farMs = durationMs * round.input.farFactor;
         const far = findPlaces(fleet, createRequest(fleet, candidate, "any"), freeFor(round, farMs));
@@ -237,15 +170,14 @@
     if (gainOfStartingNow(round, candidate, undefined) > minGain) {
         const gain = gainOfStartingNow(round, candidate, lookUpEarliest()?.afterMs);
         const costLimit = gain / GAIN_FACTOR;
-        const plan = gain > minGain ? planVictims(round, request, costLimit) : undefined;
+        const plan = gain > minGain ? searches.planVictims(request, costLimit) : undefined;
         if (plan && plan.cost < costLimit) {
             preempt(round, candidate, plan);
             return true;
         }
     }
     const earliest = round.plannedGroups < MAX_PLANNED_GROUPS ? lookUpEarliest() : undefined;
-    const planned =
-        earliest && findPlannedPlace(fleet, request, endBatchesOf(round).slice(0, earliest.batches));
+    const planned = earliest && searches.findPlanned(request, earliest.batches);
     if (planned) {
         round.plannedGroups += 1;
         reservePlanned(round, candidate, planned);
@@ -262,23 +194,6 @@
     };
 }
 
-function endBatchesOf(round: Round): EndBatch[] {
-    round.endBatches ??= batchesByEnd(round.fleet, round.input.placed);
-    return round.endBatches;
-}
-
-/** The forecast of the room for tasks like those of the request. */
-function forecastOf(round: Round, request: PlaceRequest): EndForecast {
-    const { fleet, forecasts } = round;
-    if (!hasPlainShape(request.waiting)) {
-        return createEndForecast(fleet, request, endBatchesOf(round));
-    }
-    const key = shapeKey(request.waiting);
-    const known = forecasts.get(key) ?? createEndForecast(fleet, request, endBatchesOf(round));
-    forecasts.set(key, known);
-    return known;
-}
-
 /**
  * Value gained by starting the group now instead of after `laterMs`, divided by the job's waiting groups. Without a later
  * start the gain is the largest possible one.
@@ -290,46 +205,10 @@
     return (soon - later) / (round.waitingOfJob.get(job.id) ?? 1);
 }
 
-/** Plans a preemption for the group: guaranteed ones may preempt all others, the rest those of a lower priority. */
-function planVictims(round: Round, request: PlaceRequest, costLimit: number): PreemptionPlan | undefined {
-    const { fleet, vainSearches } = round;
-    const { waiting, count } = request;
-    const kind = waiting.isGuaranteed ? "guaranteed" : String(waiting.priority);
-    const key = hasPlainShape(waiting) ? `${kind} ${request.scope} ${shapeKey(waiting)}` : undefined;
-    const vain = key === undefined ? undefined : vainSearches.get(key);
-    if (vain && count >= vain.count && costLimit <= vain.costLimit) {
-        return undefined;
-    }
-    const plan = findVictims(fleet, { request, ranked: preemptibleFor(round, waiting, kind), costLimit });
-    if (!plan && key !== undefined && (!vain || (count <= vain.count && costLimit >= vain.costLimit))) {
-        vainSearches.set(key, { count, costLimit });
-    }
-    return plan;
-}
-
-function preemptibleFor(round: Round, waiting: WaitingGroup, kind: string): RankedGroup[] {
-    const { fleet, input, victims, preemptible } = round;
-    const known = preemptible.get(kind);
-    if (known) {
-        return known;
-    }
-    round.ranked ??= rankByPreemptionCost(fleet, input.placed, input.nowMs);
-    const groups = round.ranked.filter(
-        ({ group }) =>
-            !group.isClosing &&
-            !group.isGuaranteed &&
-            !victims.has(group) &&
-            (waiting.isGuaranteed || group.priority > waiting.priority),
-    );
-    preemptible.set(kind, groups);
-    return groups;
-}
-
 function preempt(round: Round, candidate: WaitingGroup, plan: PreemptionPlan): void {
     const { fleet } = round;
-    round.preemptible.clear();
+    round.searches.preempted(plan.victims);
     for (const victim of plan.victims) {
-        round.victims.add(victim);
         const { job, group } = victim;
         for (const position of positionsOf(fleet, victim.workers)) {
             addAt(fleet.freeAfterClosing, position, group.step.resources);
@@ -347,8 +226,7 @@
 /** Allocates the places, so that later groups of the round do not use them. */
 function allocate(round: Round, { group, job }: WaitingGroup, places: TaskPlace[]): void {
     const { fleet } = round;
-    round.forecasts.clear();
-    round.vainSearches.clear();
+    round.searches.capacityTaken();
     const key = stepKey(job.id, group);
     for (const { worker } of places) {
         const position = fleet.positions.get(worker)!;
@@ -362,8 +240,7 @@
 /** Reserves the planned places against tasks that would still run when they are needed, as in backfilling. */
 function reservePlanned(round: Round, { group }: WaitingGroup, planned: PlannedPlace): void {
     const { fleet } = round;
-    // A second planned place may replace the reservation of the first one, which frees capacity.
-    round.blockedShapes.clear();
+    round.searches.reserved();
     const left = planned.roomThen;
     for (const { worker } of planned.places) {
         subtractAt(left, fleet.positions.get(worker)!, group.step.resources);
