--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -81,8 +81,8 @@
 type ValueLookup = (entry: JobEntry, group: TaskGroup) => JobValue;
 
 /**
- * Returns a function that computes the value of each job's occurrence once, from the mean work of the queue's jobs and the total capacity of the
- * service.
+ * Returns a function that computes the value of each occurrence of a job once, from the mean work of the queue's jobs
+ * and the total capacity of the service.
  */
 function createValueLookup(cluster: ClusterState, context: RoundContext): ValueLookup {
     const sums = new Map<string, { work: number; count: number }>();
--- a/packages/decisions/src/schedule/plannedPlace.ts
+++ b/packages/decisions/src/schedule/plannedPlace.ts
@@ -20,7 +20,7 @@
 }
 
 /** Expected ends less than this time apart are treated as one batch. */
-const SAME_END_MS = 200;
+export const SAME_END_MS = 200;
 
 /** Groups the placed groups by their expected end, earliest first. */
 export function batchesByEnd(fleet: FleetTable, placed: PlacedGroup[]): EndBatch[] {
--- a/packages/decisions/src/schedule/schedulingRound.ts
+++ b/packages/decisions/src/schedule/schedulingRound.ts
@@ -57,11 +57,11 @@
 }
 
 /** Number of blocked groups that get planned places, so that shorter work does not starve them. */
-const MAX_PLANNED_GROUPS = 2;
+export const MAX_PLANNED_GROUPS = 2;
 /** The gain of a preemption must exceed its cost by this factor, as estimates are rough. */
-const GAIN_FACTOR = 2;
+export const GAIN_FACTOR = 2;
 /** Expected time until a preempted group has freed its capacity. */
-const EXPECTED_STOP_MS = 1_000;
+export const EXPECTED_STOP_MS = 1_000;
 
 /** Decides which waiting groups start where, and which placed groups are preempted. */
 export function scheduleRound(input: RoundInput): Decision[] {
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -97,7 +97,7 @@
             }
         }
         for (const key of loadClusterState(state.cluster, items, state.startedAt, clock.now())) {
-            log.error("A stored item cannot be decoded; its job is left alone.", { term, key });
+            logUnreadable(key);
         }
     }
 
@@ -111,6 +111,10 @@
         sessions.open(registration.name, registration.address);
     }
 
+    function logUnreadable(key: string): void {
+        log.error("A stored item cannot be decoded; its job is left alone.", { term, key });
+    }
+
     function applyChange(state: PlannerState, change: Change): void {
         const key = parseStoreKey(change.key);
         if (key?.kind === "agent" && change.value !== undefined) {
@@ -128,10 +132,7 @@
             if (job) {
                 addJob(state.cluster, job, undefined, clock.now());
             } else {
-                log.error("A stored item cannot be decoded; its job is left alone.", {
-                    term,
-                    key: change.key,
-                });
+                logUnreadable(change.key);
             }
         }
         if (key.part === "cancel") {
@@ -257,10 +258,7 @@
                 } else {
                     // Written again, it would conflict again and hold up the other jobs of its transaction.
                     jobEntry.isUnreadable = true;
-                    log.error("A stored item cannot be decoded; its job is left alone.", {
-                        term,
-                        key: storedProgress.key,
-                    });
+                    logUnreadable(storedProgress.key);
                 }
             }
         }
--- a/standins/src/plan/plain/plainPlannedPlace.ts
+++ b/standins/src/plan/plain/plainPlannedPlace.ts
@@ -1,3 +1,4 @@
+import { SAME_END_MS } from "@tanagerdeck/decisions/schedule/plannedPlace";
 import { capacityOf, addFreedCapacity, type FreedCapacity } from "./freedCapacity.ts";
 import type { AvailableCapacity, PlaceSearch } from "./plainPlacementSearch.ts";
 import type {
@@ -17,9 +18,6 @@
     freed: FreedCapacity;
 }
 
-/** Expected ends less than this time apart are treated as one batch. */
-const SAME_END_MS = 200;
-
 /** Finds the earliest time at which a group fits, if running groups end as expected. */
 export function findPlannedPlace(
     waiting: WaitingGroup,
--- a/standins/src/plan/plain/plainSchedulingRound.ts
+++ b/standins/src/plan/plain/plainSchedulingRound.ts
@@ -17,7 +17,13 @@
     type WorkerView,
 } from "@tanagerdeck/decisions/schedule/scheduleTypes";
 import { FIXED_PREEMPTION_COST } from "@tanagerdeck/decisions/schedule/victimSearch";
-import { sortWaiting, type RoundInput } from "@tanagerdeck/decisions/schedule/schedulingRound";
+import {
+    EXPECTED_STOP_MS,
+    GAIN_FACTOR,
+    MAX_PLANNED_GROUPS,
+    sortWaiting,
+    type RoundInput,
+} from "@tanagerdeck/decisions/schedule/schedulingRound";
 import { findVictims, type VictimSearchOptions, type PreemptionPlan } from "./plainVictimSearch.ts";
 
 /** State of a scheduling round in progress. */
@@ -36,13 +42,6 @@
     blockedSteps: Set<string>;
 }
 
-/** Number of blocked groups that get planned places, so that shorter work does not starve them. */
-const MAX_PLANNED_GROUPS = 2;
-/** The gain of a preemption must exceed its cost by this factor, as estimates are rough. */
-const GAIN_FACTOR = 2;
-/** Expected time until a preempted group has freed its capacity. */
-const EXPECTED_STOP_MS = 1_000;
-
 /**
  * Decides like `scheduleRound`, by searches that look at every worker anew. Tests compare the decisions of both, and the
  * bench their cost.
