Keep the conflict handling of the planner apart from its task

Read as a newcomer: plannerTask.ts decided on stored items among its handlers; reloadJobs moves to a module of its own and returns what it found, the task logs it. A job whose conflict showed both another writer's progress and a cancellation lost the cancellation with its replaced entry and was written once more in vain; cancellations are now applied last. The test counts the writes: 3 before, 2 after. The places of a planned group are computed without counting slots on the way, which only the forecast needs.

--- a/packages/decisions/src/schedule/plannedPlace.ts
+++ b/packages/decisions/src/schedule/plannedPlace.ts
@@ -1,6 +1,6 @@
 import type { Resources } from "../job/jobTypes.ts";
-import { positionsOf, type FleetTable, type ResourceColumns } from "./fleetTable.ts";
-import { createGrowingRoom, findPlaces, type GrowingRoom, type PlaceRequest } from "./placementSearch.ts";
+import { addAt, copyColumns, positionsOf, type FleetTable, type ResourceColumns } from "./fleetTable.ts";
+import { createGrowingRoom, findPlaces, type PlaceRequest } from "./placementSearch.ts";
 import type { PlacedGroup, TaskPlace } from "./scheduleTypes.ts";
 
 /** Workers on which a waiting group is expected to fit, and when. */
@@ -57,7 +57,7 @@
     const growing = createGrowingRoom(fleet, request, fleet.free);
     const slotsAfter = new Float64Array(batches.length);
     for (const [number, batch] of batches.entries()) {
-        addEnds(growing, batch);
+        addEnds(batch, growing.add);
         slotsAfter[number] = growing.slots();
     }
     return {
@@ -75,18 +75,18 @@
     request: PlaceRequest,
     endedBatches: EndBatch[],
 ): PlannedPlace | undefined {
-    const growing = createGrowingRoom(fleet, request, fleet.free);
+    const roomThen = copyColumns(fleet.free);
     for (const batch of endedBatches) {
-        addEnds(growing, batch);
+        addEnds(batch, (position, amount) => addAt(roomThen, position, amount));
     }
-    const places = findPlaces(fleet, request, growing.room);
-    return places && { places, afterMs: endedBatches.at(-1)?.afterMs ?? 0, roomThen: growing.room };
+    const places = findPlaces(fleet, request, roomThen);
+    return places && { places, afterMs: endedBatches.at(-1)?.afterMs ?? 0, roomThen };
 }
 
-function addEnds(growing: GrowingRoom, { groups }: EndBatch): void {
+function addEnds({ groups }: EndBatch, add: (position: number, amount: Resources) => void): void {
     for (const { resources, positions } of groups) {
         for (const position of positions) {
-            growing.add(position, resources);
+            add(position, resources);
         }
     }
 }
--- a/packages/peer/src/planner/plannerTask.spec.ts
+++ b/packages/peer/src/planner/plannerTask.spec.ts
@@ -91,6 +91,22 @@
         });
     });
 
+    describe("when a conflict shows another writer's progress and a cancellation", () => {
+        it("keeps the cancellation, so that no task starts and the job is not written twice", async () => {
+            await start();
+            accept("j");
+            const progress = { begun: false, groups: {} };
+            store.write(jobKey("j", "progress"), encodeContent("progress", progress, "other"));
+            store.write(jobKey("j", "cancel"), encodeContent("cancel", { atMs: 1 }, "c"));
+            const { key, value, revision } = store.item(jobKey("j", "definition"))!;
+            planner!.send({ kind: "changed", change: { key, value, revision } });
+            await clock.advance(2_000);
+            expect(started.size).to.equal(0);
+            // One write that conflicts, one that records the cancelled state.
+            expect(writes).to.equal(2);
+        });
+    });
+
     describe("when malformed progress appears while it plans", () => {
         it("records the other jobs of the same write, and does not repeat the conflicting one", async () => {
             await start();
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -24,6 +24,7 @@
 import type { PlannerMessage, PlannerOptions } from "./plannerTypes.ts";
 import { createPlanningLog } from "./planningLog.ts";
 import { applyCommittedWrite, setFinalStates, createWrites, type RecordWrite } from "./progressRecording.ts";
+import { reloadJobs } from "./progressReloading.ts";
 
 interface PlannerState {
     cluster: ClusterState;
@@ -230,37 +231,16 @@
         }
     }
 
-    /**
-     * Replaces the jobs of a conflicting write by the state in the store, from the conflict's `items`. This is safe because
-     * no orders are sent for changes that are not recorded.
-     */
-    function reloadJobs(state: PlannerState, write: RecordWrite, items: Item[]): void {
-        for (const id of write.versions.keys()) {
-            const jobEntry = state.cluster.jobs.get(id);
-            if (!jobEntry) {
-                continue;
-            }
-            jobEntry.isWriting = false;
-            if (items.some(item => item.key === jobKey(id, "cancel"))) {
-                cancel(state, id);
-            }
-            const storedProgress = items.find(item => item.key === jobKey(id, "progress"));
-            if (storedProgress && storedProgress.revision !== jobEntry.progressRevision) {
-                const progress = decodeContent("progress", storedProgress.value);
-                log.warn("A job's progress was changed by another writer.", { term, job: id });
-                if (progress) {
-                    addJob(
-                        state.cluster,
-                        jobEntry.job,
-                        { progress, revision: storedProgress.revision },
-                        clock.now(),
-                    );
-                } else {
-                    // Written again, it would conflict again and hold up the other jobs of its transaction.
-                    jobEntry.isUnreadable = true;
-                    logUnreadable(storedProgress.key);
-                }
-            }
+    function applyConflict(state: PlannerState, write: RecordWrite, items: Item[]): void {
+        const { changed, unreadable, cancelled } = reloadJobs(state.cluster, write, items, clock.now());
+        for (const job of changed) {
+            log.warn("A job's progress was changed by another writer.", { term, job });
+        }
+        for (const job of unreadable) {
+            logUnreadable(jobKey(job, "progress"));
+        }
+        for (const job of cancelled) {
+            cancel(state, job);
         }
     }
 
@@ -410,7 +390,7 @@
                                 haltAndNotify(state);
                                 return;
                             }
-                            reloadJobs(state, write, reply.items);
+                            applyConflict(state, write, reply.items);
                         }
                         requestPlan(state, context);
                     },
