Show how old an entry's manifest is and why a store call failed

The manifest task retried failed reads and watches without a log line, and a call that timed out was logged as 'failed: 23', whether the store was silent or a reply was on its way.

No decision changes.

--- a/packages/runtime/src/metrics/exposition.ts
+++ b/packages/runtime/src/metrics/exposition.ts
@@ -17,7 +17,7 @@
     const registry = new Registry();
     const stop = measureProcess(registry, clock);
     return {
-        metrics: createSchedulerMetrics(registry, droppedLines),
+        metrics: createSchedulerMetrics(registry, clock, droppedLines),
         contentType: registry.contentType,
         text: () => registry.metrics(),
         stop,
--- a/packages/runtime/src/metrics/schedulerMetrics.ts
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { Clock } from "../clock/clock.ts";
 
 /** Result of a caller's submission or cancellation. */
 export type ApiCallOutcome = "accepted" | "repeated" | "refused" | "unclear" | "denied" | "unavailable";
@@ -33,8 +34,11 @@
     strayRunFound(): void;
     /** Sets the term in which this process leads; undefined if it does not lead. */
     leaderTerm(term: number | undefined): void;
-    storeCalled(operation: StoreOperation, result: RemoteCallResult, seconds: number): void;
+    /** Records a call to the store with its duration and the size of its reply's body. */
+    storeCalled(operation: StoreOperation, result: RemoteCallResult, seconds: number, bytes: number): void;
     manifestRevision(revision: number): void;
+    /** Records that the manifest in force was confirmed to be the store's newest. */
+    manifestConfirmed(): void;
     fleet(load: FleetCounts): void;
     workerCalled(call: "hold" | "start" | "stop", result: RemoteCallResult | "refused"): void;
 }
@@ -53,6 +57,7 @@
     leaderTerm() {},
     storeCalled() {},
     manifestRevision() {},
+    manifestConfirmed() {},
     fleet() {},
     workerCalled() {},
 };
@@ -63,7 +68,11 @@
 const START_BUCKETS_SECONDS = [0.05, 0.1, 0.25, 0.5, 1, 2, 3.4, 4.9, 10, 30];
 
 /** Registers the scheduler's metrics. `droppedLines` is called each time the metrics are read. */
-export function createSchedulerMetrics(registry: Registry, droppedLines: () => number): SchedulerMetrics {
+export function createSchedulerMetrics(
+    registry: Registry,
+    clock: Clock,
+    droppedLines: () => number,
+): SchedulerMetrics {
     const registers = [registry];
     const submissions = new Histogram({
         name: "tanagerdeck_submission_seconds",
@@ -132,6 +141,23 @@
         buckets: CALL_BUCKETS_SECONDS,
         registers,
     });
+    const storeReplyBytes = new Counter({
+        name: "tanagerdeck_store_reply_bytes_total",
+        help: "Bytes of the store's replies, by operation.",
+        labelNames: ["operation"],
+        registers,
+    });
+    let manifestConfirmedAtMs: number | undefined;
+    new Gauge({
+        name: "tanagerdeck_manifest_age_seconds",
+        help: "Time since the manifest in force was confirmed to be the store's newest; -1 before the first.",
+        registers,
+        collect() {
+            this.set(
+                manifestConfirmedAtMs === undefined ? -1 : (clock.now() - manifestConfirmedAtMs) / 1_000,
+            );
+        },
+    });
     const revision = new Gauge({
         name: "tanagerdeck_manifest_revision",
         help: "Store revision of the manifest in force; 0 before the first.",
@@ -175,8 +201,14 @@
         runEnded: end => runs.inc({ end }),
         strayRunFound: () => strays.inc(),
         leaderTerm: value => term.set(value ?? 0),
-        storeCalled: (operation, result, seconds) => storeCalls.observe({ operation, result }, seconds),
+        storeCalled(operation, result, seconds, bytes) {
+            storeCalls.observe({ operation, result }, seconds);
+            storeReplyBytes.inc({ operation }, bytes);
+        },
         manifestRevision: value => revision.set(value),
+        manifestConfirmed() {
+            manifestConfirmedAtMs = clock.now();
+        },
         fleet(load) {
             workers.reset();
             for (const [condition, count] of Object.entries(load.workers)) {
--- a/packages/store/src/manifest/manifestTask.spec.ts
+++ b/packages/store/src/manifest/manifestTask.spec.ts
@@ -36,6 +36,7 @@
             clock,
             log: noopLog,
             onApplied: manifest => applied.push(manifest),
+            onConfirmed() {},
         });
         await clock.advance(50);
     });
@@ -63,6 +64,7 @@
             clock,
             log: noopLog,
             onApplied: m => applied.push(m),
+            onConfirmed() {},
         });
         await clock.advance(1_000);
         store.write("manifest", "version 9");
--- a/packages/store/src/manifest/manifestTask.ts
+++ b/packages/store/src/manifest/manifestTask.ts
@@ -24,12 +24,18 @@
     log: Log;
     /** Called with each manifest that takes effect. */
     onApplied: (manifest: Manifest) => void;
+    /** Called when a reply shows that the manifest in effect is the newest in the store. */
+    onConfirmed: () => void;
 }
 
 interface ManifestState {
     manifest: Manifest | undefined;
     /** Revision from which the watch continues. */
     revision: number;
+    /** Time at which a reply last showed that the manifest is the newest. */
+    confirmedAtMs: number;
+    /** Whether the latest call failed, so that the manifest may be outdated. */
+    isFailing: boolean;
 }
 
 /** Duration of one long poll. It bounds how long a dead watch goes unnoticed; changes must take effect in 2.5 s. */
@@ -38,7 +44,7 @@
 
 /** Starts the task that follows the manifest in the store; an older revision never replaces a newer one. */
 export function startManifestTask(options: ManifestOptions): Task<ManifestMessage> {
-    const { store, key, decode, clock, log, onApplied } = options;
+    const { store, key, decode, clock, log, onApplied, onConfirmed } = options;
 
     function apply(state: ManifestState, item: Item): void {
         state.revision = Math.max(state.revision, item.revision);
@@ -57,12 +63,31 @@
                     version: manifest.version,
                     revision: manifest.revision,
                     queues: manifest.queues.length,
+                    bytes: Buffer.byteLength(item.value),
+                    confirmedAgoMs: Math.round(clock.now() - state.confirmedAtMs),
                 });
                 onApplied(manifest);
             },
         });
     }
 
+    function noteFailure(state: ManifestState, detail: string): void {
+        if (!state.isFailing) {
+            state.isFailing = true;
+            log.warn("The manifest cannot be followed.", { detail, revision: state.revision });
+        }
+    }
+
+    function noteSuccess(state: ManifestState): void {
+        if (state.isFailing) {
+            state.isFailing = false;
+            const confirmedAgoMs = Math.round(clock.now() - state.confirmedAtMs);
+            log.info("The manifest is followed again.", { revision: state.revision, confirmedAgoMs });
+        }
+        state.confirmedAtMs = clock.now();
+        onConfirmed();
+    }
+
     function read(context: TaskContext<ManifestMessage>): void {
         context.start(
             () => store.page(key, undefined, false),
@@ -81,33 +106,50 @@
         name: "manifest",
         clock,
         reportError: (name, error) => log.error("A handler failed.", { task: name, error: String(error) }),
-        state: { manifest: undefined, revision: 0 },
+        state: { manifest: undefined, revision: 0, confirmedAtMs: clock.now(), isFailing: false },
         handlers: {
             read: (_state, _message, context) => read(context),
             "read-done"(state, { result }, context) {
-                const page = result.toMaybe().extract();
-                const item = page?.items.find(candidate => candidate.key === key);
-                if (!page || !item) {
-                    context.after(RETRY_MS, { kind: "read" });
-                    return;
-                }
-                apply(state, item);
-                state.revision = Math.max(state.revision, page.revision);
-                watch(state, context);
+                result.caseOf({
+                    Left({ detail }) {
+                        noteFailure(state, detail);
+                        context.after(RETRY_MS, { kind: "read" });
+                    },
+                    Right(page) {
+                        const item = page.items.find(candidate => candidate.key === key);
+                        if (!item) {
+                            noteFailure(state, "no manifest is stored");
+                            context.after(RETRY_MS, { kind: "read" });
+                            return;
+                        }
+                        apply(state, item);
+                        noteSuccess(state);
+                        state.revision = Math.max(state.revision, page.revision);
+                        watch(state, context);
+                    },
+                });
             },
             watched(state, { result }, context) {
-                const reply = result.toMaybe().extract();
-                if (reply?.kind !== "changes") {
-                    context.after(reply ? 0 : RETRY_MS, { kind: "read" });
-                    return;
-                }
-                for (const { key: changedKey, revision, value } of reply.changes) {
-                    if (changedKey === key && value !== undefined) {
-                        apply(state, { key, revision, value });
-                    }
-                }
-                state.revision = Math.max(state.revision, reply.revision);
-                watch(state, context);
+                result.caseOf({
+                    Left({ detail }) {
+                        noteFailure(state, detail);
+                        context.after(RETRY_MS, { kind: "read" });
+                    },
+                    Right(reply) {
+                        if (reply.kind === "compacted") {
+                            context.post({ kind: "read" });
+                            return;
+                        }
+                        for (const { key: changedKey, revision, value } of reply.changes) {
+                            if (changedKey === key && value !== undefined) {
+                                apply(state, { key, revision, value });
+                            }
+                        }
+                        noteSuccess(state);
+                        state.revision = Math.max(state.revision, reply.revision);
+                        watch(state, context);
+                    },
+                });
             },
             get: (state, { reply }) => reply(state.manifest),
         },
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -236,6 +236,7 @@
             metrics.manifestRevision(appliedManifest.revision);
             planning?.planner.send({ kind: "manifest", index: manifestIndex });
         },
+        onConfirmed: metrics.manifestConfirmed,
     });
 
     const peerListener = await startPeerListener(
--- a/packages/tanagerdeck/src/platform/storeAccess.ts
+++ b/packages/tanagerdeck/src/platform/storeAccess.ts
@@ -53,7 +53,8 @@
             Left: () => "unanswered",
             Right: ({ status }) => (status === 503 || status === 429 ? "turned-away" : "answered"),
         });
-        metrics.storeCalled(call.effect, outcome, (clock.now() - startedAt) / 1_000);
+        const bytes = result.map(({ body }) => Buffer.byteLength(body)).orDefault(0);
+        metrics.storeCalled(call.effect, outcome, (clock.now() - startedAt) / 1_000, bytes);
         if (outcome === "answered") {
             if (failingSince !== undefined) {
                 log.info("The store answers again.", { awayMs: Math.round(clock.now() - failingSince) });
@@ -61,7 +62,13 @@
             failingSince = undefined;
         } else if (failingSince === undefined) {
             failingSince = clock.now();
-            log.warn("The store does not answer.");
+            log.warn("The store does not answer.", {
+                operation: call.effect,
+                outcome: result.caseOf({
+                    Left: ({ detail }) => detail,
+                    Right: ({ status }) => `status ${status}`,
+                }),
+            });
         }
         return result;
     };
