Wait for replies of the store while they arrive

Cause: the limit of a store call (1.5 s, a watch 2 s) covered the whole reply. On the shared link of a small entry a manifest of 362 kB or a backlog of job changes takes longer; the reply was dropped and the next try asked for the same and more. After 0.6 s a second copy was requested through a relay, over the same link. One entry asked for the changes since revision 853 from 24 s to 41 s, long after the storm.

Change: the limit counts time without progress, a reply that has begun is not requested a second time, and relayed reads follow the same rule. Reading with an idle timeout moves from the peer links to the runtime package.

--- a/packages/peer/src/link/linkFetch.ts
+++ b/packages/peer/src/link/linkFetch.ts
@@ -1,5 +1,6 @@
 // Transports of the trpc links, built on undici's dispatchers.
 import type { Dispatcher } from "undici";
+import { requestWithIdleTimeout } from "@tanagerdeck/runtime/http/idleTimeoutRequest";
 
 /** Options that a trpc link passes to its transport. */
 export interface CallOptions {
@@ -34,26 +35,12 @@
  */
 export function createIdleTimeoutFetch(dispatcher: Dispatcher, idleTimeoutMs: number): LinkFetch {
     return async (url, options) => {
-        const idleAbort = new AbortController();
-        const callerSignal = options.signal;
-        const signal = callerSignal ? AbortSignal.any([idleAbort.signal, callerSignal]) : idleAbort.signal;
-        let timer = startTimer(idleAbort, idleTimeoutMs + uploadAllowanceMs(options.body));
-        try {
-            const { statusCode, body } = await dispatcher.request({
-                ...requestOptions(url, options),
-                signal,
-            });
-            const chunks: Uint8Array[] = [];
-            for await (const chunk of body as AsyncIterable<Uint8Array>) {
-                clearTimeout(timer);
-                timer = startTimer(idleAbort, idleTimeoutMs);
-                chunks.push(chunk);
-            }
-            const text = Buffer.concat(chunks).toString("utf8");
-            return jsonResponse(statusCode, async () => JSON.parse(text) as unknown);
-        } finally {
-            clearTimeout(timer);
-        }
+        const { status, text } = await requestWithIdleTimeout(dispatcher, requestOptions(url, options), {
+            firstByteMs: idleTimeoutMs + uploadAllowanceMs(options.body),
+            idleMs: idleTimeoutMs,
+            signal: options.signal,
+        });
+        return jsonResponse(status, async () => JSON.parse(text) as unknown);
     };
 }
 
@@ -67,11 +54,6 @@
     return { status, ok: status < 400, json } as Response;
 }
 
-function startTimer(idleAbort: AbortController, delayMs: number): NodeJS.Timeout {
-    const reason = new Error(`The connection was silent for ${Math.round(delayMs)} ms`);
-    return setTimeout(() => idleAbort.abort(reason), delayMs);
-}
-
 function uploadAllowanceMs(body: string | undefined): number {
     return Math.max(0, (body?.length ?? 0) - SMALL_BODY_BYTES) / SLOW_LINK_BYTES_PER_MS;
 }
--- a/packages/peer/src/session/planClients.ts
+++ b/packages/peer/src/session/planClients.ts
@@ -3,9 +3,19 @@
 import { Agent } from "undici";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { SyncReply, SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
-import type { Item, SendStoreCall } from "@tanagerdeck/store/keyvalue/keyValueTypes";
+import {
+    REPLY_LIMIT_MS,
+    type Item,
+    type SendStoreCall,
+    type StoreCall,
+} from "@tanagerdeck/store/keyvalue/keyValueTypes";
 import { peerCall } from "../link/peerCall.ts";
-import { createPooledFetch, type CallOptions } from "../link/linkFetch.ts";
+import {
+    createIdleTimeoutFetch,
+    createPooledFetch,
+    type CallOptions,
+    type LinkFetch,
+} from "../link/linkFetch.ts";
 import type { AgentPlanRouter, EntryPlanRouter } from "./planRouters.ts";
 
 const CONNECT_TIMEOUT_MS = 500;
@@ -13,6 +23,8 @@
 const CONNECTIONS_PER_ADDRESS = 4;
 /** Added to the timeout of a store call for the round trip to the forwarding process. */
 const RELAY_ALLOWANCE_MS = 200;
+/** Time without a byte from an entry after which a call to it fails: the longest timeout of a store call, with its relay. */
+const ENTRY_IDLE_TIMEOUT_MS = 2_200;
 const NOTIFY_TIMEOUT_MS = 1_000;
 
 /** Clients for calls to other processes of the system, by `ip:port`. Owns the connection pool. */
@@ -32,28 +44,31 @@
         connect: { timeout: CONNECT_TIMEOUT_MS },
         keepAliveTimeout: KEEP_ALIVE_MS,
     });
-    const pooledFetch = createPooledFetch(dispatcher);
+    const agentFetch = createPooledFetch(dispatcher);
+    const entryFetch = createIdleTimeoutFetch(dispatcher, ENTRY_IDLE_TIMEOUT_MS);
     const agents = new Map<string, TRPCClient<AgentPlanRouter>>();
     const entries = new Map<string, TRPCClient<EntryPlanRouter>>();
 
-    function createLink(address: string) {
+    function createLink(address: string, send: LinkFetch) {
         return httpLink({
             url: `http://${address}`,
             headers: { authorization: `Bearer ${token}` },
-            fetch: (url, options) => pooledFetch(String(url), options as CallOptions),
+            fetch: (url, options) => send(String(url), options as CallOptions),
         });
     }
 
     function agentClient(address: string): TRPCClient<AgentPlanRouter> {
         const client =
-            agents.get(address) ?? createTRPCClient<AgentPlanRouter>({ links: [createLink(address)] });
+            agents.get(address) ??
+            createTRPCClient<AgentPlanRouter>({ links: [createLink(address, agentFetch)] });
         agents.set(address, client);
         return client;
     }
 
     function entryClient(address: string): TRPCClient<EntryPlanRouter> {
         const client =
-            entries.get(address) ?? createTRPCClient<EntryPlanRouter>({ links: [createLink(address)] });
+            entries.get(address) ??
+            createTRPCClient<EntryPlanRouter>({ links: [createLink(address, entryFetch)] });
         entries.set(address, client);
         return client;
     }
@@ -66,7 +81,7 @@
         doubt: (address, id) =>
             peerCall(NOTIFY_TIMEOUT_MS, signal => entryClient(address).doubt.mutate(id, { signal })),
         relay: address => async call => {
-            const sent = await peerCall(call.timeoutMs + RELAY_ALLOWANCE_MS, signal =>
+            const sent = await peerCall(relayTimeoutMs(call), signal =>
                 entryClient(address).relay.mutate(call, { signal }),
             );
             return sent.chain(reply =>
@@ -78,3 +93,8 @@
         close: () => dispatcher.destroy(),
     };
 }
+
+/** Time limit of a relayed call. Only reads and watches have replies that may take longer than their timeout. */
+function relayTimeoutMs({ effect, timeoutMs }: StoreCall): number {
+    return effect === "read" || effect === "watch" ? REPLY_LIMIT_MS : timeoutMs + RELAY_ALLOWANCE_MS;
+}
--- a/packages/store/src/keyvalue/keyValueTypes.ts
+++ b/packages/store/src/keyvalue/keyValueTypes.ts
@@ -71,7 +71,10 @@
     /** Path and query string. */
     path: string;
     body?: string | undefined;
-    /** Time after which the caller gives up. */
+    /**
+     * Time without progress after which the caller gives up: until the reply begins, and then between its parts. A large
+     * reply on a slow link may take longer, up to `REPLY_LIMIT_MS`.
+     */
     timeoutMs: number;
     /** Long-poll time: how long the store may hold the call before it replies; 0 except for watches. */
     heldMs: number;
@@ -83,5 +86,14 @@
     body: string;
 }
 
-/** Sends one call to the store, directly or through another process. */
-export type SendStoreCall = (call: StoreCall) => Promise<Either<Failure, StoreReply>>;
+/** Time after which a call is given up although its reply still makes progress. */
+export const REPLY_LIMIT_MS = 10_000;
+
+/**
+ * Sends one call to the store, directly or through another process. Calls `onReplyStarted` when the reply begins to
+ * arrive, if that can be observed.
+ */
+export type SendStoreCall = (
+    call: StoreCall,
+    onReplyStarted?: () => void,
+) => Promise<Either<Failure, StoreReply>>;
--- a/packages/store/src/relay/routedSend.ts
+++ b/packages/store/src/relay/routedSend.ts
@@ -22,7 +22,8 @@
 }
 
 /**
- * Time without a reply after which a call is also sent by the second route; a slow store replies within 400 ms.
+ * Time without the beginning of a reply after which a call is also sent by the second route; a slow store replies within
+ * 400 ms. A reply that has begun is waited for, as a second copy would arrive over the same link.
  * Sending a call twice is safe: transactions are conditional, and an unused lease expires.
  */
 const HEDGE_DELAY_MS = 600;
@@ -63,9 +64,9 @@
     function trackFailures({ name, send }: Route): Route {
         return {
             name,
-            async send(call) {
+            async send(call, onReplyStarted) {
                 const startedAt = clock.now();
-                const result = await send(call);
+                const result = await send(call, onReplyStarted);
                 const wasFailing = cooldownUntil.has(name);
                 if (!isRefusedOrFailed(result)) {
                     cooldownUntil.delete(name);
@@ -138,7 +139,9 @@
                     startNext();
                 });
             }
-            route.send(call).then(handleResult, error => handleResult(Left(sendFailure(String(error)))));
+            route
+                .send(call, () => cancelHedge())
+                .then(handleResult, error => handleResult(Left(sendFailure(String(error)))));
         }
 
         function handleResult(result: SendResult): void {
