Give up a task under which workers crash again and again

Change: the agent, which sees the worker crash and outlives a change of the leader, tells whether a run was ended by a crash, and whether that was in the first two seconds after its start. The group's stored progress counts the crashes of each task; after three at the start, or five in all, the group fails.

Tried first: the leader alone compared boots.

--- a/packages/backend/src/agent/agentReport.ts
+++ b/packages/backend/src/agent/agentReport.ts
@@ -14,6 +14,7 @@
     type StartAttempt,
     type StopAttempt,
 } from "./agentState.ts";
+import { crashEndOf, noteStart } from "./workerCrash.ts";
 import type { WorkerRunLists } from "./workerPort.ts";
 
 /** Dependencies of building a report. */
@@ -58,6 +59,7 @@
     const running: AgentState["running"] = new Map();
     for (const row of lists.running) {
         running.set(runKey(row), { ...row, sinceClockMs: lists.clockMs });
+        noteStart(state, runKey(row), now);
     }
     for (const [key, row] of state.running) {
         // The lists may be older than the answer to a start, so that run is kept although they do not show it.
@@ -70,6 +72,7 @@
     state.ended = lists.ended.filter(row => row.number > state.recorded);
     for (const row of state.ended) {
         state.running.delete(runKey(row));
+        state.startedAt.delete(runKey(row));
     }
     const lastEndNumber = state.ended.at(-1)?.number ?? state.lastEndNumber;
     if (lastEndNumber <= state.lastEndNumber && !hasChanged) {
@@ -90,7 +93,9 @@
         const { task, run } = attempt.order;
         log.info("A stopped run is closed.", { task, run, closure });
     }
-    return { kind: closure ? "closed" : "pending" };
+    return closure
+        ? { kind: "closed", end: crashEndOf(state, attempt.order, clock.now()) }
+        : { kind: "pending" };
 }
 
 function startOrderState(attempt: StartAttempt): OrderState {
--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -16,6 +16,7 @@
 import type { Clock, TimerStop } from "@tanagerdeck/runtime/clock/clock";
 import { elapsedSince } from "@tanagerdeck/runtime/clock/instant";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
+import { recordCrash, type WorkerCrash } from "./workerCrash.ts";
 import type { WorkerHeartbeat } from "./workerPort.ts";
 
 /** A start that the leader lists, and the progress of the call to the worker. */
@@ -77,7 +78,13 @@
     stops: Map<string, StopAttempt>;
     /** Runs of an earlier boot whose start got no answer; the worker must be told to stop them. */
     strayStarts: Map<string, StopOrder>;
+    /** Agent's time at which each run of this boot was started, or may have been, without those that have ended. */
+    startedAt: Map<string, number>;
+    /** The latest crashes of the worker, oldest first. */
+    crashes: WorkerCrash[];
     consecutiveUnansweredHolds: number;
+    /** Time of the first of the consecutive unanswered holds. */
+    unansweredSince: number | undefined;
     /** Whether no connection could be made for the last unanswered hold. */
     isRefusingConnections: boolean;
     /** Time at which the last call that may extend the worker's lease, a hold or a start, was sent. */
@@ -113,7 +120,10 @@
         starts: new Map(),
         stops: new Map(),
         strayStarts: new Map(),
+        startedAt: new Map(),
+        crashes: [],
         consecutiveUnansweredHolds: 0,
+        unansweredSince: undefined,
         isRefusingConnections: false,
         // A previous incarnation of the agent may have renewed the lease just before this one started.
         renewalSentAt: now,
@@ -201,7 +211,7 @@
     const boot = { id: heartbeat.id, bornMs: heartbeat.bornMs };
     const isNewBoot = !known || !sameBoot(known.boot, boot);
     if (state.bornMs !== boot.bornMs) {
-        resetForBoot(state, boot.bornMs);
+        resetForBoot(state, boot.bornMs, now);
     }
     state.worker = { boot, heartbeat, hasLeft: false };
     state.workerClock ??= { clockMs: heartbeat.clockMs, at: now };
@@ -209,7 +219,8 @@
 }
 
 /** Clears the state of the previous boot. Starts that may still be executed are kept as stray starts. */
-export function resetForBoot(state: AgentState, bornMs: number): void {
+export function resetForBoot(state: AgentState, bornMs: number, now: number): void {
+    recordCrash(state, now);
     state.bornMs = bornMs;
     for (const [key, { order, isUnanswered, state: progress }] of state.starts) {
         if (isUnanswered || progress === "calling") {
@@ -222,7 +233,9 @@
     state.recorded = 0;
     state.listsClockMs = 0;
     state.starts.clear();
+    state.startedAt.clear();
     state.consecutiveUnansweredHolds = 0;
+    state.unansweredSince = undefined;
     state.isRefusingConnections = false;
     state.workerClock = undefined;
 }
--- a/packages/backend/src/agent/agentTask.spec.ts
+++ b/packages/backend/src/agent/agentTask.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { leaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import type {
+    CrashEnd,
     StartOrder,
     SyncReply,
     SyncReport,
@@ -258,6 +259,74 @@
         });
     });
 
+    describe("when the worker crashes", () => {
+        const task = "j.0.0.0";
+
+        /** The worker starts the task and works on it for a time. */
+        async function runFor(workedMs: number): Promise<void> {
+            await startWithGrant();
+            await sync({ starts: [startOrder(task)] });
+            await clock.settle();
+            worker.running = [{ task, run: 1, percent: 0 }];
+            await clock.advance(workedMs);
+        }
+
+        /** The worker is away for three seconds and back as another boot; returns how the run ended. */
+        async function endAfterCrash(): Promise<CrashEnd | undefined> {
+            worker.behaviour = "refuses-connections";
+            await clock.advance(3_000);
+            worker.behaviour = "answers";
+            worker.bornMs = 9_000;
+            worker.running = [];
+            await sendHeartbeat({ id: "i-2", bornMs: 9_000 });
+            const { stops } = await report({ stops: [{ task, run: 1, boot }] });
+            const state = stops[0]?.state;
+            return state?.kind === "closed" ? state.end : undefined;
+        }
+
+        it("blames a task that had just started, also to a leader that takes over afterwards", async () => {
+            await runFor(100);
+            expect(await endAfterCrash()).to.equal("crashed-at-start");
+            const { stops } = await report({ term: 8, stops: [{ task, run: 1, boot }] });
+            expect(stops[0]?.state).to.deep.equal({ kind: "closed", end: "crashed-at-start" });
+        });
+
+        it("tells a task that had worked for a while apart", async () => {
+            await runFor(5_000);
+            expect(await endAfterCrash()).to.equal("crashed");
+        });
+
+        it("blames a task whose start got no answer, as it may have been executed", async () => {
+            await startWithGrant();
+            worker.behaviour = "silent";
+            await sync({ starts: [startOrder(task)] });
+            await clock.advance(700);
+            expect(await endAfterCrash()).to.equal("crashed-at-start");
+        });
+
+        it("does not blame a task that could not be sent to the worker", async () => {
+            await startWithGrant();
+            worker.behaviour = "refuses-connections";
+            await sync({ starts: [startOrder(task)] });
+            await clock.advance(700);
+            expect(await endAfterCrash()).to.equal(undefined);
+        });
+
+        it("does not blame a task if the worker had announced its end", async () => {
+            await runFor(100);
+            await sendHeartbeat({ isDraining: true });
+            expect(await endAfterCrash()).to.equal(undefined);
+        });
+
+        it("blames a task also if the worker does not come back", async () => {
+            await runFor(100);
+            worker.behaviour = "refuses-connections";
+            await clock.advance(12_000);
+            const { stops } = await report({ stops: [{ task, run: 1, boot }] });
+            expect(stops[0]?.state).to.deep.equal({ kind: "closed", end: "crashed-at-start" });
+        });
+    });
+
     describe("with calls from several leaders", () => {
         it("refuses an older term, whose orders may be revoked", async () => {
             await startWithGrant();
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -18,6 +18,7 @@
 } from "./agentState.ts";
 import type { AgentMessage, AgentOptions } from "./agentTypes.ts";
 import { callResult } from "./callResult.ts";
+import { noteStart } from "./workerCrash.ts";
 
 /**
  * Longest time for which the worker may delay the answer to a hold until a task ends. A hold is the call that renews the
@@ -106,6 +107,7 @@
     function handleUnansweredHold(state: AgentState, problem: Failure): void {
         const before = workerCondition(state);
         state.consecutiveUnansweredHolds += 1;
+        state.unansweredSince ??= clock.now();
         state.isRefusingConnections = problem.verdict === "not-run";
         const condition = workerCondition(state);
         if (condition !== before) {
@@ -276,8 +278,9 @@
                             return;
                         }
                         if (lists.bornMs > state.bornMs) {
-                            resetForBoot(state, lists.bornMs);
+                            resetForBoot(state, lists.bornMs, clock.now());
                         }
+                        state.unansweredSince = undefined;
                         if (state.worker && state.worker.boot.bornMs < lists.bornMs) {
                             // Only the start time of the new boot is known until its first heartbeat.
                             state.worker = undefined;
@@ -318,7 +321,10 @@
                 }
                 result.caseOf({
                     Left(problem) {
-                        attempt.isUnanswered ||= problem.verdict !== "not-run";
+                        if (problem.verdict !== "not-run") {
+                            attempt.isUnanswered = true;
+                            noteStart(state, key, clock.now());
+                        }
                         attempt.state = "idle";
                         log.warn("A start got no answer.", {
                             task: attempt.order.task,
@@ -334,6 +340,7 @@
                         attempt.state = "started";
                         const { task, run, saved } = attempt.order;
                         if (!state.ended.some(row => runKey(row) === key)) {
+                            noteStart(state, key, clock.now());
                             const sinceClockMs = reply.clockMs;
                             state.running.set(key, { task, run, saved, percent: 0, sinceClockMs });
                         }
--- a/packages/decisions/src/job/progressChange.ts
+++ b/packages/decisions/src/job/progressChange.ts
@@ -1,4 +1,4 @@
-import type { GroupProgress, TaskPlacement, Progress, TaskEnd } from "./progressTypes.ts";
+import type { GroupProgress, TaskCrashes, TaskPlacement, Progress, TaskEnd } from "./progressTypes.ts";
 import { emptyGroupProgress } from "./progressTypes.ts";
 
 /** Event: one task of a run has ended. */
@@ -10,6 +10,11 @@
     saved?: string | undefined;
 }
 
+/** Crashes right after the start after which the task counts as their cause. */
+const MAX_START_CRASHES = 3;
+/** Crashes after which the task counts as their cause, whenever they came. */
+const MAX_CRASHES = 5;
+
 /** Decides whether a group runs again after a run: the type of its step and the queue's limit of failed runs. */
 export interface RestartPolicy {
     gang: boolean;
@@ -57,14 +62,35 @@
         next.failures += 1;
         next.failedRun = event.run;
     }
+    if (event.end === "crashed-at-start" || event.end === "crashed") {
+        next.crashes = { ...next.crashes, [event.index]: countCrash(next.crashes?.[event.index], event.end) };
+    }
     return finishClosing({ ...next, phase: "closing" }, policy);
 }
 
-/** Moves a closing group without placements to `waiting`, or to `failed` if no attempt is left. */
+function countCrash(known: TaskCrashes = { total: 0, atStart: 0 }, end: TaskEnd): TaskCrashes {
+    return { total: known.total + 1, atStart: known.atStart + (end === "crashed-at-start" ? 1 : 0) };
+}
+
+/** Whether workers crash so often under a task of the group that another start would only take down one more. */
+export function crashesWorkers({ crashes = {} }: GroupProgress, { longRunning }: RestartPolicy): boolean {
+    for (const { total, atStart } of Object.values(crashes)) {
+        // A task that runs for months sees crashes that it did not cause, but not at its start.
+        if (atStart >= MAX_START_CRASHES || (!longRunning && total >= MAX_CRASHES)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/**
+ * Moves a closing group without placements to `waiting`, or to `failed` if no attempt is left or the group crashes the
+ * workers that run it.
+ */
 function finishClosing(group: GroupProgress, rules: RestartPolicy): GroupProgress {
     if (group.phase !== "closing" || group.placements.length > 0) {
         return group;
     }
     const isExhausted = !rules.longRunning && group.failures >= rules.attempts;
-    return { ...group, phase: isExhausted ? "failed" : "waiting" };
+    return { ...group, phase: isExhausted || crashesWorkers(group, rules) ? "failed" : "waiting" };
 }
--- a/packages/decisions/src/job/progressTypes.ts
+++ b/packages/decisions/src/job/progressTypes.ts
@@ -25,6 +25,13 @@
     boot: Boot;
 }
 
+/** Crashes of the workers that ran a task. */
+export interface TaskCrashes {
+    total: number;
+    /** Crashes right after the start of the task. */
+    atStart: number;
+}
+
 /** Recorded progress of one group. */
 export interface GroupProgress {
     phase: GroupPhase;
@@ -35,6 +42,8 @@
     failures: number;
     /** The latest run counted in `failures`, so that a repeated report is not counted again. */
     failedRun: number;
+    /** Crashes by task index, of the tasks under which a worker has crashed. */
+    crashes?: Record<string, TaskCrashes> | undefined;
     /** The latest checkpoint. */
     saved?: string | undefined;
 }
@@ -62,7 +71,11 @@
     | "broken"
     /** The other tasks of the gang did not start in time. */
     | "alone"
-    /** The worker is gone, or the task can no longer be running on it. */
+    /** The worker crashed right after it had started the task. */
+    | "crashed-at-start"
+    /** The worker crashed while it ran the task. */
+    | "crashed"
+    /** The worker is gone for another reason, or the task can no longer be running on it. */
     | "lost";
 
 /** Progress of a job of which no group has been placed. */
--- a/packages/decisions/src/plan/clusterState.ts
+++ b/packages/decisions/src/plan/clusterState.ts
@@ -117,7 +117,12 @@
     for (const group of groups) {
         const { placements } = groupProgress(entry.progress, group.key);
         if (placements.length > 0) {
-            entry.runs.set(group.key, { version: 0, openedAt: now, tasks: new Map(), hasStarted: true });
+            entry.runs.set(group.key, {
+                version: 0,
+                openedAt: now,
+                tasks: new Map(),
+                hasStarted: true,
+            });
             indexPlacements(cluster, entry, group, placements);
         }
     }
@@ -193,8 +198,13 @@
     { now, isStall }: { now: number; isStall: boolean },
 ): void {
     worker.faults = withFault(worker.faults, { at: now, failedGroup: `${entry.job.id}.${key}`, isStall });
+    addFailedWorker(entry, key, worker.name);
+}
+
+/** Records that a group has failed on a worker, so that the retry prefers others. */
+export function addFailedWorker(entry: JobEntry, key: string, worker: string): void {
     const failedOn = entry.failedOn.get(key) ?? new Set();
-    entry.failedOn.set(key, failedOn.add(worker.name));
+    entry.failedOn.set(key, failedOn.add(worker));
 }
 
 /** The rules of a group, taken from its step and its queue. */
--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -1,9 +1,16 @@
-import { closeRun, applyTaskEnd, groupProgress } from "../job/progressChange.ts";
+import { closeRun, applyTaskEnd, crashesWorkers, groupProgress } from "../job/progressChange.ts";
 import { sameBoot, type Boot, type TaskEnd } from "../job/progressTypes.ts";
 import { groupKeyOf, parseTaskName, taskName, type TaskGroup } from "../job/taskGroups.ts";
-import { runKey, type EndedTask, type RunId, type SyncReport } from "../worker/workerReport.ts";
+import {
+    runKey,
+    type CrashEnd,
+    type EndedTask,
+    type RunId,
+    type SyncReport,
+} from "../worker/workerReport.ts";
 import {
     updateGroup,
+    addFailedWorker,
     addFault,
     openPlacements,
     groupRulesOf,
@@ -14,7 +21,7 @@
 
 /** A state change of a run caused by a report or a timeout; it is logged and counted in the metrics. */
 export interface PlanEvent {
-    kind: "started" | "all-started" | "ended" | "closed" | "refused" | "stray";
+    kind: "started" | "all-started" | "ended" | "closed" | "refused" | "stray" | "given-up";
     job: string;
     task: string;
     run: number;
@@ -65,10 +72,10 @@
     }
     for (const { run, state } of report.stops) {
         if (state.kind === "closed") {
-            endLostTask(cluster, worker, run, events);
+            endLostTask(cluster, worker, run, state.end ?? "lost", events);
         }
     }
-    closeRunsOfOtherBoots(cluster, worker, events);
+    closeRunsOfOtherBoots(cluster, worker);
     return events;
 }
 
@@ -180,8 +187,14 @@
     events.push({ ...eventOf("refused", worker, run, found.entry.job.id), detail: reason });
 }
 
-/** Ends a run as lost if it can no longer be running and the worker has not reported its end. */
-function endLostTask(cluster: ClusterState, worker: WorkerEntry, run: RunId, events: PlanEvent[]): void {
+/** Ends a run that can no longer be running, as lost or by a crash, if the worker has not reported its end. */
+function endLostTask(
+    cluster: ClusterState,
+    worker: WorkerEntry,
+    run: RunId,
+    end: CrashEnd | "lost",
+    events: PlanEvent[],
+): void {
     const found = findTask(cluster, run);
     if (!found) {
         return;
@@ -191,9 +204,20 @@
     if (isListed || !progress.placements.some(open => isPlacedAt(open, worker, found.index))) {
         return;
     }
-    const saved = found.entry.runs.get(found.group.key)?.tasks.get(found.index)?.saved;
-    if (applyEnd(cluster, found, { index: found.index, run: run.run, end: "lost", saved })) {
-        events.push(eventOf("closed", worker, run, found.entry.job.id));
+    const { entry, group, index } = found;
+    const saved = entry.runs.get(group.key)?.tasks.get(index)?.saved;
+    if (!applyEnd(cluster, found, { index, run: run.run, end, saved })) {
+        return;
+    }
+    events.push({ ...eventOf("closed", worker, run, entry.job.id), detail: end });
+    if (end === "lost") {
+        return;
+    }
+    addFailedWorker(entry, group.key, worker.name);
+    const next = groupProgress(entry.progress, group.key);
+    if (next.phase === "failed" && crashesWorkers(next, groupRulesOf(entry, group))) {
+        const detail = `crashes=${next.crashes?.[index]?.total ?? 0}`;
+        events.push({ ...eventOf("given-up", worker, run, entry.job.id), detail });
     }
 }
 
@@ -201,20 +225,18 @@
     return open.index === index && open.worker === worker.name;
 }
 
-/** Closes groups with runs of an earlier boot, which are gone; the agent keeps delayed starts from running. */
-function closeRunsOfOtherBoots(cluster: ClusterState, worker: WorkerEntry, events: PlanEvent[]): void {
+/**
+ * Closes groups with runs that are gone: those of an earlier boot, and all runs of a worker whose lease has lapsed. The
+ * agent keeps delayed starts from running and tells how the runs ended.
+ */
+function closeRunsOfOtherBoots(cluster: ClusterState, worker: WorkerEntry): void {
     const { description } = worker;
     if (!description) {
         return;
     }
-    for (const { entry, group, progress, placement } of [...openPlacements(cluster, worker.name)]) {
-        if (!sameBoot(placement.boot, description.boot)) {
+    for (const { entry, group, placement } of [...openPlacements(cluster, worker.name)]) {
+        if (description.hasLapsed || !sameBoot(placement.boot, description.boot)) {
             updateGroup(cluster, entry, group.key, closeRun(groupProgress(entry.progress, group.key)));
-            continue;
-        }
-        if (description.hasLapsed) {
-            const run = runIdOf(entry, group, placement.index, progress.run);
-            endLostTask(cluster, worker, run, events);
         }
     }
 }
@@ -232,7 +254,7 @@
             continue;
         }
         const run = runIdOf(entry, group, placement.index, progress.run);
-        endLostTask(cluster, { ...worker, report: undefined }, run, events);
+        endLostTask(cluster, { ...worker, report: undefined }, run, "lost", events);
     }
     return events;
 }
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -23,6 +23,7 @@
     type WorkerEntry,
 } from "./clusterState.ts";
 
+import { isSuspect, workersOfStartingSuspects } from "./suspectGroups.ts";
 import { isQuarantineAllowed, isQuarantined, countRecentFaults } from "./workerQuarantine.ts";
 
 /** Inputs of a scheduling round besides the cluster state. */
@@ -52,6 +53,7 @@
         context.guaranteedGpus,
     );
     const lookUpValue = createValueLookup(cluster, context);
+    const startingSuspects = workersOfStartingSuspects(cluster);
     const waiting: WaitingGroup[] = [];
     for (const { entry, terms } of openJobs) {
         for (const group of entry.groups) {
@@ -62,7 +64,7 @@
                     isGuaranteed: guaranteed.has(entry.job.id),
                     priority: terms.priority,
                     value: lookUpValue(entry, group),
-                    failedOn: entry.failedOn.get(group.key) ?? NO_WORKERS,
+                    failedOn: workersToAvoid(entry, group, startingSuspects),
                 });
             }
         }
@@ -78,6 +80,19 @@
 
 const NO_WORKERS: ReadonlySet<string> = new Set();
 
+/** Workers on which the group has failed, and for a suspect also those on which another one is starting. */
+function workersToAvoid(
+    entry: JobEntry,
+    group: TaskGroup,
+    startingSuspects: ReadonlySet<string>,
+): ReadonlySet<string> {
+    const failedOn = entry.failedOn.get(group.key) ?? NO_WORKERS;
+    if (startingSuspects.size === 0 || !isSuspect(entry, group)) {
+        return failedOn;
+    }
+    return new Set([...failedOn, ...startingSuspects]);
+}
+
 type ValueLookup = (entry: JobEntry, group: TaskGroup) => JobValue;
 
 /**
--- /dev/null
+++ b/packages/decisions/src/plan/suspectGroups.ts
@@ -0,0 +1,52 @@
+import { groupProgress } from "../job/progressChange.ts";
+import type { TaskGroup } from "../job/taskGroups.ts";
+import { START_PHASE_MS } from "../worker/startPhase.ts";
+import type { Decision } from "../schedule/scheduleTypes.ts";
+import { openPlacements, type ClusterState, type JobEntry, type OpenRunState } from "./clusterState.ts";
+
+/** Whether a task of a run has worked for so long that its start did not crash the worker. */
+function hasSurvivedStart(run: OpenRunState, index: number): boolean {
+    const progress = run.tasks.get(index);
+    return progress !== undefined && progress.progressedAt - run.openedAt >= START_PHASE_MS;
+}
+
+/** Whether a worker has crashed under a task of the group, which may be the cause or a bystander. */
+export function isSuspect(entry: JobEntry, { key }: TaskGroup): boolean {
+    return groupProgress(entry.progress, key).crashes !== undefined;
+}
+
+/** Workers on which a suspect is starting. */
+export function workersOfStartingSuspects(cluster: ClusterState): Set<string> {
+    const workers = new Set<string>();
+    for (const { entry, group, placement } of openPlacements(cluster)) {
+        const run = entry.runs.get(group.key);
+        if (isSuspect(entry, group) && !(run && hasSurvivedStart(run, placement.index))) {
+            workers.add(placement.worker);
+        }
+    }
+    return workers;
+}
+
+/**
+ * Drops placements that would start two suspects on one worker, so that the next crash shows which of them caused it.
+ * A dropped group stays waiting.
+ */
+export function separateSuspects(cluster: ClusterState, decisions: Decision[]): Decision[] {
+    const taken = workersOfStartingSuspects(cluster);
+    const kept: Decision[] = [];
+    for (const decision of decisions) {
+        const entry = cluster.jobs.get(decision.job);
+        const group = entry?.groupsByKey.get(decision.group);
+        if (decision.kind === "place" && entry && group && isSuspect(entry, group)) {
+            const workers = decision.places.map(({ worker }) => worker);
+            if (workers.some(worker => taken.has(worker))) {
+                continue;
+            }
+            for (const worker of workers) {
+                taken.add(worker);
+            }
+        }
+        kept.push(decision);
+    }
+    return kept;
+}
--- a/packages/decisions/src/schedule/scheduleTypes.ts
+++ b/packages/decisions/src/schedule/scheduleTypes.ts
@@ -30,7 +30,7 @@
     isGuaranteed: boolean;
     priority: number;
     value: JobValue;
-    /** Workers on which the group has failed. */
+    /** Workers that are tried last, above all those on which the group has failed. */
     failedOn: ReadonlySet<string>;
 }
 
--- a/packages/decisions/src/worker/workerReport.ts
+++ b/packages/decisions/src/worker/workerReport.ts
@@ -65,6 +65,9 @@
 export type StartRefusal =
     "fence" | "old" | "late" | "room" | "ticket" | "invalid" | "unhealthy" | "draining" | "other-boot";
 
+/** How a crash of the worker has ended a run, by the time for which the run had been started. */
+export type CrashEnd = Extract<TaskEnd, "crashed" | "crashed-at-start">;
+
 /** State of an order that the sync request lists. */
 export type OrderState =
     /** The worker has not answered yet. */
@@ -72,8 +75,8 @@
     /** The run has started and is listed under `running` or `ended`. */
     | { kind: "started" }
     | { kind: "refused"; reason: StartRefusal }
-    /** The run is not running and can no longer start. */
-    | { kind: "closed" };
+    /** The run is not running and can no longer start; `end` is set if a crash of the worker has ended it. */
+    | { kind: "closed"; end?: CrashEnd | undefined };
 
 /** A time on the agent's clocks, sent with a report and returned with the next lease grant. */
 export interface Stamp {
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -14,6 +14,7 @@
 import { closeStalled, closeStuckStarts } from "@tanagerdeck/decisions/plan/stallDetection";
 import { pauseBeforeRoundMs } from "@tanagerdeck/decisions/plan/planPace";
 import { applyDecision, quarantinedWorkers, buildRoundInput } from "@tanagerdeck/decisions/plan/planRound";
+import { separateSuspects } from "@tanagerdeck/decisions/plan/suspectGroups";
 import type { WorkerDescription } from "@tanagerdeck/decisions/worker/workerReport";
 import { startTask, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import type { Change, Item } from "@tanagerdeck/store/keyvalue/keyValueTypes";
@@ -187,7 +188,7 @@
         });
         planningLog.round(state.cluster, input);
         planningLog.quarantine(quarantinedWorkers(state.cluster, clock.now()));
-        for (const decision of schedule(input)) {
+        for (const decision of separateSuspects(state.cluster, schedule(input))) {
             planningLog.decision(state.cluster, decision);
             applyDecision(state.cluster, decision, clock.now());
         }
--- a/packages/peer/src/planner/planningLog.ts
+++ b/packages/peer/src/planner/planningLog.ts
@@ -37,6 +37,7 @@
     closed: "A run can no longer be running.",
     refused: "A start was refused.",
     stray: "A worker runs a task that this leader did not order.",
+    "given-up": "A task is given up because workers crash under it.",
 };
 
 /** Creates the planning log for one leader term. */
@@ -93,7 +94,12 @@
     return {
         events(cluster, events) {
             for (const { kind, job, task, run, worker, detail } of events) {
-                log.info(EVENT_MESSAGES[kind], { term, job, task, run, worker, detail });
+                const fields = { term, job, task, run, worker, detail };
+                if (kind === "given-up") {
+                    log.warn(EVENT_MESSAGES[kind], fields);
+                    continue;
+                }
+                log.info(EVENT_MESSAGES[kind], fields);
                 if (kind === "ended" || kind === "closed") {
                     metrics.runEnded(detail ?? "lost");
                 } else if (kind === "stray") {
--- a/packages/store/src/replica/storedContentSchema.ts
+++ b/packages/store/src/replica/storedContentSchema.ts
@@ -29,6 +29,7 @@
     placements: z.array(placement),
     failures: z.number(),
     failedRun: z.number(),
+    crashes: z.record(z.string(), z.object({ total: z.number(), atStart: z.number() })).optional(),
     saved: z.string().optional(),
 });
 
