Refuse heartbeats with values that no worker sends

A heartbeat of another writer with a start time in the far future was taken for the worker's newest boot: every later heartbeat of the worker counted as outdated, and all its runs as ended. A sequence number of 1e300 hid all later heartbeats of the boot; a capacity of 1e300 let the leader place any number of tasks; a port out of range was accepted. A deeply nested field and a number beyond the range of doubles were refused before.

The adapter checks ranges, the port, and that a worker has not started in the future. oddHeartbeat.spec.ts: nine of its cases fail on the code before.

--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -38,6 +38,12 @@
     return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
 }
 
+/** Whether a text has the form `ip:port` with a port that a connection can go to. */
+export function isAddress(text: string): boolean {
+    const { host, port } = splitAddress(text);
+    return !/[\s/?#@\\]/.test(host) && port > 0 && URL.canParse(`http://${text}`);
+}
+
 /** Reads the body of a request; undefined if it is longer than `limitBytes`. Rejects if the client disconnects. */
 export async function readBody(request: IncomingMessage, limitBytes: number): Promise<string | undefined> {
     const chunks: Buffer[] = [];
--- a/packages/tanagerdeck/src/platform/platformAgent.ts
+++ b/packages/tanagerdeck/src/platform/platformAgent.ts
@@ -82,6 +82,7 @@
     );
     const registration = await startRegistrationListener({
         address: settings.registrationAddress,
+        wallMs: clock.wall,
         onHeartbeat: heartbeat =>
             agent.ask((reply: Reply<void>) => ({ kind: "heartbeat", heartbeat, reply })),
         onLeave: id => agent.ask((reply: Reply<void>) => ({ kind: "left", id, reply })),
