Ignore registrations that name another process or no valid address

An odd entry among the registrations of the agents, with the name of another agent as its content, diverted the leader's calls from that agent to the odd address; an address with a port out of range was called again and again, and used as a relay to the store.

A registration holds only under the key of its own name, and with an address that can be called. Both new cases (of plannerTask.spec.ts and storedValueCodec.spec.ts) fail on the code before.

--- a/packages/peer/src/planner/plannerTask.spec.ts
+++ b/packages/peer/src/planner/plannerTask.spec.ts
@@ -19,6 +19,7 @@
     let store: MemoryStore;
     let planner: Task<PlannerMessage> | undefined;
     let started: Set<string>;
+    let addresses: Map<string, string>;
     let errors: string[];
     let writes: number;
 
@@ -27,6 +28,7 @@
         store = createMemoryStore(clock);
         planner = undefined;
         started = new Set();
+        addresses = new Map();
         errors = [];
         writes = 0;
         const address = { name: "a", address: "h:1", availabilityZone: "z", incarnation: "n" };
@@ -52,7 +54,9 @@
             list: () => listAll(store, ROOT_PREFIX),
             commit: transaction => store.commit(transaction),
             sessions: {
-                open() {},
+                open(agent, address) {
+                    addresses.set(agent, address);
+                },
                 grants() {},
                 order(_agent, orders) {
                     for (const { task } of orders.starts) {
@@ -91,6 +95,20 @@
         });
     });
 
+    describe("when another writer registers an agent under a foreign name", () => {
+        // Guards against an odd entry that diverts the leader's calls from an agent.
+        it("keeps the address that the agent itself has registered", async () => {
+            const odd = { name: "a", address: "other:1", availabilityZone: "z", incarnation: "o" };
+            store.write(agentKey("z"), encodeContent("registration", odd, "w"));
+            await start();
+            expect(addresses.get("a")).to.equal("h:1");
+            const { key, value, revision } = store.item(agentKey("z"))!;
+            planner!.send({ kind: "changed", change: { key, value, revision } });
+            await clock.advance(100);
+            expect(addresses.get("a")).to.equal("h:1");
+        });
+    });
+
     describe("when a conflict shows another writer's progress and a cancellation", () => {
         it("keeps the cancellation, so that no task starts and the job is not written twice", async () => {
             await start();
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -19,7 +19,11 @@
 import { startTask, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import type { Change, Item } from "@tanagerdeck/store/keyvalue/keyValueTypes";
 import type { Listing } from "@tanagerdeck/store/keyvalue/listing";
-import { decodeContent, type Registration } from "@tanagerdeck/store/replica/storedValueCodec";
+import {
+    decodeContent,
+    decodeRegistration,
+    type Registration,
+} from "@tanagerdeck/store/replica/storedValueCodec";
 import { jobKey, LEADER_KEY, parseStoreKey } from "@tanagerdeck/store/replica/storeKeys";
 import { closeRunsOfEndedJob, loadClusterState } from "./clusterStateLoading.ts";
 import type { PlannerMessage, PlannerOptions } from "./plannerTypes.ts";
@@ -94,8 +98,9 @@
 
     function load(state: PlannerState, { items }: Listing): void {
         for (const item of items) {
-            if (parseStoreKey(item.key)?.kind === "agent") {
-                register(state, item);
+            const key = parseStoreKey(item.key);
+            if (key?.kind === "agent") {
+                register(state, key.name, item);
             }
         }
         for (const key of loadClusterState(state.cluster, items, state.startedAt, clock.now())) {
@@ -103,8 +108,8 @@
         }
     }
 
-    function register(state: PlannerState, item: { key: string; value: string }): void {
-        const registration: Registration | undefined = decodeContent("registration", item.value);
+    function register(state: PlannerState, name: string, item: { key: string; value: string }): void {
+        const registration: Registration | undefined = decodeRegistration(name, item.value);
         if (!registration) {
             log.warn("An agent registration cannot be decoded.", { key: item.key });
             return;
@@ -120,7 +125,7 @@
     function applyChange(state: PlannerState, change: Change): void {
         const key = parseStoreKey(change.key);
         if (key?.kind === "agent" && change.value !== undefined) {
-            register(state, { key: change.key, value: change.value });
+            register(state, key.name, { key: change.key, value: change.value });
         }
         if (key?.kind === "leader" && change.revision > term) {
             haltAndNotify(state);
--- a/packages/store/src/replica/storedContentSchema.ts
+++ b/packages/store/src/replica/storedContentSchema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { isAddress } from "@tanagerdeck/runtime/http/listener";
 
 const resources = z.object({ cpuMillis: z.number(), memoryMb: z.number(), gpus: z.number() });
 
@@ -35,7 +36,7 @@
 
 const registration = z.looseObject({
     name: z.string(),
-    address: z.string(),
+    address: z.string().refine(isAddress, "not an address with a port"),
     availabilityZone: z.string(),
     incarnation: z.string(),
 });
--- a/packages/store/src/replica/storedValueCodec.spec.ts
+++ b/packages/store/src/replica/storedValueCodec.spec.ts
@@ -59,6 +59,22 @@
             }
         });
 
+        // Guards against an odd registration of another writer: its address was called again and again.
+        it("are not decoded as a registration if the address has no valid port", () => {
+            for (const address of [
+                "10.1.0.9:99999",
+                "10.1.0.9:-1",
+                "10.1.0.9:0",
+                "10.1.0.9",
+                ":80",
+                "a b:80",
+                "a/b:80",
+            ]) {
+                const value = encodeContent("registration", { ...registration, address }, "w");
+                expect(decodeContent("registration", value), address).to.equal(undefined);
+            }
+        });
+
         it("never throw, whatever they hold", () => {
             const values = fc.oneof(
                 fc.string({ unit: "binary" }),
--- a/packages/store/src/replica/storedValueCodec.ts
+++ b/packages/store/src/replica/storedValueCodec.ts
@@ -54,3 +54,9 @@
         return undefined;
     }
 }
+
+/** Decodes the registration of the process `name`; undefined if another writer left something else under its key. */
+export function decodeRegistration(name: string, value: string): Registration | undefined {
+    const registration = decodeContent("registration", value);
+    return registration?.name === name ? registration : undefined;
+}
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -25,7 +25,11 @@
 import { startLeadershipTask, type LeadershipEvent } from "@tanagerdeck/store/leadership/leadershipTask";
 import { startManifestTask } from "@tanagerdeck/store/manifest/manifestTask";
 import { startPresenceTask } from "@tanagerdeck/store/presence/presenceTask";
-import { decodeContent, type Registration } from "@tanagerdeck/store/replica/storedValueCodec";
+import {
+    decodeContent,
+    decodeRegistration,
+    type Registration,
+} from "@tanagerdeck/store/replica/storedValueCodec";
 import { startReplicaTask } from "@tanagerdeck/store/replica/replicaTask";
 import { entryKey, parseStoreKey, ROOT_PREFIX } from "@tanagerdeck/store/replica/storeKeys";
 import { createExposition } from "@tanagerdeck/runtime/metrics/exposition";
@@ -125,7 +129,7 @@
         const key = parseStoreKey(change.key);
         if (key?.kind === "entry") {
             const registration =
-                change.value === undefined ? undefined : decodeContent("registration", change.value);
+                change.value === undefined ? undefined : decodeRegistration(key.name, change.value);
             if (registration) {
                 registeredEntries.set(key.name, registration);
             } else {
