Refuse jobs with more tasks than the leader can keep in memory

A step with a count of 9e15, or a schedule with as many occurrences, was accepted and stored; the leader ran out of memory when it built the groups, and so did each successor that read the item.

--- a/packages/store/src/replica/storedContentSchema.ts
+++ b/packages/store/src/replica/storedContentSchema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { countTasks, MAX_TASKS } from "@tanagerdeck/decisions/job/jobSize";
 import { isAddress } from "@tanagerdeck/runtime/http/listener";
 
 const resources = z.object({ cpuMillis: z.number(), memoryMb: z.number(), gpus: z.number() });
@@ -46,28 +47,30 @@
  * later release adds are kept.
  */
 export const STORED_CONTENT_SCHEMAS = {
-    definition: z.looseObject({
-        id: z.string(),
-        spec: z.string(),
-        steps: z.array(step),
-        schedule: z
-            .looseObject({
-                firstDueMs: z.number(),
-                intervalMs: z.number(),
-                occurrences: z.int().nonnegative(),
-            })
-            .optional(),
-        queue: z.string(),
-        service: z.string(),
-        clientAccount: z.string().optional(),
-        terms: z.looseObject({
-            priority: z.number(),
-            attempts: z.number(),
-            stretch: z.number(),
-            latencyTargetMs: z.number(),
-        }),
-        acceptedAtMs: z.number(),
-    }),
+    definition: z
+        .looseObject({
+            id: z.string(),
+            spec: z.string(),
+            steps: z.array(step),
+            schedule: z
+                .looseObject({
+                    firstDueMs: z.number(),
+                    intervalMs: z.number(),
+                    occurrences: z.int().nonnegative(),
+                })
+                .optional(),
+            queue: z.string(),
+            service: z.string(),
+            clientAccount: z.string().optional(),
+            terms: z.looseObject({
+                priority: z.number(),
+                attempts: z.number(),
+                stretch: z.number(),
+                latencyTargetMs: z.number(),
+            }),
+            acceptedAtMs: z.number(),
+        })
+        .refine(job => countTasks(job) <= MAX_TASKS, "too many tasks"),
     cancel: z.looseObject({ atMs: z.number() }),
     progress: z.looseObject({
         begun: z.boolean(),
