Leave stored items alone that are nested too deeply to be written again

The progress of one job with a very deeply nested extra field was decoded, kept, and written again with the next change: JSON.stringify overflowed the stack, and the handler that plans for all jobs failed in each round.

A value with more than 500 levels is not decoded; its job is left alone and logged like other malformed items. The new case of plannerTask.spec.ts fails on the code before.

--- a/packages/peer/src/planner/plannerTask.spec.ts
+++ b/packages/peer/src/planner/plannerTask.spec.ts
@@ -87,6 +87,18 @@
             });
         }
 
+        // Guards against a RangeError when the progress is written again, which ended every scheduling round.
+        it("plans all other jobs if progress is nested too deeply to be written again", async () => {
+            const deep = "[".repeat(20_000) + "]".repeat(20_000);
+            const odd = `{"write":"w","content":{"begun":false,"groups":{},"odd":${deep}}}`;
+            accept("bad");
+            store.write(jobKey("bad", "progress"), odd);
+            accept("good");
+            await start();
+            expect([...started]).to.deep.equal(["good.0.0.0"]);
+            expect(errors).to.deep.equal(["A stored item cannot be decoded; its job is left alone."]);
+        });
+
         it("plans all other jobs if a definition cannot be decoded", async () => {
             store.write(jobKey("bad", "definition"), '{"write":"w","content":{"id":"bad"}}');
             accept("good");
--- a/packages/store/src/replica/storedValueCodec.ts
+++ b/packages/store/src/replica/storedValueCodec.ts
@@ -1,5 +1,6 @@
 import type { Job } from "@tanagerdeck/decisions/job/jobTypes";
 import type { Progress } from "@tanagerdeck/decisions/job/progressTypes";
+import { isNestedDeeperThan } from "./nestingDepth.ts";
 import { STORED_CONTENT_SCHEMAS } from "./storedContentSchema.ts";
 
 /** Address and identity that a process publishes so that its peers can call it. */
@@ -31,6 +32,9 @@
     leader: Registration;
 }
 
+/** Levels of nesting above which a stored value is not decoded; those written here have less than ten. */
+const MAX_NESTING = 500;
+
 /** Encodes a stored value as JSON; the write id `write` must be unique among all writers. */
 export function encodeContent<K extends keyof StoredContents>(
     _kind: K,
@@ -46,6 +50,9 @@
     kind: K,
     value: string,
 ): StoredContents[K] | undefined {
+    if (isNestedDeeperThan(value, MAX_NESTING)) {
+        return undefined;
+    }
     try {
         const stored = JSON.parse(value) as Partial<StoredEnvelope<unknown>> | null;
         const parsed = STORED_CONTENT_SCHEMAS[kind].safeParse(stored?.content);
