Follow the registered entries although one registration is malformed

One entry of another writer that is not JSON, or of another type, made the listing of the registrations reject. The task had no answer to wait for and never listed again: entries that joined later were not found, and those that left not taken over. The same value under an entry's own key kept that entry from registering for good.

--- a/packages/store/src/registration/registrationTask.ts
+++ b/packages/store/src/registration/registrationTask.ts
@@ -1,4 +1,5 @@
 import { Left, Right, type Either } from "purify-ts/Either";
+import { z } from "zod";
 import {
     forgetAbsences,
     updatePresence,
@@ -7,6 +8,7 @@
 } from "@tanagerdeck/decisions/fleet/entryPresence";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import { isAddress } from "@tanagerdeck/runtime/http/listener";
 import type { Log } from "@tanagerdeck/runtime/log/log";
 import {
     startTask,
@@ -172,7 +174,8 @@
         return read;
     }
     const stored = read.unsafeCoerce();
-    if (stored && (JSON.parse(stored.value) as Registration).incarnation !== registration.incarnation) {
+    const holder = stored && decodeRegistration(registration.name, stored.value);
+    if (holder && holder.incarnation !== registration.incarnation) {
         return Left(
             failure("not-run", "name-in-use", `Another entry is registered as ${registration.name}.`),
         );
@@ -193,7 +196,39 @@
     );
 }
 
-async function listRegistrations(options: RegistrationOptions): Promise<Either<Failure, Registration[]>> {
-    const listed = await options.store.list(registrationPrefix(options.environment));
-    return listed.map(values => values.map(({ value }) => JSON.parse(value) as Registration));
+async function listRegistrations({
+    store,
+    environment,
+    log,
+}: RegistrationOptions): Promise<Either<Failure, Registration[]>> {
+    const prefix = registrationPrefix(environment);
+    const listed = await store.list(prefix);
+    return listed.map(values => {
+        const registrations: Registration[] = [];
+        for (const { key, value } of values) {
+            const registration = decodeRegistration(key.slice(prefix.length), value);
+            if (registration) {
+                registrations.push(registration);
+            } else {
+                log.warn("A registration cannot be decoded and is ignored.", { key });
+            }
+        }
+        return registrations;
+    });
+}
+
+const registrationSchema = z.object({
+    name: z.string(),
+    incarnation: z.string(),
+    address: z.string().refine(isAddress, "not an address with a port"),
+});
+
+/** Decodes the registration of the entry `name`; undefined if another writer left something else under its key. */
+function decodeRegistration(name: string, value: string): Registration | undefined {
+    try {
+        const { data } = registrationSchema.safeParse(JSON.parse(value));
+        return data?.name === name ? data : undefined;
+    } catch {
+        return undefined;
+    }
 }
