Wait for replies of the own store's client while they arrive

It now counts time without progress, like the platform's client. The new case of etcdStore.spec.ts fails on the code before.

--- a/packages/store/src/store/etcdStore.spec.ts
+++ b/packages/store/src/store/etcdStore.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { startSlowLink } from "@tanagerdeck/standins/network/slowLink";
 import { startPlatformStandin, type PlatformStandin } from "@tanagerdeck/standins/platform/platformStandin";
 import { pollUntil } from "@tanagerdeck/standins/polling/pollUntil";
 import { createEtcdStore } from "./etcdStore.ts";
@@ -58,6 +59,25 @@
         });
     });
 
+    describe("behind a slow link", function () {
+        this.timeout(15_000);
+        const LINK_BYTES_PER_SECOND = 200_000;
+        /** Base64 makes the reply a third larger: it takes 3.3 s on the link, more than the timeout of a call. */
+        const VALUE_BYTES = 500_000;
+
+        it("reads a value that takes longer than the timeout of a call, as a retry would start over", async () => {
+            const link = await startSlowLink(platform.listener.address, LINK_BYTES_PER_SECOND);
+            const behindLink = createEtcdStore(link.address, () => {});
+            await store.write([put("a", "x".repeat(VALUE_BYTES), 0)]);
+            const read = await behindLink.get("a");
+            const listed = await behindLink.list("a");
+            await behindLink.close();
+            await link.close();
+            expect(read.unsafeCoerce()?.value).to.have.length(VALUE_BYTES);
+            expect(listed.unsafeCoerce()[0]?.value).to.have.length(VALUE_BYTES);
+        });
+    });
+
     describe("leases", () => {
         it("removes the keys of an expired lease and refuses its renewal", async () => {
             const lease = (await store.grantLease(10)).unsafeCoerce();
--- a/packages/store/src/store/etcdStore.ts
+++ b/packages/store/src/store/etcdStore.ts
@@ -2,7 +2,9 @@
 import { Pool } from "undici";
 import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { PlatformOperation } from "@tanagerdeck/runtime/metrics/metricsTypes";
+import { requestWithIdleTimeout } from "@tanagerdeck/runtime/http/idleTimeoutRequest";
 import { NOT_SENT_CODES } from "@tanagerdeck/runtime/http/notSentCodes";
+import { REPLY_LIMIT_MS } from "../keyvalue/keyValueTypes.ts";
 import {
     decodeValue,
     encodeBase64,
@@ -13,7 +15,7 @@
 } from "./gatewayCodec.ts";
 import type { Store } from "./storeTypes.ts";
 
-/** Timeout of one call; the service usually replies within milliseconds. */
+/** Time without progress after which a call fails; the service usually replies within milliseconds. */
 const CALL_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 const CONNECTIONS = 8;
@@ -34,19 +36,22 @@
     ): Promise<Either<Failure, T>> {
         countCall(operation);
         try {
-            const response = await pool.request({
+            const request = {
                 path,
-                method: "POST",
+                method: "POST" as const,
                 headers: { "content-type": "application/json" },
                 body: JSON.stringify(body),
-                signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+            };
+            const { status, text } = await requestWithIdleTimeout(pool, request, {
+                firstByteMs: CALL_TIMEOUT_MS,
+                idleMs: CALL_TIMEOUT_MS,
+                signal: AbortSignal.timeout(REPLY_LIMIT_MS),
             });
-            if (response.statusCode !== 200) {
-                await response.body.dump();
-                const verdict = REFUSED_STATUSES.has(response.statusCode) ? "not-run" : "may-have-run";
-                return Left(storeFailure(verdict, `status ${response.statusCode}`));
+            if (status !== 200) {
+                const verdict = REFUSED_STATUSES.has(status) ? "not-run" : "may-have-run";
+                return Left(storeFailure(verdict, `status ${status}`));
             }
-            return Right((await response.body.json()) as T);
+            return Right(JSON.parse(text) as T);
         } catch (error) {
             const code = (error as { code?: string }).code ?? String(error);
             return Left(storeFailure(NOT_SENT_CODES.has(code) ? "not-run" : "may-have-run", code));
