Close runs that have not started when their worker's capacity shrinks

A start that was recorded late, after an outage of the store for example, was ordered although the worker's capacity had shrunk since its placement.

When a worker reports another capacity, or is first reported to a leader, the groups whose runs have not started there and do not fit beside those that have are closed and placed again. What is being stopped still counts.

--- a/packages/decisions/src/plan/clusterState.spec.ts
+++ b/packages/decisions/src/plan/clusterState.spec.ts
@@ -2,7 +2,7 @@
 import { bootOf, descriptionOf, jobOf, reportOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
 import { groupProgress } from "../job/progressChange.ts";
 import type { Step } from "../job/jobTypes.ts";
-import type { WorkerDescription } from "../worker/workerReport.ts";
+import type { RunningTask, WorkerDescription } from "../worker/workerReport.ts";
 import {
     addJob,
     createClusterState,
@@ -188,6 +188,53 @@
         });
     });
 
+    describe("when a worker's capacity shrinks", () => {
+        function reportCapacity(gpus: number, running: RunningTask[] = []): WorkerEntry {
+            const worker = getOrAddWorker(cluster, "a", now);
+            const capacity = { cpuMillis: 64_000, memoryMb: 128_000, gpus };
+            applyReport(cluster, worker, reportOf(descriptionOf("a", { capacity }), { running }), now);
+            return worker;
+        }
+
+        // Guards against LIMIT: a start that was held up, by the store for example, ignored the new capacity.
+        it("closes runs that have not started and no longer fit beside those that have", () => {
+            reportCapacity(8);
+            const running = addPlaced("running", stepOf(), ["a"]);
+            const first = addPlaced("first", stepOf(), ["a"]);
+            const second = addPlaced("second", stepOf(), ["a"]);
+            const worker = reportCapacity(2, [{ task: "running.0.0.0", run: 1, percent: 5 }]);
+            expect([running, first, second].map(phaseOf)).to.deep.equal(["placed", "placed", "closing"]);
+            expect(buildOrders(cluster, worker).starts.map(({ task }) => task)).to.deep.equal([
+                "first.0.0.0",
+            ]);
+        });
+
+        it("counts what is being stopped", () => {
+            reportCapacity(8);
+            const stopping = addPlaced("stopping", stepOf(), ["a"]);
+            stopping.isCancelled = true;
+            const waiting = addPlaced("waiting", stepOf(), ["a"]);
+            reportCapacity(1, [{ task: "stopping.0.0.0", run: 1, percent: 5 }]);
+            expect(phaseOf(waiting)).to.equal("closing");
+        });
+
+        it("is applied by a leader that takes over and sees only the smaller capacity", () => {
+            const placements = [{ index: 0, worker: "a", boot: bootOf("i-a") }];
+            const group = { phase: "placed" as const, run: 1, placements, failures: 0, failedRun: 0 };
+            const progress = { begun: false, groups: { "0.0.0": group } };
+            const adopted = addJob(cluster, jobOf("k", [stepOf()]), { progress, revision: 1 }, now);
+            reportCapacity(0);
+            expect(phaseOf(adopted)).to.equal("closing");
+        });
+
+        it("places nothing above the smaller capacity", () => {
+            reportCapacity(8);
+            addPlaced("j", stepOf(), ["a"]);
+            reportCapacity(0, [{ task: "j.0.0.0", run: 1, percent: 5 }]);
+            expect(input().workers[0]?.free.gpus).to.equal(-1);
+        });
+    });
+
     describe("when a gang's task is refused", () => {
         it("stops the other tasks, which would wait for the refused one", () => {
             const first = addWorker("a");
--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -1,3 +1,4 @@
+import { countFitting, subtractResources, type Resources } from "../job/jobTypes.ts";
 import { closeRun, applyTaskEnd, crashesWorkers, groupProgress } from "../job/progressChange.ts";
 import { sameBoot, type Boot, type TaskEnd } from "../job/progressTypes.ts";
 import { groupKeyOf, parseTaskName, taskName, type TaskGroup } from "../job/taskGroups.ts";
@@ -12,10 +13,12 @@
     updateGroup,
     addFailedWorker,
     addFault,
+    isCancelledOrEnded,
     openPlacements,
     groupRulesOf,
     type JobEntry,
     type ClusterState,
+    type OpenPlacement,
     type WorkerEntry,
 } from "./clusterState.ts";
 
@@ -45,6 +48,7 @@
 ): PlanEvent[] {
     const events: PlanEvent[] = [];
     const previousBoot = worker.description?.boot;
+    const previousCapacity = worker.description?.capacity;
     worker.report = report;
     worker.lastReportAt = now;
     worker.hasReported = true;
@@ -76,6 +80,9 @@
         }
     }
     closeRunsOfOtherBoots(cluster, worker);
+    if (report.worker && !isSameCapacity(previousCapacity, report.worker.capacity)) {
+        closeRunsOverCapacity(cluster, worker, report.worker.capacity);
+    }
     return events;
 }
 
@@ -241,6 +248,38 @@
     }
 }
 
+/** Closes groups whose runs have not started on a worker and do not fit into its capacity beside those that have. */
+function closeRunsOverCapacity(cluster: ClusterState, worker: WorkerEntry, capacity: Resources): void {
+    let free = capacity;
+    const unstarted: OpenPlacement[] = [];
+    for (const open of openPlacements(cluster, worker.name)) {
+        const { entry, group, progress, placement } = open;
+        const hasStarted = entry.runs.get(group.key)?.tasks.has(placement.index);
+        if (progress.phase === "placed" && !hasStarted && !isCancelledOrEnded(entry)) {
+            unstarted.push(open);
+        } else {
+            free = subtractResources(free, group.step.resources);
+        }
+    }
+    for (const { entry, group } of unstarted) {
+        const { resources } = group.step;
+        if (countFitting(free, resources) > 0) {
+            free = subtractResources(free, resources);
+        } else {
+            updateGroup(cluster, entry, group.key, closeRun(groupProgress(entry.progress, group.key)));
+        }
+    }
+}
+
+function isSameCapacity(left: Resources | undefined, right: Resources): boolean {
+    return (
+        left !== undefined &&
+        left.cpuMillis === right.cpuMillis &&
+        left.memoryMb === right.memoryMb &&
+        left.gpus === right.gpus
+    );
+}
+
 /** Ends all runs as lost on workers that have not reported for so long that all leases have expired. */
 export function closeRunsOfLostAgents(
     cluster: ClusterState,
