Fail a job of the own interface that crashes each worker that starts it

The loss of a member within two seconds after the start now counts like a failed part: the next attempt leaves out that agent, and the third one ends the job. Jobs that may not be repeated end as before.

--- a/packages/caller/src/job/jobSettle.ts
+++ b/packages/caller/src/job/jobSettle.ts
@@ -3,6 +3,7 @@
 import { attemptKey, MAX_PARTIAL_RUN_MS, type SettleReply } from "@tanagerdeck/decisions/gang/gangTypes";
 import type { JobEnd } from "@tanagerdeck/decisions/gang/jobTypes";
 import { recordRun } from "@tanagerdeck/decisions/queue/runTimes";
+import { START_PHASE_MS } from "@tanagerdeck/decisions/worker/startPhase";
 import type { Failure, FailureReason, Verdict } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { saveJob } from "./jobRecording.ts";
 import { endCancelled, endJob, enterPhase, requeue } from "./jobState.ts";
@@ -109,12 +110,18 @@
         failJob(state, job, "ran", "deadline-exceeded", "The job ran longer than its kind allows.", context);
         return;
     }
-    if (end.reason === "part-failed" && countPartFailure(state, job, end, context)) {
+    const isFailure = end.reason === "part-failed" || (job.repeatable && isLostAtStart(end));
+    if (isFailure && countPartFailure(state, job, end, context)) {
         return;
     }
     retryOrFail(state, job, end, context);
 }
 
+/** Whether a member was lost right after the start, which the job itself may have caused by crashing its worker. */
+function isLostAtStart({ reason, started, ranMs }: GangEnd): boolean {
+    return reason === "member-lost" && started && ranMs < START_PHASE_MS;
+}
+
 /** Counts the failure of a part and excludes its worker; fails the job and returns true if it may not retry. */
 function countPartFailure(state: JobsState, job: Job, end: GangEnd, context: JobContext): boolean {
     job.failures++;
--- a/packages/caller/src/job/jobTask.spec.ts
+++ b/packages/caller/src/job/jobTask.spec.ts
@@ -177,6 +177,23 @@
         });
     });
 
+    describe("when a job crashes each worker that starts it", () => {
+        // Guards against BUDGET: only failed parts counted, so the job took down one worker after the other.
+        it("fails the job after a few attempts", async () => {
+            await submit(0, JOB);
+            for (let step = 0; step < 6_000; step++) {
+                for (const model of models()) {
+                    if (model.list().some(task => task.state === "computing")) {
+                        model.fail();
+                    }
+                }
+                await fixture.clock.advance(10);
+            }
+            expect(new Set(executedTasks()).size, "attempts").to.be.within(2, 5);
+            expect((await lookUp(0)).end).to.deep.include({ verdict: "ran", reason: "backend-error" });
+        });
+    });
+
     describe("when a job runs much longer than declared", () => {
         it("fails the job at its kind's time limit, also after a checkpoint", async () => {
             await submit(0, { ...JOB, ms: 600_000 });
