--- a/packages/tanagerdeck/src/platform/platformProcess.spec.ts
+++ b/packages/tanagerdeck/src/platform/platformProcess.spec.ts
@@ -32,6 +32,8 @@
     let checker: InvariantChecker;
     let jobs: Set<string>;
     let nextId: number;
+    /** Called for each event on a worker, for tests that react to one. */
+    let observeStart: (event: Parameters<InvariantChecker["observe"]>[0]) => void;
 
     before(async () => {
         programs = mkdtempSync(join(tmpdir(), "tanagerdeck-programs-"));
@@ -43,6 +45,7 @@
     beforeEach(async () => {
         jobs = new Set();
         nextId = 1;
+        observeStart = () => {};
         checker = createInvariantChecker(job => jobs.has(job));
         deployment = await startEmulatedDeployment(
             {
@@ -55,7 +58,10 @@
                 gangTimeoutMs: 3_000,
                 heartbeatIntervalMs: 500,
             },
-            event => checker.observe(event),
+            event => {
+                checker.observe(event);
+                observeStart(event);
+            },
         );
         const probe = jobOf({});
         await pollUntil(async () => (await submitJob(entryAddress(0), probe)).status === 200, 10_000);
@@ -211,6 +217,26 @@
         });
     });
 
+    describe("when a task crashes each worker that starts it", () => {
+        it("give the task up after a few crashes and run the other jobs", async () => {
+            const deadly = jobOf({ durationMs: 30_000 });
+            let starts = 0;
+            observeStart = event => {
+                if (event.kind === "started" && event.task.startsWith(deadly.id)) {
+                    starts += 1;
+                    const agent = deployment.agents.find(({ name }) => name === event.worker);
+                    setImmediate(() => agent?.rebootWorker());
+                }
+            };
+            await submitJob(entryAddress(0), deadly);
+            const state = async () => (await queryJobState(entryAddress(1), deadly)).state;
+            await pollUntil(async () => (await state()) === "failed", 20_000);
+            // Three crashes show the cause; the rule allows two more starts.
+            expect(starts).to.be.within(2, 5);
+            await expectCompletion(jobOf({ tasks: 5 }), 5_000);
+        });
+    });
+
     describe("when the store refuses connections from an entry", () => {
         it("serve its callers through another entry", async () => {
             await deployment.entries[0]!.storeProxy.refuse();
