--- a/packages/decisions/src/plan/clusterState.ts
+++ b/packages/decisions/src/plan/clusterState.ts
@@ -117,12 +117,7 @@
     for (const group of groups) {
         const { placements } = groupProgress(entry.progress, group.key);
         if (placements.length > 0) {
-            entry.runs.set(group.key, {
-                version: 0,
-                openedAt: now,
-                tasks: new Map(),
-                hasStarted: true,
-            });
+            entry.runs.set(group.key, { version: 0, openedAt: now, tasks: new Map(), hasStarted: true });
             indexPlacements(cluster, entry, group, placements);
         }
     }
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -53,7 +53,7 @@
         context.guaranteedGpus,
     );
     const lookUpValue = createValueLookup(cluster, context);
-    const startingSuspects = workersOfStartingSuspects(cluster);
+    const startingSuspects = workersOfStartingSuspects(cluster, context.now);
     const waiting: WaitingGroup[] = [];
     for (const { entry, terms } of openJobs) {
         for (const group of entry.groups) {
--- a/packages/decisions/src/plan/suspectGroups.ts
+++ b/packages/decisions/src/plan/suspectGroups.ts
@@ -4,10 +4,9 @@
 import type { Decision } from "../schedule/scheduleTypes.ts";
 import { openPlacements, type ClusterState, type JobEntry, type OpenRunState } from "./clusterState.ts";
 
-/** Whether a task of a run has worked for so long that its start did not crash the worker. */
-function hasSurvivedStart(run: OpenRunState, index: number): boolean {
-    const progress = run.tasks.get(index);
-    return progress !== undefined && progress.progressedAt - run.openedAt >= START_PHASE_MS;
+/** Whether a task of a run has been running for so long that its start did not crash the worker. */
+function hasSurvivedStart(run: OpenRunState, index: number, now: number): boolean {
+    return run.tasks.has(index) && now - run.openedAt >= START_PHASE_MS;
 }
 
 /** Whether a worker has crashed under a task of the group, which may be the cause or a bystander. */
@@ -16,11 +15,11 @@
 }
 
 /** Workers on which a suspect is starting. */
-export function workersOfStartingSuspects(cluster: ClusterState): Set<string> {
+export function workersOfStartingSuspects(cluster: ClusterState, now: number): Set<string> {
     const workers = new Set<string>();
     for (const { entry, group, placement } of openPlacements(cluster)) {
         const run = entry.runs.get(group.key);
-        if (isSuspect(entry, group) && !(run && hasSurvivedStart(run, placement.index))) {
+        if (isSuspect(entry, group) && !(run && hasSurvivedStart(run, placement.index, now))) {
             workers.add(placement.worker);
         }
     }
@@ -31,8 +30,8 @@
  * Drops placements that would start two suspects on one worker, so that the next crash shows which of them caused it.
  * A dropped group stays waiting.
  */
-export function separateSuspects(cluster: ClusterState, decisions: Decision[]): Decision[] {
-    const taken = workersOfStartingSuspects(cluster);
+export function separateSuspects(cluster: ClusterState, decisions: Decision[], now: number): Decision[] {
+    const taken = workersOfStartingSuspects(cluster, now);
     const kept: Decision[] = [];
     for (const decision of decisions) {
         const entry = cluster.jobs.get(decision.job);
