Keep a seed of the soak whose cause is open, and create its folder of logs

Seed 736 broke the promise true-state once in its first play and in one of six repeats, and on the untouched code in one of three: a job was shown as completed and then, at another entry, as queued or running.

--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -2,7 +2,7 @@
  * Command `npm run soak`: runs the system under random faults, one seed after the other, and prints one JSON line for
  * each seed. The exit status is 1 if a guarantee was broken.
  */
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { cac } from "cac";
@@ -39,6 +39,7 @@
             failed += result.broken.length > 0 ? 1 : 0;
             printResult(result);
             if (result.broken.length > 0 && options.logs !== "") {
+                mkdirSync(options.logs, { recursive: true });
                 writeFileSync(join(options.logs, `soak-${seed}.log`), result.output);
             }
         }
--- a/scripts/soak/soakSeeds.ts
+++ b/scripts/soak/soakSeeds.ts
@@ -7,7 +7,7 @@
 }
 
 /**
- * Seeds that failed before a fix. Timing differs between runs, so a pass is weaker evidence than the unit test of the
+ * Seeds that failed before a fix, or whose cause is open. Timing differs between runs, so a pass is weaker evidence than the unit test of the
  * cause.
  */
 export const FAILED_SEEDS: readonly FailedSeed[] = [
@@ -34,4 +34,9 @@
     { seed: 125, seconds: 20, cause: "Same cause as seed 105." },
     { seed: 139, seconds: 20, cause: "Same cause as seed 105." },
     { seed: 140, seconds: 20, cause: "Same cause as seed 105." },
+    {
+        seed: 736,
+        seconds: 15,
+        cause: "A job was shown as completed and then, at another entry, as running; open, see KNOWN-RED.txt.",
+    },
 ];
