--- a/review/standin/runner.mjs
+++ b/review/standin/runner.mjs
@@ -275,8 +275,8 @@
     };
 }
 
-/** Posts JSON and resolves with the status; 0 if there was no answer. */
-export function post(address, path, body, headers = {}) {
+/** Posts JSON and resolves with the status; 0 if there was no answer in time. */
+export function post(address, path, body, headers = {}, timeoutMs = PING_TIMEOUT_MS) {
     return new Promise(resolve => {
         const [host, port] = address.split(":");
         const text = typeof body === "string" ? body : JSON.stringify(body);
@@ -288,7 +288,7 @@
                 method: "POST",
                 agent: false,
                 headers: { "content-type": "application/json", ...headers },
-                timeout: PING_TIMEOUT_MS,
+                timeout: timeoutMs,
             },
             response => {
                 response.resume();
