Let the worker confirm a boot before a heartbeat replaces the known one

Cause: the agent took each heartbeat with a later start time for the next boot of its worker. The leader then closed the runs of the real boot as those of an earlier one, without a stop.

Evidence: the agent logs the foreign id as a new boot, and the runs are closed with the reason other-boot.

Why this works: the worker names its boot in each answer, and refuses a call for another id. A heartbeat of an unknown boot is now kept as a claim until a hold that names the boot is answered by it, so only the worker itself can replace a boot. A heartbeat that names another service than the agent's settings is ignored. Holds need a leader's term, so claims wait for the first call of a leader.

The scripted worker of the tests announced boots that it was not; it now has an id, and the tests restart it before the heartbeat of the new boot. What they check is unchanged.

--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -1,4 +1,4 @@
-import { sameBoot, type Boot } from "@tanagerdeck/decisions/job/progressTypes";
+import type { Boot } from "@tanagerdeck/decisions/job/progressTypes";
 import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import { lapseAfterMs } from "@tanagerdeck/decisions/lease/leaseTimes";
 import {
@@ -46,7 +46,7 @@
     stopTimer: TimerStop;
 }
 
-/** The worker as described by its newest heartbeat. */
+/** The worker as described by the newest heartbeat of a boot that the worker has confirmed. */
 export interface KnownWorker {
     boot: Boot;
     heartbeat: WorkerHeartbeat;
@@ -63,6 +63,8 @@
     /** The leader's permission to renew the worker's lease for `ms` from `stamp`. */
     grant: { stamp: Stamp; ms: number } | undefined;
     worker: KnownWorker | undefined;
+    /** Latest heartbeats of boots that the worker has not confirmed, by boot, oldest first. */
+    claims: Map<string, WorkerHeartbeat>;
     /** Start time of the boot that `running`, `ended` and the numbers below belong to; 0 before a boot is known. */
     bornMs: number;
     /** A reading of the worker's clock, and the agent's time of that reading. */
@@ -111,6 +113,7 @@
         sequence: 0,
         grant: undefined,
         worker: undefined,
+        claims: new Map(),
         bornMs: 0,
         workerClock: undefined,
         running: new Map(),
@@ -196,26 +199,26 @@
     };
 }
 
-/** Applies a heartbeat unless a newer one or a later boot is known. */
-export function applyHeartbeat(
-    state: AgentState,
-    heartbeat: WorkerHeartbeat,
-    now: number,
-): { boot: Boot; isNewBoot: boolean } | undefined {
-    const known = state.worker;
-    const isOutdated =
-        heartbeat.bornMs === known?.boot.bornMs && heartbeat.sequence <= known.heartbeat.sequence;
-    if (heartbeat.bornMs < state.bornMs || isOutdated) {
-        return undefined;
+/** Applies a heartbeat of the known boot unless a newer one is known or the boot has left. */
+export function applyHeartbeat(worker: KnownWorker, heartbeat: WorkerHeartbeat): void {
+    if (!worker.hasLeft && heartbeat.sequence > worker.heartbeat.sequence) {
+        worker.heartbeat = heartbeat;
     }
-    const boot = { id: heartbeat.id, bornMs: heartbeat.bornMs };
-    const isNewBoot = !known || !sameBoot(known.boot, boot);
+}
+
+/** Makes the boot of a heartbeat the known one, once the worker has confirmed that it is this boot. */
+export function adoptBoot(state: AgentState, heartbeat: WorkerHeartbeat, now: number): void {
+    const boot = bootOf(heartbeat);
     if (state.bornMs !== boot.bornMs) {
         resetForBoot(state, boot.bornMs, now);
     }
     state.worker = { boot, heartbeat, hasLeft: false };
     state.workerClock ??= { clockMs: heartbeat.clockMs, at: now };
-    return { boot, isNewBoot };
+}
+
+/** The boot that a heartbeat speaks for. */
+export function bootOf({ id, bornMs }: WorkerHeartbeat): Boot {
+    return { id, bornMs };
 }
 
 /** Clears the state of the previous boot. Starts that may still be executed are kept as stray starts. */
--- a/packages/backend/src/agent/agentTask.spec.ts
+++ b/packages/backend/src/agent/agentTask.spec.ts
@@ -27,6 +27,7 @@
     function startAgent(): void {
         agent = startAgentTask({
             port: worker,
+            service: () => "desk",
             times,
             incarnation: "first",
             clock,
@@ -61,6 +62,14 @@
         return agent.ask((reply: Reply<void>) => ({ kind: "heartbeat", heartbeat, reply }));
     }
 
+    /** The worker starts again as another boot and says so. */
+    async function restartWorker(boot: { id: string; bornMs: number }): Promise<void> {
+        worker.id = boot.id;
+        worker.bornMs = boot.bornMs;
+        await sendHeartbeat(boot);
+        await clock.settle();
+    }
+
     let calls = 0;
 
     function sync(changes: Partial<SyncRequest> = {}): Promise<SyncReply> {
@@ -207,8 +216,7 @@
 
         it("is closed by a boot with another id, since that boot refuses late starts", async () => {
             await startWithGrant();
-            await sendHeartbeat({ id: "i-2", bornMs: 9_000 });
-            worker.bornMs = 9_000;
+            await restartWorker({ id: "i-2", bornMs: 9_000 });
             await sync({ stops: [stop] });
             await clock.settle();
             expect((await report({ stops: [stop] })).stops[0]?.state.kind).to.equal("closed");
@@ -216,8 +224,7 @@
 
         it("is sent to a new boot with the same id, which would execute a late start of the run", async () => {
             await startWithGrant();
-            await sendHeartbeat({ bornMs: 9_000 });
-            worker.bornMs = 9_000;
+            await restartWorker({ id: "i-1", bornMs: 9_000 });
             await sync({ stops: [stop] });
             await clock.advance(50);
             expect(worker.stops.map(call => call.task)).to.deep.equal(["j.0.0.0"]);
@@ -276,9 +283,8 @@
             worker.behaviour = "refuses-connections";
             await clock.advance(3_000);
             worker.behaviour = "answers";
-            worker.bornMs = 9_000;
             worker.running = [];
-            await sendHeartbeat({ id: "i-2", bornMs: 9_000 });
+            await restartWorker({ id: "i-2", bornMs: 9_000 });
             const { stops } = await report({ stops: [{ task, run: 1, boot }] });
             const state = stops[0]?.state;
             return state?.kind === "closed" ? state.end : undefined;
@@ -327,6 +333,82 @@
         });
     });
 
+    describe("when a message claims to speak for the worker", () => {
+        const task = "j.0.0.0";
+
+        async function expectRunGoesOn(): Promise<void> {
+            const { worker: description, running, stops } = await report({ stops: [{ task, run: 1, boot }] });
+            expect(description?.boot).to.deep.equal(boot);
+            expect(running.map(row => row.task)).to.deep.equal([task]);
+            expect(stops[0]?.state.kind).to.equal("pending");
+        }
+
+        beforeEach(async () => {
+            await startWithGrant();
+            await sync({ starts: [startOrder(task)] });
+            await clock.settle();
+            worker.running = [{ task, run: 1, percent: 10 }];
+            await clock.advance(1_500);
+        });
+
+        // Guards against a heartbeat of another writer that closes the runs of the worker while they go on.
+        it("keeps the boot if the heartbeat of a later one names another id than the worker has", async () => {
+            await sendHeartbeat({ id: "i-printer", bornMs: 9_000, sequence: 1 });
+            await clock.settle();
+            await expectRunGoesOn();
+        });
+
+        it("keeps the boot if the heartbeat names a later start than the worker has", async () => {
+            await sendHeartbeat({ bornMs: 9_000, sequence: 1 });
+            await clock.settle();
+            await expectRunGoesOn();
+        });
+
+        it("ignores a heartbeat that names another service", async () => {
+            await sendHeartbeat({ service: "ledger-printer", isDraining: true });
+            await sendHeartbeat({ id: "i-printer", bornMs: 9_000, service: "ledger-printer" });
+            await clock.settle();
+            await expectRunGoesOn();
+            expect((await report()).worker).to.include({ service: "desk", condition: "ready" });
+        });
+
+        it("goes on taking the worker's heartbeats after many of other writers", async () => {
+            for (let number = 1; number <= 20; number++) {
+                await sendHeartbeat({ id: `i-odd-${number}`, bornMs: 9_000 + number });
+            }
+            await clock.settle();
+            await expectRunGoesOn();
+            await sendHeartbeat({ isDraining: true });
+            expect((await report()).worker?.condition).to.equal("draining");
+        });
+
+        it("accepts the next boot once the worker answers as that boot", async () => {
+            worker.behaviour = "silent";
+            worker.running = [];
+            await restartWorker({ id: "i-2", bornMs: 9_000 });
+            expect((await report()).worker?.boot).to.deep.equal(boot);
+            worker.behaviour = "answers";
+            await clock.advance(1_000);
+            expect((await report()).worker?.boot).to.deep.equal({ id: "i-2", bornMs: 9_000 });
+        });
+
+        describe("after a restart of the agent", () => {
+            // Guards against a late heartbeat of a former boot that is taken for the present one.
+            it("ignores a heartbeat of the boot before the one that runs", async () => {
+                await agent.stop();
+                startAgent();
+                calls = 0;
+                await sendHeartbeat({ id: "i-0", bornMs: 500 });
+                await report();
+                await clock.settle();
+                expect((await report()).worker).to.equal(undefined);
+                await sendHeartbeat();
+                await clock.settle();
+                expect((await report()).worker?.boot).to.deep.equal(boot);
+            });
+        });
+    });
+
     describe("with calls from several leaders", () => {
         it("refuses an older term, whose orders may be revoked", async () => {
             await startWithGrant();
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -1,10 +1,12 @@
-import { sameBoot } from "@tanagerdeck/decisions/job/progressTypes";
+import { sameBoot, type Boot } from "@tanagerdeck/decisions/job/progressTypes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import { runKey, type SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
 import { startTask, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import { mergeStartOrders, mergeStopOrders } from "./agentOrders.ts";
 import { applyRunLists, buildReport } from "./agentReport.ts";
 import {
+    adoptBoot,
+    bootOf,
     resetForBoot,
     findCloseReason,
     workerCondition,
@@ -17,6 +19,7 @@
     type StartAttempt,
 } from "./agentState.ts";
 import type { AgentMessage, AgentOptions } from "./agentTypes.ts";
+import { addClaim, claimKey, presenceOf } from "./bootClaims.ts";
 import { callResult } from "./callResult.ts";
 import { noteStart } from "./workerCrash.ts";
 
@@ -39,7 +42,7 @@
  * within the leader's grant, executes listed orders, and reports running and ended tasks.
  */
 export function startAgentTask(options: AgentOptions): Task<AgentMessage> {
-    const { port, times, incarnation, clock, log, metrics } = options;
+    const { port, service, times, incarnation, clock, log, metrics } = options;
 
     function publishChange(state: AgentState): void {
         state.version += 1;
@@ -167,6 +170,11 @@
         }
     }
 
+    /** Reads the lists of the worker if it is this boot, without renewing its lease or dropping ends. */
+    function readLists(state: AgentState, { id }: Boot): ReturnType<typeof port.hold> {
+        return port.hold({ id, fence: state.term, recorded: 0, waitMs: 0 });
+    }
+
     return startTask<AgentState, AgentMessage>({
         name: "agent",
         clock,
@@ -175,27 +183,58 @@
         handlers: {
             heartbeat(state, { heartbeat, reply }, context) {
                 reply();
-                const before = workerCondition(state);
-                const applied = applyHeartbeat(state, heartbeat, clock.now());
-                if (!applied) {
+                const boot = bootOf(heartbeat);
+                if (heartbeat.service !== (service() ?? heartbeat.service)) {
+                    const fields = { worker: boot.id, bornMs: boot.bornMs, service: heartbeat.service };
+                    log.warn("A heartbeat names another service than the worker's; it is ignored.", fields);
                     return;
                 }
-                const { boot, isNewBoot } = applied;
-                if (isNewBoot) {
-                    log.info("A new boot of the worker was detected.", {
-                        worker: boot.id,
-                        bornMs: boot.bornMs,
-                    });
+                if (state.worker && sameBoot(state.worker.boot, boot)) {
+                    const before = workerCondition(state);
+                    applyHeartbeat(state.worker, heartbeat);
+                    const condition = workerCondition(state);
+                    if (condition !== before) {
+                        log.info("The worker's condition was updated.", { worker: boot.id, condition });
+                        publishChange(state);
+                    }
+                } else if (addClaim(state, heartbeat)) {
+                    context.post({ kind: "confirm", key: claimKey(boot) });
                 }
-                if (isNewBoot) {
-                    stopStrayRuns(state, context);
-                    scheduleHold(state, 0, context);
+            },
+            // A heartbeat may be late or come from another writer, so a boot counts only once the worker answers as it.
+            confirm(state, { key }, context) {
+                const claim = state.claims.get(key);
+                if (claim && state.term > 0) {
+                    context.start(
+                        () => readLists(state, bootOf(claim)),
+                        result => ({ kind: "confirmed", key, result }),
+                    );
                 }
-                const condition = workerCondition(state);
-                if (isNewBoot || condition !== before) {
-                    log.info("The worker's condition was updated.", { worker: boot.id, condition });
-                    publishChange(state);
+            },
+            confirmed(state, { key, result }, context) {
+                const claim = state.claims.get(key);
+                if (!claim) {
+                    return;
+                }
+                const boot = bootOf(claim);
+                const presence = presenceOf(boot, result);
+                if (presence === "unreachable" || presence === "unknown") {
+                    context.after(CALL_RETRY_MS, { kind: "confirm", key });
+                    return;
                 }
+                state.claims.delete(key);
+                const fields = { worker: boot.id, bornMs: boot.bornMs, service: claim.service };
+                if (presence === "absent" || boot.bornMs < state.bornMs) {
+                    log.warn("A heartbeat names a boot that the worker is not; it is ignored.", fields);
+                    return;
+                }
+                adoptBoot(state, claim, clock.now());
+                log.info("A new boot of the worker was detected.", fields);
+                stopStrayRuns(state, context);
+                scheduleHold(state, 0, context);
+                const condition = workerCondition(state);
+                log.info("The worker's condition was updated.", { worker: boot.id, condition });
+                publishChange(state);
             },
             left(state, { id, reply }) {
                 reply();
@@ -235,6 +274,9 @@
                 applyOrders(state, request, context);
                 if (isFirstSync) {
                     scheduleHold(state, 0, context);
+                    for (const key of state.claims.keys()) {
+                        context.post({ kind: "confirm", key });
+                    }
                 }
                 const stopTimer = context.after(request.waitMs, { kind: "poll-ended", reply });
                 state.poll = { seenVersion: request.seenVersion, reply, stopTimer };
--- a/packages/backend/src/agent/agentTypes.ts
+++ b/packages/backend/src/agent/agentTypes.ts
@@ -19,6 +19,8 @@
     /** The reply acknowledges the heartbeat; it is sent for outdated heartbeats too. */
     | { kind: "heartbeat"; heartbeat: WorkerHeartbeat; reply: Reply<void> }
     | { kind: "left"; id: string; reply: Reply<void> }
+    | { kind: "confirm"; key: string }
+    | { kind: "confirmed"; key: string; result: Either<Failure, WorkerRunLists | WorkerRefusal> }
     | { kind: "sync"; request: SyncRequest; reply: Reply<SyncReply> }
     | { kind: "poll-ended"; reply: Reply<SyncReply> }
     | { kind: "hold"; waitMs: number }
@@ -33,6 +35,8 @@
 /** Dependencies of the agent task. */
 export interface AgentOptions {
     port: WorkerPort;
+    /** The worker's service; undefined if it is not known. */
+    service: () => string | undefined;
     times: LeaseTimes;
     /** Identifies this start of the agent process; a grant for another incarnation is ignored. */
     incarnation: string;
--- a/packages/tanagerdeck/src/platform/platformAgent.ts
+++ b/packages/tanagerdeck/src/platform/platformAgent.ts
@@ -50,6 +50,7 @@
     const worker = createWorkerClient(settings.workerAddress);
     const agent = startAgentTask({
         port: worker,
+        service: () => settings.workerService,
         times: leaseTimes(settings.longestHoldMs),
         incarnation,
         clock,
--- a/packages/tanagerdeck/src/platform/platformSettings.ts
+++ b/packages/tanagerdeck/src/platform/platformSettings.ts
@@ -38,6 +38,11 @@
     ...commonSettings,
     registrationAddress: addressSchema,
     workerAddress: addressSchema,
+    /** Service of the worker. Heartbeats that name another one come from another writer. */
+    workerService: z
+        .string()
+        .nullish()
+        .transform(service => service ?? undefined),
 });
 
 export type PlatformEntrySettings = z.infer<typeof platformEntrySchema>;
--- a/standins/src/agent/scriptedWorker.ts
+++ b/standins/src/agent/scriptedWorker.ts
@@ -18,6 +18,8 @@
 /** A worker whose lists and answers are set by a test; it records the calls that it receives. */
 export interface ScriptedWorker extends WorkerPort {
     behaviour: CallBehaviour;
+    /** A call that names another id is refused. */
+    id: string;
     bornMs: number;
     running: RunningTask[];
     ended: EndedTask[];
@@ -51,6 +53,7 @@
     const accepted = (): WorkerAcceptance => ({ kind: "accepted", clockMs: worker.clockMs() });
     const worker: ScriptedWorker = {
         behaviour: "answers",
+        id: "i-1",
         bornMs: 1_000,
         running: [],
         ended: [],
@@ -71,13 +74,16 @@
         },
         async hold(order) {
             worker.holds.push(order);
-            const lists = (): WorkerRunLists => ({
-                kind: "lists",
-                clockMs: worker.clockMs(),
-                bornMs: worker.bornMs,
-                running: worker.running,
-                ended: worker.ended.filter(row => row.number > order.recorded),
-            });
+            const lists = (): WorkerRunLists | WorkerRefusal =>
+                order.id === undefined || order.id === worker.id
+                    ? {
+                          kind: "lists",
+                          clockMs: worker.clockMs(),
+                          bornMs: worker.bornMs,
+                          running: worker.running,
+                          ended: worker.ended.filter(row => row.number > order.recorded),
+                      }
+                    : { kind: "refused", reason: "other-boot" };
             const hasEnds = worker.ended.some(row => row.number > order.recorded);
             if (order.waitMs > 0 && worker.behaviour === "answers" && !hasEnds) {
                 await new Promise<void>(resolve => clock.startTimer(order.waitMs, resolve));
