Ignore the leave message of a former boot of the worker

What callers saw: the leave message of a worker's former boot, held up by the link, arrived after the next boot had started under the same id.

Cause: only the id of the message was compared. hasLeft then counted as proof that the present boot's runs had ended.

Why this works: a message that names another start time than the known boot's is ignored. It gets no tasks meanwhile, and comes back if it still answers after 2 s.

--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -50,6 +50,8 @@
 export interface KnownWorker {
     boot: Boot;
     heartbeat: WorkerHeartbeat;
+    /** Whether a message that the boot leaves is being checked; the worker gets no new tasks meanwhile. */
+    isLeaving: boolean;
     hasLeft: boolean;
 }
 
@@ -161,7 +163,7 @@
     if (state.consecutiveUnansweredHolds >= SILENT_AFTER_HOLDS) {
         return "silent";
     }
-    return worker.heartbeat.isDraining ? "draining" : "ready";
+    return worker.heartbeat.isDraining || worker.isLeaving ? "draining" : "ready";
 }
 
 /** Whether the worker has left or its lease must have expired, so that no run of its boot can be running. */
@@ -212,7 +214,7 @@
     if (state.bornMs !== boot.bornMs) {
         resetForBoot(state, boot.bornMs, now);
     }
-    state.worker = { boot, heartbeat, hasLeft: false };
+    state.worker = { boot, heartbeat, isLeaving: false, hasLeft: false };
     state.workerClock ??= { clockMs: heartbeat.clockMs, at: now };
 }
 
--- a/packages/backend/src/agent/agentTask.spec.ts
+++ b/packages/backend/src/agent/agentTask.spec.ts
@@ -392,6 +392,54 @@
             expect((await report()).worker?.boot).to.deep.equal({ id: "i-2", bornMs: 9_000 });
         });
 
+        describe("and says that it leaves", () => {
+            function sendLeave(changes: { id?: string; bornMs?: number | undefined } = {}): Promise<void> {
+                return agent.ask((reply: Reply<void>) => ({ kind: "left", id: boot.id, ...changes, reply }));
+            }
+
+            async function isClosed(): Promise<boolean> {
+                const { stops } = await report({ stops: [{ task, run: 1, boot }] });
+                return stops[0]?.state.kind === "closed";
+            }
+
+            // Guards against a late message of a former boot that closes the runs of the present one.
+            it("keeps the boot if the message names an earlier start", async () => {
+                await sendLeave({ bornMs: boot.bornMs - 500 });
+                await expectRunGoesOn();
+                expect((await report()).worker?.condition).to.equal("ready");
+            });
+
+            it("closes the runs at once if the message names the boot", async () => {
+                await sendLeave({ bornMs: boot.bornMs });
+                expect(await isClosed()).to.equal(true);
+            });
+
+            describe("without a start time", () => {
+                it("closes the runs as soon as nothing listens at the worker's address", async () => {
+                    await sendLeave();
+                    await clock.advance(200);
+                    expect(await isClosed()).to.equal(false);
+                    worker.behaviour = "refuses-connections";
+                    await clock.advance(100);
+                    expect(await isClosed()).to.equal(true);
+                });
+
+                it("gives the worker no new tasks while it is checked, and goes on if it stays", async () => {
+                    await sendLeave();
+                    expect((await report()).worker?.condition).to.equal("draining");
+                    await clock.advance(2_500);
+                    await expectRunGoesOn();
+                    expect((await report()).worker?.condition).to.equal("ready");
+                });
+            });
+
+            it("does not come back through a late heartbeat of the boot that has left", async () => {
+                await sendLeave({ bornMs: boot.bornMs });
+                await sendHeartbeat();
+                expect((await report()).worker?.condition).to.equal("gone");
+            });
+        });
+
         describe("after a restart of the agent", () => {
             // Guards against a late heartbeat of a former boot that is taken for the present one.
             it("ignores a heartbeat of the boot before the one that runs", async () => {
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -16,6 +16,7 @@
     applyHeartbeat,
     workerNow,
     type AgentState,
+    type KnownWorker,
     type StartAttempt,
 } from "./agentState.ts";
 import type { AgentMessage, AgentOptions } from "./agentTypes.ts";
@@ -34,6 +35,10 @@
 const CALL_RETRY_MS = 150;
 /** Delay before another hold reads the worker's lists again to confirm a stop. */
 const STOP_CHECK_DELAY_MS = 10;
+/** Interval at which a worker that says that it leaves is checked. */
+const LEAVE_CHECK_INTERVAL_MS = 50;
+/** A worker that still answers this long after its message that it leaves did not send it. */
+const LEAVE_TIMEOUT_MS = 2_000;
 
 type Context = TaskContext<AgentMessage>;
 
@@ -175,6 +180,12 @@
         return port.hold({ id, fence: state.term, recorded: 0, waitMs: 0 });
     }
 
+    function recordLeave(state: AgentState, worker: KnownWorker): void {
+        worker.hasLeft = true;
+        log.info("The worker has left.", { worker: worker.boot.id });
+        publishChange(state);
+    }
+
     return startTask<AgentState, AgentMessage>({
         name: "agent",
         clock,
@@ -236,12 +247,51 @@
                 log.info("The worker's condition was updated.", { worker: boot.id, condition });
                 publishChange(state);
             },
-            left(state, { id, reply }) {
+            left(state, { id, bornMs, reply }, context) {
                 reply();
-                if (state.worker?.boot.id === id && !state.worker.hasLeft) {
-                    state.worker.hasLeft = true;
-                    log.info("The worker has left.", { worker: id });
+                const { worker } = state;
+                if (!worker || worker.boot.id !== id || worker.hasLeft) {
+                    return;
+                }
+                if (bornMs !== undefined && bornMs !== worker.boot.bornMs) {
+                    log.warn("A former boot of the worker says that it leaves; it is ignored.", {
+                        worker: id,
+                        bornMs,
+                    });
+                    return;
+                }
+                if (bornMs !== undefined) {
+                    recordLeave(state, worker);
+                } else if (!worker.isLeaving) {
+                    // A later boot may have the same id, and only the worker can tell which of them leaves.
+                    worker.isLeaving = true;
+                    log.info("The worker says that it leaves.", { worker: id });
+                    publishChange(state);
+                    context.post({ kind: "check-leave", boot: worker.boot, since: clock.now() });
+                }
+            },
+            "check-leave"(state, { boot, since }, context) {
+                context.start(
+                    () => readLists(state, boot),
+                    result => ({ kind: "leave-checked", boot, since, result }),
+                );
+            },
+            "leave-checked"(state, { boot, since, result }, context) {
+                const { worker } = state;
+                if (!worker || !sameBoot(worker.boot, boot) || worker.hasLeft) {
+                    return;
+                }
+                const presence = presenceOf(boot, result);
+                if (presence === "unreachable" || presence === "absent") {
+                    recordLeave(state, worker);
+                } else if (presence === "present" && clock.now() - since >= LEAVE_TIMEOUT_MS) {
+                    worker.isLeaving = false;
+                    log.warn("The worker still answers after a message that it leaves; it is ignored.", {
+                        worker: boot.id,
+                    });
                     publishChange(state);
+                } else {
+                    context.after(LEAVE_CHECK_INTERVAL_MS, { kind: "check-leave", boot, since });
                 }
             },
             sync(state, { request, reply }, context) {
--- a/packages/backend/src/agent/agentTypes.ts
+++ b/packages/backend/src/agent/agentTypes.ts
@@ -1,4 +1,5 @@
 import type { Either } from "purify-ts/Either";
+import type { Boot } from "@tanagerdeck/decisions/job/progressTypes";
 import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { SyncReply, SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
@@ -18,9 +19,17 @@
 export type AgentMessage =
     /** The reply acknowledges the heartbeat; it is sent for outdated heartbeats too. */
     | { kind: "heartbeat"; heartbeat: WorkerHeartbeat; reply: Reply<void> }
-    | { kind: "left"; id: string; reply: Reply<void> }
+    /** The worker's message that it leaves; `bornMs` is absent if the message does not name the start time. */
+    | { kind: "left"; id: string; bornMs?: number | undefined; reply: Reply<void> }
     | { kind: "confirm"; key: string }
     | { kind: "confirmed"; key: string; result: Either<Failure, WorkerRunLists | WorkerRefusal> }
+    | { kind: "check-leave"; boot: Boot; since: number }
+    | {
+          kind: "leave-checked";
+          boot: Boot;
+          since: number;
+          result: Either<Failure, WorkerRunLists | WorkerRefusal>;
+      }
     | { kind: "sync"; request: SyncRequest; reply: Reply<SyncReply> }
     | { kind: "poll-ended"; reply: Reply<SyncReply> }
     | { kind: "hold"; waitMs: number }
--- a/packages/tanagerdeck/src/platform/oddHeartbeat.spec.ts
+++ b/packages/tanagerdeck/src/platform/oddHeartbeat.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { request } from "undici";
 import type { WorkerHeartbeat } from "@tanagerdeck/backend/agent/workerPort";
+import type { Leave } from "@tanagerdeck/platform/registration/heartbeatCodec";
 import { startRegistrationListener } from "@tanagerdeck/platform/registration/registrationListener";
 import type { Listener } from "@tanagerdeck/runtime/http/listener";
 import { noopLog } from "@tanagerdeck/runtime/log/log";
@@ -24,22 +25,24 @@
     };
     let listener: Listener;
     let received: WorkerHeartbeat[];
+    let leaves: Leave[];
 
     beforeEach(async () => {
         received = [];
+        leaves = [];
         listener = await startRegistrationListener({
             address: "127.0.0.1:0",
             wallMs: () => WALL_MS,
             onHeartbeat: async one => void received.push(one),
-            async onLeave() {},
+            onLeave: async leave => void leaves.push(leave),
             log: noopLog,
         });
     });
 
     afterEach(() => listener.close());
 
-    async function send(body: string): Promise<number> {
-        const url = `http://${listener.address}/v1/Instances.Heartbeat/i-1`;
+    async function send(body: string, call = "Heartbeat"): Promise<number> {
+        const url = `http://${listener.address}/v1/Instances.${call}/i-1`;
         const response = await request(url, { method: "POST", body });
         await response.body.dump();
         return response.statusCode;
@@ -50,6 +53,19 @@
         expect(received).to.have.length(1);
     });
 
+    it("passes on which boot of the worker leaves", async () => {
+        expect(await send("", "Leave")).to.equal(200);
+        expect(await send(JSON.stringify({ born: WALL_MS }), "Leave")).to.equal(200);
+        expect(leaves).to.deep.equal([{ id: "i-1" }, { id: "i-1", bornMs: WALL_MS }]);
+    });
+
+    it("refuses a leave message that cannot be read", async () => {
+        for (const body of ["\u0000", '{"born":"now"}', "[]", '{"born":-1}']) {
+            expect(await send(body, "Leave")).to.equal(400);
+        }
+        expect(leaves).to.deep.equal([]);
+    });
+
     describe("when another writer sends an odd one", () => {
         const deep = `${"[".repeat(20_000)}${"]".repeat(20_000)}`;
         const text = (changes: object) => JSON.stringify({ ...heartbeat, ...changes });
--- a/packages/tanagerdeck/src/platform/platformAgent.ts
+++ b/packages/tanagerdeck/src/platform/platformAgent.ts
@@ -86,7 +86,7 @@
         wallMs: clock.wall,
         onHeartbeat: heartbeat =>
             agent.ask((reply: Reply<void>) => ({ kind: "heartbeat", heartbeat, reply })),
-        onLeave: id => agent.ask((reply: Reply<void>) => ({ kind: "left", id, reply })),
+        onLeave: leave => agent.ask((reply: Reply<void>) => ({ kind: "left", ...leave, reply })),
         log: log.part("registration"),
     });
     const metricsListener = await startMetricsListener({
