Send a stop that counted as closed if it no longer does

Cause: a stop that counts as closed when it is due makes no call and stays idle. When the worker turns out to run the task after all, the leader lists the same stop again, and the agent starts no call for a key that it knows.

Why this works: such a stop is marked as closed, and each list of orders that still holds it is checked again. If the close no longer holds, the stop is sent.

--- a/packages/backend/src/agent/agentOrders.ts
+++ b/packages/backend/src/agent/agentOrders.ts
@@ -4,7 +4,7 @@
     type StartOrder,
     type StopOrder,
 } from "@tanagerdeck/decisions/worker/workerReport";
-import type { AgentState } from "./agentState.ts";
+import type { AgentState, StopAttempt } from "./agentState.ts";
 
 /** Adds newly listed starts, drops starts that the leader no longer lists, and returns the keys of the added ones. */
 export function mergeStartOrders(state: AgentState, orders: StartOrder[], now: number): string[] {
@@ -20,18 +20,30 @@
     return added;
 }
 
-/** Adds newly listed stops, drops stops that the leader no longer lists, and returns the keys of the added ones. */
-export function mergeStopOrders(state: AgentState, orders: StopOrder[]): string[] {
+/**
+ * Adds newly listed stops, drops stops that the leader no longer lists, and returns the keys of those to send: the added
+ * ones, and those that counted as closed without a call and no longer do.
+ */
+export function mergeStopOrders(
+    state: AgentState,
+    orders: StopOrder[],
+    isClosed: (attempt: StopAttempt) => boolean,
+): string[] {
     dropUnlisted(state.stops, orders);
-    const added: string[] = [];
+    const toSend: string[] = [];
     for (const order of orders) {
         const key = runKey(order);
-        if (!state.stops.has(key)) {
+        const known = state.stops.get(key);
+        if (known?.state === "closed" && !isClosed(known)) {
+            known.state = "idle";
+            toSend.push(key);
+        }
+        if (!known) {
             state.stops.set(key, { order, state: "idle", answeredClockMs: 0, isCloseLogged: false });
-            added.push(key);
+            toSend.push(key);
         }
     }
-    return added;
+    return toSend;
 }
 
 /** Drops attempts without a listed order. An attempt with a call in flight is kept until the call is answered. */
--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -32,7 +32,7 @@
 /** A stop that the leader lists, and the progress of the call to the worker. */
 export interface StopAttempt {
     order: StopOrder;
-    state: "idle" | "calling" | "answered" | "other-boot";
+    state: "idle" | "calling" | "answered" | "other-boot" | "closed";
     /** The worker's clock when it answered the stop. */
     answeredClockMs: number;
     /** Whether the close of the run was logged; each report repeats the close, the log has it once. */
--- a/packages/backend/src/agent/agentTask.spec.ts
+++ b/packages/backend/src/agent/agentTask.spec.ts
@@ -232,6 +232,25 @@
         });
     });
 
+    describe("with a stop that counted as closed", () => {
+        // Guards against a run that goes on for good because its stop was given up while the worker was silent.
+        it("sends the stop when the worker answers again and still lists the run", async () => {
+            const stop = { task: "j.0.0.0", run: 1, boot };
+            await startWithGrant();
+            worker.behaviour = "silent";
+            await clock.advance(12_000);
+            expect((await report({ stops: [stop] })).stops[0]?.state.kind).to.equal("closed");
+            await clock.settle();
+            expect(worker.stops).to.deep.equal([]);
+            worker.running = [{ task: "j.0.0.0", run: 1, percent: 10 }];
+            worker.behaviour = "answers";
+            await clock.advance(2_000);
+            await sync({ stops: [stop] });
+            await clock.settle();
+            expect(worker.stops.map(call => call.task)).to.deep.equal(["j.0.0.0"]);
+        });
+    });
+
     describe("when the worker ends a run", () => {
         it("reports the end at once and lets the worker drop it only when it is recorded", async () => {
             await startWithGrant();
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -18,6 +18,7 @@
     type AgentState,
     type KnownWorker,
     type StartAttempt,
+    type StopAttempt,
 } from "./agentState.ts";
 import type { AgentMessage, AgentOptions } from "./agentTypes.ts";
 import { addClaim, claimKey, presenceOf } from "./bootClaims.ts";
@@ -68,7 +69,9 @@
         for (const key of mergeStartOrders(state, starts, clock.now())) {
             context.post({ kind: "call-start", key });
         }
-        for (const key of mergeStopOrders(state, stops)) {
+        const isClosed = (attempt: StopAttempt) =>
+            findCloseReason(state, attempt, clock, times) !== undefined;
+        for (const key of mergeStopOrders(state, stops, isClosed)) {
             context.post({ kind: "call-stop", key });
         }
     }
@@ -446,6 +449,7 @@
                     return;
                 }
                 if (findCloseReason(state, attempt, clock, times)) {
+                    attempt.state = "closed";
                     publishChange(state);
                     return;
                 }
