Keep the cost of a scheduling round linear in the size of a job, and bound what it starts

The entries stood still for seconds in turn.

Cause: a round cost the square of a job's tasks (about 5 s for 4,000, in one turn of the event loop), longer than the leader's lease. Each next leader did the same.

Change: progress is changed in place; an index of each job counts its groups by phase and lists the waiting ones; final states, placed groups and stalls read open runs only; ends and closed stops of a report are applied by group; placements are indexed by worker; a worker keeps at most 64 faults. At most 256 groups of a step may be starting at once, so a round's decisions, records and orders no longer grow with the job.

applyTaskEnd and the older deriveFinalState had no other callers; their specs call the functions that replace them, with the same assertions.

--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -1,6 +1,6 @@
 import { sameBoot, type Boot } from "@tanagerdeck/decisions/job/progressTypes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import { runKey, type SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
+import type { RunId, SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
 import { startTask, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import { mergeStartOrders, mergeStopOrders } from "./agentOrders.ts";
 import { applyRunLists, buildReport } from "./agentReport.ts";
@@ -158,6 +158,10 @@
         );
     }
 
+    function hasEnded({ ended }: AgentState, { task, run }: RunId): boolean {
+        return ended.some(row => row.task === task && row.run === run);
+    }
+
     function handleRefusal(state: AgentState, attempt: StartAttempt, reason: StartAttempt["reason"]): void {
         attempt.state = "refused";
         attempt.reason = reason;
@@ -401,7 +405,7 @@
                 if (attempt?.state !== "idle") {
                     return;
                 }
-                if (state.running.has(key) || state.ended.some(row => runKey(row) === key)) {
+                if (state.running.has(key) || hasEnded(state, attempt.order)) {
                     attempt.state = "started";
                     publishChange(state);
                     return;
@@ -434,7 +438,7 @@
                         }
                         attempt.state = "started";
                         const { task, run, saved } = attempt.order;
-                        if (!state.ended.some(row => runKey(row) === key)) {
+                        if (!hasEnded(state, attempt.order)) {
                             noteStart(state, key, clock.now());
                             const sinceClockMs = reply.clockMs;
                             state.running.set(key, { task, run, saved, percent: 0, sinceClockMs });
--- a/packages/decisions/src/job/jobState.spec.ts
+++ b/packages/decisions/src/job/jobState.spec.ts
@@ -1,7 +1,9 @@
 import { expect } from "chai";
 import { jobOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
+import { createGroupIndex } from "../plan/groupIndex.ts";
 import { deriveFinalState, visibleState } from "./jobState.ts";
 import { emptyGroupProgress, type GroupPhase, type Progress } from "./progressTypes.ts";
+import { taskGroupsOf } from "./taskGroups.ts";
 
 describe("the state of a job", () => {
     const job = jobOf("j1", [stepOf({ count: 2 })]);
@@ -14,22 +16,22 @@
         return { begun: true, groups };
     }
 
+    function finalStateOf(progress: Progress): Progress["final"] {
+        return deriveFinalState(createGroupIndex(taskGroupsOf(job, 0), progress), false);
+    }
+
     it("is queued until a task was reported as started", () =>
         expect(visibleState({ job, progress: { begun: false, groups: {} }, cancelled: false })).to.equal(
             "queued",
         ));
 
     it("is not completed while a task has not ended, which would lose that task", () => {
-        expect(deriveFinalState({ job, progress: progressOf("done"), cancelled: false })).to.equal(undefined);
-        expect(deriveFinalState({ job, progress: progressOf("done", "done"), cancelled: false })).to.equal(
-            "completed",
-        );
+        expect(finalStateOf(progressOf("done"))).to.equal(undefined);
+        expect(finalStateOf(progressOf("done", "done"))).to.equal("completed");
     });
 
     it("has failed once a group has", () =>
-        expect(
-            deriveFinalState({ job, progress: progressOf("failed", "placed"), cancelled: false }),
-        ).to.equal("failed"));
+        expect(finalStateOf(progressOf("failed", "placed"))).to.equal("failed"));
 
     it("is shown as cancelled at once, and as completed if it had completed before", () => {
         expect(visibleState({ job, progress: progressOf("placed"), cancelled: true })).to.equal("cancelled");
--- a/packages/decisions/src/job/jobState.ts
+++ b/packages/decisions/src/job/jobState.ts
@@ -1,7 +1,5 @@
 import type { Job, JobState } from "./jobTypes.ts";
 import type { Progress } from "./progressTypes.ts";
-import { groupProgress } from "./progressChange.ts";
-import { occurrenceCount, taskGroupsOf } from "./taskGroups.ts";
 
 /** A job as the store holds it: the accepted job, its progress and whether it was cancelled. */
 export interface JobRecord {
@@ -23,23 +21,25 @@
     return progress.begun ? "running" : "queued";
 }
 
+/** Numbers of a job's task groups that decide whether the job is over. */
+export interface GroupCounts {
+    /** Groups that are not done. */
+    unfinished: number;
+    failed: number;
+}
+
 /** Derives the final state from the phases of the task groups; undefined while the job is not over. */
-export function deriveFinalState(record: JobRecord): Progress["final"] {
-    const { job, progress, cancelled } = record;
-    let allDone = true;
-    for (let occurrence = 0; occurrence < occurrenceCount(job); occurrence++) {
-        for (const group of taskGroupsOf(job, occurrence)) {
-            const { phase } = groupProgress(progress, group.key);
-            if (phase === "failed") {
-                return cancelled ? "cancelled" : "failed";
-            }
-            allDone &&= phase === "done";
-        }
+export function deriveFinalState(
+    { unfinished, failed }: GroupCounts,
+    isCancelled: boolean,
+): Progress["final"] {
+    if (failed > 0) {
+        return isCancelled ? "cancelled" : "failed";
     }
-    if (allDone) {
+    if (unfinished === 0) {
         return "completed";
     }
-    return cancelled ? "cancelled" : undefined;
+    return isCancelled ? "cancelled" : undefined;
 }
 
 /** Whether the job is waiting in its queue: accepted, but neither started nor ended. */
--- a/packages/decisions/src/job/progressChange.spec.ts
+++ b/packages/decisions/src/job/progressChange.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { bootOf } from "@tanagerdeck/standins/plan/planFixture";
-import { closeRun, applyTaskEnd, openRun, type RestartPolicy } from "./progressChange.ts";
+import { applyTaskEnds, closeRun, openRun, type RestartPolicy } from "./progressChange.ts";
 import { emptyGroupProgress, type GroupProgress, type TaskEnd } from "./progressTypes.ts";
 
 describe("the progress of a group", () => {
@@ -14,7 +14,7 @@
     }
 
     function endTask(group: GroupProgress, index: number, end: TaskEnd, run = group.run): GroupProgress {
-        return applyTaskEnd(group, { index, run, end }, policy);
+        return applyTaskEnds(group, [{ index, run, end }], policy).group;
     }
 
     describe("when a task of a gang is done", () => {
@@ -70,7 +70,11 @@
     describe("when its run is closed", () => {
         it("keeps the checkpoint of a stopped task for the next run", () => {
             const closing = closeRun(placed([0]));
-            const after = applyTaskEnd(closing, { index: 0, run: 1, end: "stopped", saved: "c1" }, policy);
+            const after = applyTaskEnds(
+                closing,
+                [{ index: 0, run: 1, end: "stopped", saved: "c1" }],
+                policy,
+            ).group;
             expect(after).to.include({ phase: "waiting", saved: "c1" });
         });
 
@@ -83,11 +87,10 @@
     describe("of a long-running step", () => {
         it("waits again however a task ends", () => {
             for (const end of ["done", "failed", "lapsed"] as TaskEnd[]) {
-                const after = applyTaskEnd(
-                    placed([0]),
-                    { index: 0, run: 1, end },
-                    { ...policy, longRunning: true },
-                );
+                const { group: after } = applyTaskEnds(placed([0]), [{ index: 0, run: 1, end }], {
+                    ...policy,
+                    longRunning: true,
+                });
                 expect(after.phase).to.equal("waiting");
             }
         });
--- a/packages/decisions/src/job/progressChange.ts
+++ b/packages/decisions/src/job/progressChange.ts
@@ -37,18 +37,37 @@
     return group.phase === "placed" ? { ...group, phase: "closing" } : group;
 }
 
-/** Applies the end of a task. Ignores ends of other runs and of tasks without a placement. */
-export function applyTaskEnd(
+/**
+ * Applies the ends of tasks in their order; those of other runs and of tasks without a placement are ignored. The cost
+ * grows with the number of ends and that of placements, not with their product. `applied` holds the ends that count.
+ */
+export function applyTaskEnds<E extends TaskEndEvent>(
+    group: GroupProgress,
+    events: E[],
+    policy: RestartPolicy,
+): { group: GroupProgress; applied: E[] } {
+    const open = new Map(group.placements.map(placement => [placement.index, placement]));
+    const applied: E[] = [];
+    let next = group;
+    for (const event of events) {
+        if (event.run === group.run && open.delete(event.index)) {
+            next = applyEnd(next, event, policy, open.size);
+            applied.push(event);
+        }
+    }
+    return applied.length === 0
+        ? { group, applied }
+        : { group: { ...next, placements: [...open.values()] }, applied };
+}
+
+/** Applies the end of a task of the open run; `remaining` tasks of the run have not ended. */
+function applyEnd(
     group: GroupProgress,
     event: TaskEndEvent,
     policy: RestartPolicy,
+    remaining: number,
 ): GroupProgress {
-    const hasPlacement = group.placements.some(placement => placement.index === event.index);
-    if (event.run !== group.run || !hasPlacement) {
-        return group;
-    }
-    const placements = group.placements.filter(placement => placement.index !== event.index);
-    const next: GroupProgress = { ...group, placements };
+    const next: GroupProgress = { ...group };
     if (event.saved) {
         next.saved = event.saved;
     }
@@ -65,7 +84,7 @@
     if (event.end === "crashed-at-start" || event.end === "crashed") {
         next.crashes = { ...next.crashes, [event.index]: countCrash(next.crashes?.[event.index], event.end) };
     }
-    return finishClosing({ ...next, phase: "closing" }, policy);
+    return finishClosing({ ...next, phase: "closing" }, policy, remaining);
 }
 
 function countCrash(known: TaskCrashes = { total: 0, atStart: 0 }, end: TaskEnd): TaskCrashes {
@@ -84,13 +103,30 @@
 }
 
 /**
- * Moves a closing group without placements to `waiting`, or to `failed` if no attempt is left or the group crashes the
- * workers that run it.
+ * Moves a closing group without remaining tasks to `waiting`, or to `failed` if no attempt is left or the group crashes
+ * the workers that run it.
  */
-function finishClosing(group: GroupProgress, rules: RestartPolicy): GroupProgress {
-    if (group.phase !== "closing" || group.placements.length > 0) {
+function finishClosing(group: GroupProgress, rules: RestartPolicy, remaining: number): GroupProgress {
+    if (remaining > 0) {
         return group;
     }
     const isExhausted = !rules.longRunning && group.failures >= rules.attempts;
     return { ...group, phase: isExhausted || crashesWorkers(group, rules) ? "failed" : "waiting" };
 }
+
+const LINEAR_SEARCH_LIMIT = 8;
+/** Placements by index of the large groups; a change of the placements creates another array. */
+const placementIndexes = new WeakMap<TaskPlacement[], Map<number, TaskPlacement>>();
+
+/** The open placement of a task; undefined if it has none. */
+export function placementOf({ placements }: GroupProgress, index: number): TaskPlacement | undefined {
+    if (placements.length <= LINEAR_SEARCH_LIMIT) {
+        return placements.find(placement => placement.index === index);
+    }
+    let byIndex = placementIndexes.get(placements);
+    if (!byIndex) {
+        byIndex = new Map(placements.map(placement => [placement.index, placement]));
+        placementIndexes.set(placements, byIndex);
+    }
+    return byIndex.get(index);
+}
--- a/packages/decisions/src/plan/clusterState.ts
+++ b/packages/decisions/src/plan/clusterState.ts
@@ -7,6 +7,7 @@
     type Progress,
 } from "../job/progressTypes.ts";
 import { occurrenceCount, taskGroupsOf, type TaskGroup } from "../job/taskGroups.ts";
+import { createGroupIndex, movePhase, type GroupIndex } from "./groupIndex.ts";
 import { expectedCoreSeconds } from "../schedule/jobValue.ts";
 import type { RunId, SyncReport, WorkerDescription } from "../worker/workerReport.ts";
 import { withFault, type WorkerFault } from "./workerQuarantine.ts";
@@ -35,6 +36,7 @@
     job: Job;
     groups: TaskGroup[];
     groupsByKey: Map<string, TaskGroup>;
+    index: GroupIndex;
     /** Expected work in core-seconds. */
     workCoreSeconds: number;
     progress: Progress;
@@ -69,12 +71,19 @@
     faults: WorkerFault[];
 }
 
+/** The open placements of a group on one worker. */
+export interface PlacedTasks {
+    entry: JobEntry;
+    group: TaskGroup;
+    placements: TaskPlacement[];
+}
+
 /** The leader's in-memory view of all jobs and workers; the input of planning. */
 export interface ClusterState {
     jobs: Map<string, JobEntry>;
     workers: Map<string, WorkerEntry>;
     /** Groups with open placements, by worker and by job and group, so that a report costs what its worker runs. */
-    placements: Map<string, Map<string, { entry: JobEntry; group: TaskGroup }>>;
+    placements: Map<string, Map<string, PlacedTasks>>;
     /** Ids of jobs whose cancellation was read before their definition. */
     cancelledBeforeAdded: Set<string>;
 }
@@ -95,12 +104,14 @@
     for (let occurrence = 0; occurrence < occurrenceCount(job); occurrence++) {
         groups.push(...taskGroupsOf(job, occurrence));
     }
+    const progress = recorded?.progress ?? emptyProgress();
     const entry: JobEntry = {
         job,
         groups,
         groupsByKey: new Map(groups.map(group => [group.key, group])),
+        index: createGroupIndex(groups, progress),
         workCoreSeconds: expectedCoreSeconds(job.steps),
-        progress: recorded?.progress ?? emptyProgress(),
+        progress,
         isCancelled: cluster.cancelledBeforeAdded.has(job.id),
         isUnreadable: false,
         progressRevision: recorded?.revision ?? 0,
@@ -111,8 +122,8 @@
         failedOn: new Map(),
     };
     const replaced = cluster.jobs.get(job.id);
-    for (const group of replaced?.groups ?? []) {
-        indexPlacements(cluster, replaced!, group, []);
+    for (const key of replaced?.runs.keys() ?? []) {
+        indexPlacements(cluster, replaced!, replaced!.groupsByKey.get(key)!, []);
     }
     for (const group of groups) {
         const { placements } = groupProgress(entry.progress, group.key);
@@ -160,7 +171,11 @@
     if (group && previous.placements !== next.placements) {
         indexPlacements(cluster, entry, group, next.placements);
     }
-    entry.progress = { ...entry.progress, groups: { ...entry.progress.groups, [key]: next } };
+    if (group) {
+        movePhase(entry.index, group, previous.phase, next.phase);
+    }
+    // Changed in place: a copy of all groups for each change would cost the square of the job's size.
+    entry.progress.groups[key] = next;
     entry.version += 1;
     if (next.placements.length === 0) {
         entry.runs.delete(key);
@@ -179,9 +194,15 @@
     for (const { worker } of groupProgress(entry.progress, group.key).placements) {
         cluster.placements.get(worker)?.delete(key);
     }
-    for (const { worker } of next) {
-        const groups = cluster.placements.get(worker) ?? new Map();
-        cluster.placements.set(worker, groups.set(key, { entry, group }));
+    for (const placement of next) {
+        const groups = cluster.placements.get(placement.worker) ?? new Map<string, PlacedTasks>();
+        const placed = groups.get(key);
+        if (placed) {
+            placed.placements.push(placement);
+        } else {
+            groups.set(key, { entry, group, placements: [placement] });
+            cluster.placements.set(placement.worker, groups);
+        }
     }
 }
 
@@ -228,12 +249,10 @@
 export function* openPlacements(cluster: ClusterState, worker?: string): Generator<OpenPlacement> {
     const names = worker === undefined ? cluster.placements.keys() : [worker];
     for (const name of names) {
-        for (const { entry, group } of cluster.placements.get(name)?.values() ?? []) {
+        for (const { entry, group, placements } of cluster.placements.get(name)?.values() ?? []) {
             const progress = groupProgress(entry.progress, group.key);
-            for (const placement of progress.placements) {
-                if (placement.worker === name) {
-                    yield { entry, group, progress, placement };
-                }
+            for (const placement of placements) {
+                yield { entry, group, progress, placement };
             }
         }
     }
--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -1,5 +1,12 @@
 import { countFitting, subtractResources, type Resources } from "../job/jobTypes.ts";
-import { closeRun, applyTaskEnd, crashesWorkers, groupProgress } from "../job/progressChange.ts";
+import {
+    applyTaskEnds,
+    closeRun,
+    crashesWorkers,
+    groupProgress,
+    placementOf,
+    type TaskEndEvent,
+} from "../job/progressChange.ts";
 import { sameBoot, type Boot, type TaskEnd } from "../job/progressTypes.ts";
 import { groupKeyOf, parseTaskName, taskName, type TaskGroup } from "../job/taskGroups.ts";
 import {
@@ -66,19 +73,19 @@
     for (const row of report.running) {
         applyRunningTask({ cluster, worker, boot, known, now, events }, row);
     }
-    for (const row of report.ended) {
-        applyEndedTask({ cluster, worker, boot, known, now, events }, row);
-    }
+    applyEndedTasks({ cluster, worker, boot, known, now, events }, report.ended);
     for (const { run, state } of report.starts) {
         if (state.kind === "refused") {
             applyRefusedStart(cluster, worker, run, state.reason, now, events);
         }
     }
+    const lost: LostTask[] = [];
     for (const { run, state } of report.stops) {
         if (state.kind === "closed") {
-            endLostTask(cluster, worker, run, state.end ?? "lost", events);
+            lost.push({ ...run, end: state.end ?? "lost" });
         }
     }
+    endLostTasks(cluster, worker, lost, events);
     closeRunsOfOtherBoots(cluster, worker);
     if (report.worker && !isSameCapacity(previousCapacity, report.worker.capacity)) {
         closeRunsOverCapacity(cluster, worker, report.worker.capacity);
@@ -101,7 +108,7 @@
     const { cluster, worker, boot, known, now, events } = context;
     const found = findTask(cluster, row);
     const progress = found && groupProgress(found.entry.progress, found.group.key);
-    const placement = progress?.placements.find(open => open.index === found?.index);
+    const placement = found && progress && placementOf(progress, found.index);
     const isExpected =
         found &&
         progress?.run === row.run &&
@@ -139,27 +146,50 @@
     }
 }
 
-function applyEndedTask({ cluster, worker, boot, now, events }: ReportContext, row: EndedTask): void {
-    if (worker.reportedEnds.has(row.number)) {
-        return;
-    }
-    const found = findTask(cluster, row);
-    if (!found) {
+function applyEndedTasks({ cluster, worker, boot, now, events }: ReportContext, rows: EndedTask[]): void {
+    const unknownEnds = rows.filter(({ number }) => !worker.reportedEnds.has(number));
+    for (const row of unknownEnds) {
         worker.reportedEnds.set(row.number, { job: undefined, version: 0 });
-        return;
     }
-    const { entry } = found;
-    const progress = groupProgress(entry.progress, found.group.key);
-    const placement = progress.placements.find(open => open.index === found.index);
-    const isExpected = placement?.worker === worker.name && (!boot || sameBoot(placement.boot, boot));
-    if (isExpected && applyEnd(cluster, found, { ...row, end: row.end })) {
-        events.push({ ...eventOf("ended", worker, row, entry.job.id), detail: row.end });
-        updateFaults(worker, found, row.end, now);
-        if (!entry.progress.begun) {
-            entry.progress = { ...entry.progress, begun: true };
+    for (const { entry, group, rows: ends } of groupRows(cluster, unknownEnds)) {
+        const progress = groupProgress(entry.progress, group.key);
+        const expected = ends.filter(({ index }) => {
+            const placement = placementOf(progress, index);
+            return placement?.worker === worker.name && (!boot || sameBoot(placement.boot, boot));
+        });
+        for (const row of applyEnds(cluster, entry, group, expected)) {
+            events.push({ ...eventOf("ended", worker, row, entry.job.id), detail: row.end });
+            updateFaults(worker, { entry, group, index: row.index }, row.end, now);
+            if (!entry.progress.begun) {
+                entry.progress = { ...entry.progress, begun: true };
+            }
+        }
+        for (const { number } of ends) {
+            worker.reportedEnds.set(number, { job: entry.job.id, version: entry.version });
+        }
+    }
+}
+
+/** Rows of a report that belong to one group, each with the position of its task. */
+interface GroupRows<R> {
+    entry: JobEntry;
+    group: TaskGroup;
+    rows: (R & { index: number })[];
+}
+
+/** Collects rows by group, so that a group with many tasks is changed once; rows of unknown tasks are left out. */
+function groupRows<R extends RunId>(cluster: ClusterState, rows: R[]): GroupRows<R>[] {
+    const byGroup = new Map<TaskGroup, GroupRows<R>>();
+    for (const row of rows) {
+        const found = findTask(cluster, row);
+        if (found) {
+            const { entry, group, index } = found;
+            const collected = byGroup.get(group) ?? { entry, group, rows: [] };
+            collected.rows.push({ ...row, index });
+            byGroup.set(group, collected);
         }
     }
-    worker.reportedEnds.set(row.number, { job: entry.job.id, version: entry.version });
+    return [...byGroup.values()];
 }
 
 /** Adds a fault for a failed run and clears the worker's faults after a successful one. */
@@ -194,44 +224,43 @@
     events.push({ ...eventOf("refused", worker, run, found.entry.job.id), detail: reason });
 }
 
-/** Ends a run that can no longer be running, as lost or by a crash, if the worker has not reported its end. */
-function endLostTask(
+/** A run that can no longer be running, and whether a crash has ended it. */
+interface LostTask extends RunId {
+    end: CrashEnd | "lost";
+}
+
+/** Ends runs that can no longer be running, unless the worker lists their ends itself. */
+function endLostTasks(
     cluster: ClusterState,
     worker: WorkerEntry,
-    run: RunId,
-    end: CrashEnd | "lost",
+    lost: LostTask[],
     events: PlanEvent[],
 ): void {
-    const found = findTask(cluster, run);
-    if (!found) {
-        return;
-    }
-    const progress = groupProgress(found.entry.progress, found.group.key);
-    const isListed = worker.report?.ended.some(row => runKey(row) === runKey(run));
-    if (isListed || !progress.placements.some(open => isPlacedAt(open, worker, found.index))) {
-        return;
-    }
-    const { entry, group, index } = found;
-    const saved = entry.runs.get(group.key)?.tasks.get(index)?.saved;
-    if (!applyEnd(cluster, found, { index, run: run.run, end, saved })) {
-        return;
-    }
-    events.push({ ...eventOf("closed", worker, run, entry.job.id), detail: end });
-    if (end === "lost") {
-        return;
-    }
-    addFailedWorker(entry, group.key, worker.name);
-    const next = groupProgress(entry.progress, group.key);
-    if (next.phase === "failed" && crashesWorkers(next, groupRulesOf(entry, group))) {
-        const detail = `crashes=${next.crashes?.[index]?.total ?? 0}`;
-        events.push({ ...eventOf("given-up", worker, run, entry.job.id), detail });
+    const listed = new Set(worker.report?.ended.map(runKey));
+    for (const { entry, group, rows } of groupRows(cluster, lost)) {
+        const progress = groupProgress(entry.progress, group.key);
+        const tasks = entry.runs.get(group.key)?.tasks;
+        const expected: (LostTask & TaskEndEvent)[] = [];
+        for (const row of rows) {
+            if (!listed.has(runKey(row)) && placementOf(progress, row.index)?.worker === worker.name) {
+                expected.push({ ...row, saved: tasks?.get(row.index)?.saved });
+            }
+        }
+        for (const row of applyEnds(cluster, entry, group, expected)) {
+            events.push({ ...eventOf("closed", worker, row, entry.job.id), detail: row.end });
+            if (row.end === "lost") {
+                continue;
+            }
+            addFailedWorker(entry, group.key, worker.name);
+            const next = groupProgress(entry.progress, group.key);
+            if (next.phase === "failed" && crashesWorkers(next, groupRulesOf(entry, group))) {
+                const detail = `crashes=${next.crashes?.[row.index]?.total ?? 0}`;
+                events.push({ ...eventOf("given-up", worker, row, entry.job.id), detail });
+            }
+        }
     }
 }
 
-function isPlacedAt(open: { index: number; worker: string }, worker: WorkerEntry, index: number): boolean {
-    return open.index === index && open.worker === worker.name;
-}
-
 /**
  * Closes groups with runs that are gone: those of an earlier boot, and all runs of a worker whose lease has lapsed. The
  * agent keeps delayed starts from running and tells how the runs ended.
@@ -287,13 +316,15 @@
     now: number,
 ): PlanEvent[] {
     const events: PlanEvent[] = [];
-    for (const { entry, group, placement, progress } of [...openPlacements(cluster)]) {
-        const worker = cluster.workers.get(placement.worker);
-        if (!worker || now - worker.lastReportAt <= closedAfterMs) {
+    for (const worker of cluster.workers.values()) {
+        if (now - worker.lastReportAt <= closedAfterMs) {
             continue;
         }
-        const run = runIdOf(entry, group, placement.index, progress.run);
-        endLostTask(cluster, { ...worker, report: undefined }, run, "lost", events);
+        const lost: LostTask[] = [];
+        for (const { entry, group, placement, progress } of openPlacements(cluster, worker.name)) {
+            lost.push({ ...runIdOf(entry, group, placement.index, progress.run), end: "lost" });
+        }
+        endLostTasks(cluster, { ...worker, report: undefined }, lost, events);
     }
     return events;
 }
@@ -304,14 +335,17 @@
     return { task: taskName({ job: entry.job.id, occurrence, stepIndex, index }), run };
 }
 
-function applyEnd(
+/** Applies ends of a group's tasks and returns those that changed something. */
+function applyEnds<E extends TaskEndEvent>(
     cluster: ClusterState,
-    { entry, group, index }: FoundTask,
-    { run, end, saved }: { index?: number; run: number; end: TaskEnd; saved?: string | undefined },
-): boolean {
+    entry: JobEntry,
+    group: TaskGroup,
+    ends: E[],
+): E[] {
     const before = groupProgress(entry.progress, group.key);
-    const next = applyTaskEnd(before, { index, run, end, saved }, groupRulesOf(entry, group));
-    return updateGroup(cluster, entry, group.key, next);
+    const { group: next, applied } = applyTaskEnds(before, ends, groupRulesOf(entry, group));
+    updateGroup(cluster, entry, group.key, next);
+    return applied;
 }
 
 function findTask(cluster: ClusterState, { task }: RunId): FoundTask | undefined {
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -23,6 +23,7 @@
     type WorkerEntry,
 } from "./clusterState.ts";
 
+import { isStepDone, stepIndexKey } from "./groupIndex.ts";
 import { isSuspect, workersOfStartingSuspects } from "./suspectGroups.ts";
 import { isQuarantineAllowed, isQuarantined, countRecentFaults } from "./workerQuarantine.ts";
 
@@ -55,24 +56,28 @@
     const lookUpValue = createValueLookup(cluster, context);
     const startingSuspects = workersOfStartingSuspects(cluster, context.now);
     const waiting: WaitingGroup[] = [];
+    const withheld = new Map<string, number>();
     for (const { entry, terms } of openJobs) {
-        for (const group of entry.groups) {
-            if (isReady(entry, group, context.wallMs)) {
-                waiting.push({
-                    job: entry.job,
-                    group,
-                    isGuaranteed: guaranteed.has(entry.job.id),
-                    priority: terms.priority,
-                    value: lookUpValue(entry, group),
-                    failedOn: workersToAvoid(entry, group, startingSuspects),
-                });
-            }
+        const ready = readyGroups(entry, context.wallMs);
+        if (ready.withheld > 0) {
+            withheld.set(entry.job.id, ready.withheld);
+        }
+        for (const group of ready.groups) {
+            waiting.push({
+                job: entry.job,
+                group,
+                isGuaranteed: guaranteed.has(entry.job.id),
+                priority: terms.priority,
+                value: lookUpValue(entry, group),
+                failedOn: workersToAvoid(entry, group, startingSuspects),
+            });
         }
     }
     return {
         nowMs: context.wallMs,
         workers: workerViews(cluster, context),
         waiting,
+        withheld,
         placed: placedGroups(cluster, guaranteed, lookUpValue, context),
         farFactor: context.farFactor,
     };
@@ -134,25 +139,55 @@
     };
 }
 
-/** Whether a group may start now: it is waiting, its occurrence is due and the steps it depends on are done. */
-function isReady(entry: JobEntry, group: TaskGroup, wallMs: number): boolean {
-    if (groupProgress(entry.progress, group.key).phase !== "waiting") {
-        return false;
-    }
-    if (dueAtMs(entry.job, group.occurrence) > wallMs) {
-        return false;
-    }
-    if (group.step.after.length === 0) {
-        return true;
+/**
+ * Groups of one step that may be starting at once. It bounds what one round decides, records and orders for a job,
+ * whatever the job's size, so that the round stays shorter than the leader's lease.
+ */
+export const MAX_STARTING_GROUPS = 256;
+
+/** Groups of a job that may start now, and the number of those that wait until others of their step have started. */
+function readyGroups(entry: JobEntry, wallMs: number): { groups: TaskGroup[]; withheld: number } {
+    const groups: TaskGroup[] = [];
+    let withheld = 0;
+    for (const [key, waiting] of entry.index.waiting) {
+        const [first] = waiting;
+        if (!first || !isReady(entry, first, wallMs)) {
+            continue;
+        }
+        const isLarge = !first.step.gang && first.step.count > MAX_STARTING_GROUPS;
+        const limit = isLarge ? MAX_STARTING_GROUPS - countStarting(entry, key) : waiting.size;
+        const chosen: TaskGroup[] = [];
+        for (const group of waiting) {
+            if (chosen.length >= limit) {
+                break;
+            }
+            chosen.push(group);
+        }
+        withheld += waiting.size - chosen.length;
+        chosen.sort((left, right) => left.indexes[0]! - right.indexes[0]!);
+        groups.push(...chosen);
     }
-    for (const other of entry.groups) {
-        const isDependency =
-            other.occurrence === group.occurrence && group.step.after.includes(other.stepIndex);
-        if (isDependency && groupProgress(entry.progress, other.key).phase !== "done") {
-            return false;
+    return { groups, withheld };
+}
+
+/** Number of a step's open runs whose tasks have not all started. */
+function countStarting(entry: JobEntry, step: string): number {
+    let starting = 0;
+    for (const [key, run] of entry.runs) {
+        const group = entry.groupsByKey.get(key);
+        if (group && !run.hasStarted && stepIndexKey(group.occurrence, group.stepIndex) === step) {
+            starting += 1;
         }
     }
-    return true;
+    return starting;
+}
+
+/** Whether a waiting group may start now: its occurrence is due and the steps that it depends on are done. */
+function isReady({ job, index }: JobEntry, { occurrence, step }: TaskGroup, wallMs: number): boolean {
+    if (dueAtMs(job, occurrence) > wallMs) {
+        return false;
+    }
+    return step.after.every(stepIndex => isStepDone(index, occurrence, stepIndex));
 }
 
 /** Describes the workers. `open` is the capacity that current runs use, `closing` that of runs being stopped. */
@@ -234,12 +269,9 @@
 ): PlacedGroup[] {
     const placed: PlacedGroup[] = [];
     for (const entry of cluster.jobs.values()) {
-        for (const group of entry.groups) {
-            const run = entry.runs.get(group.key);
-            if (!run) {
-                continue;
-            }
-            const progress = groupProgress(entry.progress, group.key);
+        for (const [key, run] of entry.runs) {
+            const group = entry.groupsByKey.get(key)!;
+            const progress = groupProgress(entry.progress, key);
             const lostMs = group.step.checkpointing ? 0 : context.now - run.openedAt;
             const cores = coreEquivalents(group.step.resources) * progress.placements.length;
             placed.push({
--- a/packages/decisions/src/plan/stallDetection.ts
+++ b/packages/decisions/src/plan/stallDetection.ts
@@ -5,7 +5,7 @@
 import {
     updateGroup,
     addFault,
-    type JobEntry,
+    openPlacements,
     type ClusterState,
     type OpenRunState,
 } from "./clusterState.ts";
@@ -34,11 +34,12 @@
 /** Closes runs that have stalled for so long that a restart on another worker is likely to finish sooner. */
 export function closeStalled(cluster: ClusterState, now: number): StalledRun[] {
     const stalled: StalledRun[] = [];
+    let progressing: Map<string, Set<OpenRunState>> | undefined;
     for (const entry of cluster.jobs.values()) {
-        for (const group of entry.groups) {
-            const run = entry.runs.get(group.key);
-            const progress = groupProgress(entry.progress, group.key);
-            if (!run || progress.phase !== "placed" || group.step.longRunning) {
+        for (const [key, run] of entry.runs) {
+            const group = entry.groupsByKey.get(key)!;
+            const progress = groupProgress(entry.progress, key);
+            if (progress.phase !== "placed" || group.step.longRunning) {
                 continue;
             }
             const reportedAt = oldestReportAt(cluster, progress.placements);
@@ -46,7 +47,8 @@
             if (stalledMs <= stallLimitMs(group, run, reportedAt)) {
                 continue;
             }
-            const workers = workersWithoutProgress(cluster, entry, group, now);
+            progressing ??= progressingRuns(cluster, now);
+            const workers = workersWithoutProgress(progress.placements, run, progressing);
             for (const name of workers) {
                 const worker = cluster.workers.get(name);
                 if (worker) {
@@ -125,26 +127,32 @@
     return Math.max(MIN_STALL_MS, perPercentMs) + workedMs * RESTART_LOSS_WEIGHT;
 }
 
-/** The group's workers on which no other run progresses either. */
+/** Runs that have progressed lately, by worker. */
+function progressingRuns(cluster: ClusterState, now: number): Map<string, Set<OpenRunState>> {
+    const runsByWorker = new Map<string, Set<OpenRunState>>();
+    for (const { entry, group, placement } of openPlacements(cluster)) {
+        const run = entry.runs.get(group.key);
+        const progressedAt = run?.tasks.get(placement.index)?.progressedAt ?? 0;
+        if (run && now - progressedAt < MIN_STALL_MS) {
+            const runs = runsByWorker.get(placement.worker) ?? new Set();
+            runsByWorker.set(placement.worker, runs.add(run));
+        }
+    }
+    return runsByWorker;
+}
+
+/** The workers of a stalled run on which no other run progresses either. */
 function workersWithoutProgress(
-    cluster: ClusterState,
-    stalled: JobEntry,
-    group: TaskGroup,
-    now: number,
+    placements: TaskPlacement[],
+    stalled: OpenRunState,
+    progressing: Map<string, Set<OpenRunState>>,
 ): string[] {
     const names = new Set<string>();
-    for (const { worker } of groupProgress(stalled.progress, group.key).placements) {
-        names.add(worker);
-    }
-    for (const entry of cluster.jobs.values()) {
-        for (const [key, run] of entry.runs) {
-            for (const { index, worker } of groupProgress(entry.progress, key).placements) {
-                const progressedAt = run.tasks.get(index)?.progressedAt ?? 0;
-                const isOther = entry !== stalled || key !== group.key;
-                if (isOther && now - progressedAt < MIN_STALL_MS) {
-                    names.delete(worker);
-                }
-            }
+    for (const { worker } of placements) {
+        const runs = progressing.get(worker);
+        const others = (runs?.size ?? 0) - (runs?.has(stalled) ? 1 : 0);
+        if (others === 0) {
+            names.add(worker);
         }
     }
     return [...names];
--- a/packages/decisions/src/plan/workerQuarantine.ts
+++ b/packages/decisions/src/plan/workerQuarantine.ts
@@ -20,9 +20,13 @@
 /** If a larger fraction of the workers fails, the tasks are more likely at fault than the workers. */
 const MAX_QUARANTINED_FRACTION = 1 / 3;
 
+/** Faults that are kept of a worker; more of them change nothing, and a job of many tasks may cause thousands. */
+const MAX_FAULTS = 64;
+
 /** Adds a fault and drops the faults that are older than the window. */
 export function withFault(faults: WorkerFault[], fault: WorkerFault): WorkerFault[] {
-    return [...faults.filter(({ at }) => fault.at - at < FAULT_WINDOW_MS), fault];
+    const recent = faults.filter(({ at }) => fault.at - at < FAULT_WINDOW_MS);
+    return [...recent.slice(1 - MAX_FAULTS), fault];
 }
 
 /** Number of recent faults; placement prefers workers with fewer. */
--- a/packages/decisions/src/schedule/schedulingRound.ts
+++ b/packages/decisions/src/schedule/schedulingRound.ts
@@ -36,6 +36,8 @@
     nowMs: number;
     workers: WorkerView[];
     waiting: WaitingGroup[];
+    /** Number of further groups that are ready but not in `waiting`, by job, as too many of their step are starting. */
+    withheld?: ReadonlyMap<string, number> | undefined;
     placed: PlacedGroup[];
     /** How many times slower tasks run far from their data or from each other. */
     farFactor: number;
@@ -73,7 +75,7 @@
         decisions: [],
         besidePlanned: new Map(),
         plannedGroups: 0,
-        waitingOfJob: new Map(),
+        waitingOfJob: new Map(input.withheld),
         blockedSteps: new Set(),
     };
     for (const { job } of input.waiting) {
--- a/packages/peer/src/planner/clusterStateLoading.ts
+++ b/packages/peer/src/planner/clusterStateLoading.ts
@@ -71,7 +71,7 @@
     if (!isCancelledOrEnded(entry)) {
         return;
     }
-    for (const { key } of entry.groups) {
+    for (const key of entry.runs.keys()) {
         updateGroup(cluster, entry, key, closeRun(groupProgress(entry.progress, key)));
     }
 }
--- a/packages/peer/src/planner/progressRecording.ts
+++ b/packages/peer/src/planner/progressRecording.ts
@@ -25,12 +25,11 @@
         if (entry.progress.final !== undefined || entry.version === entry.recordedVersion) {
             continue;
         }
-        const { job, progress, isCancelled } = entry;
-        const final = deriveFinalState({ job, progress, cancelled: isCancelled });
+        const final = deriveFinalState(entry.index, entry.isCancelled);
         if (final === undefined || (final === "cancelled" && entry.runs.size > 0)) {
             continue;
         }
-        entry.progress = { ...progress, final, endedAtMs: wallMs };
+        entry.progress = { ...entry.progress, final, endedAtMs: wallMs };
         entry.version += 1;
         endedJobs.push(entry);
     }
--- a/standins/src/plan/plain/plainSchedulingRound.ts
+++ b/standins/src/plan/plain/plainSchedulingRound.ts
@@ -54,7 +54,7 @@
         besidePlanned: new Map(),
         plannedGroups: 0,
         victims: new Set(),
-        waitingOfJob: new Map(),
+        waitingOfJob: new Map(input.withheld),
         blockedSteps: new Set(),
     };
     for (const { job } of input.waiting) {
