Store the progress of a large job in parts

What callers saw: by reading and by test, a job whose groups need more than 1 MiB (about 6,000 running tasks) could not be recorded, so it was neither started nor ended; and each change wrote all of the job's progress, which every entry received and decoded before it could answer.

Cause: one stored value held all groups of a job.

Change: more than 256 groups are stored in parts of 256 under tanagerdeck-progress/, which only the leader reads; the head holds the state of the job. A write takes the head first and at most eight parts, within the store's 32 entries; a task is started once every change up to its placement is recorded. Placements of gangs of more than 64 tasks are stored as ranges. Progress that is stored in one value keeps that form, and earlier releases leave a job stored in parts alone.

--- a/packages/caller/src/jobApi/jobIndex.ts
+++ b/packages/caller/src/jobApi/jobIndex.ts
@@ -1,6 +1,6 @@
 import type { Job } from "@tanagerdeck/decisions/job/jobTypes";
 import { visibleState, type JobRecord } from "@tanagerdeck/decisions/job/jobState";
-import { emptyProgress, type Progress } from "@tanagerdeck/decisions/job/progressTypes";
+import { emptyProgress, type ProgressSummary } from "@tanagerdeck/decisions/job/progressTypes";
 import type { Change } from "@tanagerdeck/store/keyvalue/keyValueTypes";
 import { decodeContent } from "@tanagerdeck/store/replica/storedValueCodec";
 import { parseStoreKey } from "@tanagerdeck/store/replica/storeKeys";
@@ -8,7 +8,7 @@
 /** Stored parts of a job that have arrived so far; they may arrive in any order. */
 interface JobParts {
     job?: Job | undefined;
-    progress?: Progress | undefined;
+    progress?: ProgressSummary | undefined;
     cancelled: boolean;
 }
 
--- a/packages/decisions/src/job/jobState.spec.ts
+++ b/packages/decisions/src/job/jobState.spec.ts
@@ -2,7 +2,7 @@
 import { jobOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
 import { createGroupIndex } from "../plan/groupIndex.ts";
 import { deriveFinalState, visibleState } from "./jobState.ts";
-import { emptyGroupProgress, type GroupPhase, type Progress } from "./progressTypes.ts";
+import { emptyGroupProgress, emptyProgress, type GroupPhase, type Progress } from "./progressTypes.ts";
 import { taskGroupsOf } from "./taskGroups.ts";
 
 describe("the state of a job", () => {
@@ -21,9 +21,7 @@
     }
 
     it("is queued until a task was reported as started", () =>
-        expect(visibleState({ job, progress: { begun: false, groups: {} }, cancelled: false })).to.equal(
-            "queued",
-        ));
+        expect(visibleState({ job, progress: emptyProgress(), cancelled: false })).to.equal("queued"));
 
     it("is not completed while a task has not ended, which would lose that task", () => {
         expect(finalStateOf(progressOf("done"))).to.equal(undefined);
--- a/packages/decisions/src/job/jobState.ts
+++ b/packages/decisions/src/job/jobState.ts
@@ -1,10 +1,10 @@
 import type { Job, JobState } from "./jobTypes.ts";
-import type { Progress } from "./progressTypes.ts";
+import type { Progress, ProgressSummary } from "./progressTypes.ts";
 
 /** A job as the store holds it: the accepted job, its progress and whether it was cancelled. */
 export interface JobRecord {
     job: Job;
-    progress: Progress;
+    progress: ProgressSummary;
     /** Whether the submitter has cancelled the job. */
     cancelled: boolean;
 }
--- a/packages/decisions/src/job/progressTypes.ts
+++ b/packages/decisions/src/job/progressTypes.ts
@@ -48,14 +48,18 @@
     saved?: string | undefined;
 }
 
-/** Recorded progress of a job; groups that were never placed are absent. */
-export interface Progress {
+/** State of a job as a whole. */
+export interface ProgressSummary {
     /** Whether any task has been reported as started. */
     begun: boolean;
     /** The final state; undefined until the job is over. */
     final?: Extract<JobState, "completed" | "failed" | "cancelled"> | undefined;
     /** Wall-clock time at which the final state was reached, in milliseconds since 1970. */
     endedAtMs?: number | undefined;
+}
+
+/** Recorded progress of a job; groups that were never placed are absent. */
+export interface Progress extends ProgressSummary {
     groups: Record<string, GroupProgress>;
 }
 
--- a/packages/decisions/src/job/taskGroups.ts
+++ b/packages/decisions/src/job/taskGroups.ts
@@ -10,6 +10,8 @@
     step: Step;
     /** Positions of the group's tasks in the step. */
     indexes: number[];
+    /** Position among the groups of all occurrences of the job. */
+    position: number;
 }
 
 /** Identifies one task. */
@@ -33,20 +35,32 @@
 /** The groups of one occurrence, in the order of the steps. */
 export function taskGroupsOf(job: Job, occurrence: number): TaskGroup[] {
     const groups: TaskGroup[] = [];
+    let position = occurrence * groupsPerOccurrence(job);
     for (const [stepIndex, step] of job.steps.entries()) {
         const indexes = Array.from({ length: step.count }, (_, index) => index);
         if (step.gang) {
-            groups.push({ key: `${occurrence}.${stepIndex}`, occurrence, stepIndex, step, indexes });
+            const key = `${occurrence}.${stepIndex}`;
+            groups.push({ key, occurrence, stepIndex, step, indexes, position });
+            position += 1;
             continue;
         }
         for (const index of indexes) {
             const key = `${occurrence}.${stepIndex}.${index}`;
-            groups.push({ key, occurrence, stepIndex, step, indexes: [index] });
+            groups.push({ key, occurrence, stepIndex, step, indexes: [index], position });
+            position += 1;
         }
     }
     return groups;
 }
 
+function groupsPerOccurrence({ steps }: Job): number {
+    let groups = 0;
+    for (const { gang, count } of steps) {
+        groups += gang ? 1 : count;
+    }
+    return groups;
+}
+
 /** The key of the group that a task belongs to; undefined if the job has no such task. */
 export function groupKeyOf(job: Job, id: TaskId): string | undefined {
     const step = job.steps[id.stepIndex];
--- a/packages/decisions/src/plan/clusterState.spec.ts
+++ b/packages/decisions/src/plan/clusterState.spec.ts
@@ -1,5 +1,12 @@
 import { expect } from "chai";
-import { bootOf, descriptionOf, jobOf, reportOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
+import {
+    bootOf,
+    descriptionOf,
+    jobOf,
+    recordedOf,
+    reportOf,
+    stepOf,
+} from "@tanagerdeck/standins/plan/planFixture";
 import { groupProgress } from "../job/progressChange.ts";
 import type { Step } from "../job/jobTypes.ts";
 import type { RunningTask, WorkerDescription } from "../worker/workerReport.ts";
@@ -222,7 +229,7 @@
             const placements = [{ index: 0, worker: "a", boot: bootOf("i-a") }];
             const group = { phase: "placed" as const, run: 1, placements, failures: 0, failedRun: 0 };
             const progress = { begun: false, groups: { "0.0.0": group } };
-            const adopted = addJob(cluster, jobOf("k", [stepOf()]), { progress, revision: 1 }, now);
+            const adopted = addJob(cluster, jobOf("k", [stepOf()]), recordedOf(progress), now);
             reportCapacity(0);
             expect(phaseOf(adopted)).to.equal("closing");
         });
--- a/packages/decisions/src/plan/clusterState.ts
+++ b/packages/decisions/src/plan/clusterState.ts
@@ -10,6 +10,7 @@
 import { createGroupIndex, movePhase, type GroupIndex } from "./groupIndex.ts";
 import { expectedCoreSeconds } from "../schedule/jobValue.ts";
 import type { RunId, SyncReport, WorkerDescription } from "../worker/workerReport.ts";
+import { layoutFor, slotOf, type ProgressRecording, type ProgressSlot } from "./progressSlots.ts";
 import { withFault, type WorkerFault } from "./workerQuarantine.ts";
 
 /** Progress that a worker last reported for one task of an open run; it is not stored. */
@@ -43,10 +44,10 @@
     isCancelled: boolean;
     /** Whether the stored progress cannot be decoded. What runs is then unknown, so nothing is placed or recorded. */
     isUnreadable: boolean;
-    /** Store revision of the recorded progress; 0 if there is none. */
-    progressRevision: number;
+    recording: ProgressRecording;
     /** Incremented on each change of the progress. */
     version: number;
+    /** Version up to which all changes are recorded. */
     recordedVersion: number;
     isWriting: boolean;
     /** Open runs by group. */
@@ -93,11 +94,16 @@
     return { jobs: new Map(), workers: new Map(), placements: new Map(), cancelledBeforeAdded: new Set() };
 }
 
+/** Progress of a job as it is stored. */
+export interface RecordedProgress extends Pick<ProgressRecording, "layout" | "revisions"> {
+    progress: Progress;
+}
+
 /** Adds an accepted job with its recorded progress. */
 export function addJob(
     cluster: ClusterState,
     job: Job,
-    recorded: { progress: Progress; revision: number } | undefined,
+    recorded: RecordedProgress | undefined,
     now: number,
 ): JobEntry {
     const groups: TaskGroup[] = [];
@@ -114,7 +120,11 @@
         progress,
         isCancelled: cluster.cancelledBeforeAdded.has(job.id),
         isUnreadable: false,
-        progressRevision: recorded?.revision ?? 0,
+        recording: {
+            layout: recorded?.layout ?? layoutFor(groups.length),
+            revisions: recorded?.revisions ?? new Map(),
+            unrecorded: new Map(),
+        },
         version: 0,
         recordedVersion: 0,
         isWriting: false,
@@ -176,13 +186,20 @@
     }
     // Changed in place: a copy of all groups for each change would cost the square of the job's size.
     entry.progress.groups[key] = next;
-    entry.version += 1;
+    markChanged(entry, group ? slotOf(entry.recording.layout, group) : "head");
     if (next.placements.length === 0) {
         entry.runs.delete(key);
     }
     return true;
 }
 
+/** Counts a change of a stored value of the job's progress, which is then to be recorded. */
+export function markChanged(entry: JobEntry, slot: ProgressSlot): void {
+    entry.version += 1;
+    const { unrecorded } = entry.recording;
+    unrecorded.set(slot, unrecorded.get(slot) ?? entry.version);
+}
+
 /** Replaces a group's placements in the index by worker. */
 function indexPlacements(
     cluster: ClusterState,
--- a/packages/decisions/src/plan/crashingTask.spec.ts
+++ b/packages/decisions/src/plan/crashingTask.spec.ts
@@ -1,5 +1,12 @@
 import { expect } from "chai";
-import { bootOf, descriptionOf, jobOf, reportOf, stepOf } from "@tanagerdeck/standins/plan/planFixture";
+import {
+    bootOf,
+    descriptionOf,
+    jobOf,
+    reportOf,
+    stepOf,
+    recordedOf,
+} from "@tanagerdeck/standins/plan/planFixture";
 import type { Step } from "../job/jobTypes.ts";
 import { groupProgress } from "../job/progressChange.ts";
 import type { GroupProgress, Progress } from "../job/progressTypes.ts";
@@ -28,7 +35,7 @@
 
     function startTerm(recorded: Progress | undefined, changes: Partial<Step> = {}): void {
         cluster = createClusterState();
-        addJob(cluster, jobOf("j", [stepOf(changes)]), recorded && { progress: recorded, revision: 1 }, now);
+        addJob(cluster, jobOf("j", [stepOf(changes)]), recorded && recordedOf(recorded), now);
     }
 
     function group(): GroupProgress {
--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -17,6 +17,7 @@
     type SyncReport,
 } from "../worker/workerReport.ts";
 import {
+    markChanged,
     updateGroup,
     addFailedWorker,
     addFault,
@@ -141,8 +142,7 @@
         }
     }
     if (!found.entry.progress.begun) {
-        found.entry.progress = { ...found.entry.progress, begun: true };
-        found.entry.version += 1;
+        markBegun(found.entry);
     }
 }
 
@@ -161,7 +161,7 @@
             events.push({ ...eventOf("ended", worker, row, entry.job.id), detail: row.end });
             updateFaults(worker, { entry, group, index: row.index }, row.end, now);
             if (!entry.progress.begun) {
-                entry.progress = { ...entry.progress, begun: true };
+                markBegun(entry);
             }
         }
         for (const { number } of ends) {
@@ -170,6 +170,11 @@
     }
 }
 
+function markBegun(entry: JobEntry): void {
+    entry.progress = { ...entry.progress, begun: true };
+    markChanged(entry, "head");
+}
+
 /** Rows of a report that belong to one group, each with the position of its task. */
 interface GroupRows<R> {
     entry: JobEntry;
--- a/packages/peer/src/planner/clusterStateLoading.ts
+++ b/packages/peer/src/planner/clusterStateLoading.ts
@@ -8,9 +8,11 @@
     getOrAddWorker,
     type JobEntry,
     type ClusterState,
+    type RecordedProgress,
 } from "@tanagerdeck/decisions/plan/clusterState";
+import type { ProgressSlot } from "@tanagerdeck/decisions/plan/progressSlots";
 import type { Item } from "@tanagerdeck/store/keyvalue/keyValueTypes";
-import { decodeContent } from "@tanagerdeck/store/replica/storedValueCodec";
+import { decodeContent, type StoredProgress } from "@tanagerdeck/store/replica/storedValueCodec";
 import { parseStoreKey } from "@tanagerdeck/store/replica/storeKeys";
 
 /**
@@ -25,10 +27,22 @@
 ): string[] {
     const unreadableKeys: string[] = [];
     const unreadableJobs = new Set<string>();
-    const progress = new Map<string, { progress: Progress; revision: number }>();
+    const heads = new Map<string, { content: StoredProgress; revision: number }>();
+    const parts = new Map<string, StoredPart[]>();
     const jobs: Job[] = [];
     for (const item of items) {
         const key = parseStoreKey(item.key);
+        if (key?.kind === "progress-part") {
+            const content = decodeContent("progress-part", item.value);
+            if (content) {
+                const known = parts.get(key.id) ?? [];
+                known.push({ number: key.number, groups: content.groups, revision: item.revision });
+                parts.set(key.id, known);
+            } else {
+                unreadableKeys.push(item.key);
+                unreadableJobs.add(key.id);
+            }
+        }
         if (key?.kind !== "job") {
             continue;
         }
@@ -46,7 +60,7 @@
         if (key.part === "progress") {
             const content = decodeContent("progress", item.value);
             if (content) {
-                progress.set(key.id, { progress: content, revision: item.revision });
+                heads.set(key.id, { content, revision: item.revision });
             } else {
                 unreadableKeys.push(item.key);
                 unreadableJobs.add(key.id);
@@ -54,7 +68,9 @@
         }
     }
     for (const job of jobs) {
-        const entry = addJob(cluster, job, progress.get(job.id), now);
+        const head = heads.get(job.id);
+        const recorded = head && joinProgress(head, parts.get(job.id) ?? []);
+        const entry = addJob(cluster, job, recorded, now);
         entry.isUnreadable = unreadableJobs.has(job.id);
         closeRunsOfEndedJob(cluster, entry);
         for (const group of Object.values(entry.progress.groups)) {
@@ -66,6 +82,30 @@
     return unreadableKeys;
 }
 
+/** A stored part of a large job's progress. */
+interface StoredPart {
+    number: number;
+    groups: Progress["groups"];
+    revision: number;
+}
+
+/** Joins the stored values of a job's progress. */
+function joinProgress(
+    { content, revision }: { content: StoredProgress; revision: number },
+    parts: StoredPart[],
+): RecordedProgress {
+    const revisions = new Map<ProgressSlot, number>([["head", revision]]);
+    if (content.groups) {
+        return { progress: { ...content, groups: content.groups }, layout: "whole", revisions };
+    }
+    const groups: Progress["groups"] = {};
+    for (const part of parts) {
+        Object.assign(groups, part.groups);
+        revisions.set(part.number, part.revision);
+    }
+    return { progress: { ...content, groups }, layout: "parts", revisions };
+}
+
 /** Closes all open runs of a job that is cancelled or has ended. */
 export function closeRunsOfEndedJob(cluster: ClusterState, entry: JobEntry): void {
     if (!isCancelledOrEnded(entry)) {
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -6,6 +6,7 @@
     addJob,
     createClusterState,
     getOrAddWorker,
+    markChanged,
     type JobEntry,
     type ClusterState,
 } from "@tanagerdeck/decisions/plan/clusterState";
@@ -26,6 +27,7 @@
 } from "@tanagerdeck/store/replica/storedValueCodec";
 import { jobKey, LEADER_KEY, parseStoreKey } from "@tanagerdeck/store/replica/storeKeys";
 import { closeRunsOfEndedJob, loadClusterState } from "./clusterStateLoading.ts";
+import { removeStoredJob } from "./jobRemoval.ts";
 import type { PlannerMessage, PlannerOptions } from "./plannerTypes.ts";
 import { createPlanningLog } from "./planningLog.ts";
 import { applyCommittedWrite, setFinalStates, createWrites, type RecordWrite } from "./progressRecording.ts";
@@ -155,7 +157,7 @@
         }
         if (!jobEntry.isCancelled) {
             jobEntry.isCancelled = true;
-            jobEntry.version += 1;
+            markChanged(jobEntry, "head");
             closeRunsOfEndedJob(state.cluster, jobEntry);
             log.info("A job is cancelled.", { term, job: id, openRuns: jobEntry.runs.size });
         }
@@ -263,10 +265,8 @@
                 continue;
             }
             state.cluster.jobs.delete(id);
-            const removes = [jobKey(id, "definition"), jobKey(id, "progress"), jobKey(id, "cancel")];
-            const expected = [{ key: LEADER_KEY, revision: term }];
             context.start(
-                () => commit({ expected, puts: [], removes }),
+                () => removeStoredJob(jobEntry, term, commit),
                 // The outcome is not checked: the planner of a later term loads and removes a job that is left.
                 () => ({ kind: "plan" }),
             );
@@ -380,7 +380,7 @@
                     Left(problem) {
                         log.warn("Progress cannot be recorded.", {
                             term,
-                            jobs: write.versions.size,
+                            jobs: write.jobs.size,
                             detail: problem.detail,
                         });
                         // Retries the identical transaction, as the earlier attempt may have been executed.
--- a/packages/store/src/replica/storeKeys.ts
+++ b/packages/store/src/replica/storeKeys.ts
@@ -1,12 +1,19 @@
 /** Prefix of all keys that tanagerdeck owns. */
 export const ROOT_PREFIX = "tanagerdeck/";
 
+/**
+ * Prefix of the progress of large jobs, in parts. Only the leader reads them, so they lie outside of `ROOT_PREFIX`, which
+ * every entry watches.
+ */
+export const PROGRESS_PARTS_PREFIX = "tanagerdeck-progress/";
+
 /** Parts of a stored job; each part has its own key. */
 export type JobPart = "definition" | "cancel" | "progress";
 
-/** A parsed key below `ROOT_PREFIX`. */
+/** A parsed key below `ROOT_PREFIX` or `PROGRESS_PARTS_PREFIX`. */
 export type StoreKey =
     | { kind: "job"; id: string; part: JobPart }
+    | { kind: "progress-part"; id: string; number: number }
     | { kind: "entry"; name: string }
     | { kind: "agent"; name: string }
     | { kind: "leader" };
@@ -24,6 +31,11 @@
     return `${ROOT_PREFIX}job/${id}/`;
 }
 
+/** Key of one part of a large job's progress. */
+export function progressPartKey(id: string, number: number): string {
+    return `${PROGRESS_PARTS_PREFIX}${id}/${number}`;
+}
+
 /** Key of an entry's registration. */
 export function entryKey(name: string): string {
     return `${ROOT_PREFIX}entry/${name}`;
@@ -34,11 +46,17 @@
     return `${ROOT_PREFIX}agent/${name}`;
 }
 
+const PROGRESS_PART_KEY = new RegExp(`^${PROGRESS_PARTS_PREFIX}([^/]+)/(\\d{1,9})$`);
+
 /** Parses a key; returns undefined if it has none of these forms. */
 export function parseStoreKey(key: string): StoreKey | undefined {
     if (key === LEADER_KEY) {
         return { kind: "leader" };
     }
+    const [, id, number] = PROGRESS_PART_KEY.exec(key) ?? [];
+    if (id !== undefined) {
+        return { kind: "progress-part", id, number: Number(number) };
+    }
     if (!key.startsWith(ROOT_PREFIX)) {
         return undefined;
     }
--- a/packages/store/src/replica/storedContentSchema.ts
+++ b/packages/store/src/replica/storedContentSchema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import type { TaskPlacement } from "@tanagerdeck/decisions/job/progressTypes";
 import { countTasks, MAX_TASKS } from "@tanagerdeck/decisions/job/jobSize";
 import { isAddress } from "@tanagerdeck/runtime/http/listener";
 
@@ -25,10 +26,48 @@
     boot: z.object({ id: z.string(), bornMs: z.number() }),
 });
 
+/** Placements of consecutive tasks on one worker. */
+const placementRange = z.object({
+    from: z.int().nonnegative(),
+    to: z.int().nonnegative(),
+    worker: z.string(),
+    boot: z.object({ id: z.string(), bornMs: z.number() }),
+});
+
+type StoredPlacement = z.infer<typeof placement> | z.infer<typeof placementRange>;
+
+function countPlacements(stored: StoredPlacement[]): number {
+    let total = 0;
+    for (const one of stored) {
+        total += "from" in one ? Math.max(0, one.to - one.from + 1) : 1;
+    }
+    return total;
+}
+
+function expandRanges(stored: StoredPlacement[]): TaskPlacement[] {
+    const placements: TaskPlacement[] = [];
+    for (const one of stored) {
+        if (!("from" in one)) {
+            placements.push(one);
+            continue;
+        }
+        const { from, to, worker, boot } = one;
+        for (let index = from; index <= to; index++) {
+            placements.push({ index, worker, boot });
+        }
+    }
+    return placements;
+}
+
+const placements = z
+    .array(z.union([placement, placementRange]))
+    .refine(stored => countPlacements(stored) <= MAX_TASKS, "too many placements")
+    .transform(expandRanges);
+
 const group = z.looseObject({
     phase: z.enum(["waiting", "placed", "closing", "done", "failed"]),
     run: z.int().nonnegative(),
-    placements: z.array(placement),
+    placements,
     failures: z.number(),
     failedRun: z.number(),
     crashes: z.record(z.string(), z.object({ total: z.number(), atStart: z.number() })).optional(),
@@ -72,12 +111,17 @@
         })
         .refine(job => countTasks(job) <= MAX_TASKS, "too many tasks"),
     cancel: z.looseObject({ atMs: z.number() }),
-    progress: z.looseObject({
-        begun: z.boolean(),
-        final: z.enum(["completed", "failed", "cancelled"]).optional(),
-        endedAtMs: z.number().optional(),
-        groups: z.record(z.string(), group),
-    }),
+    progress: z
+        .looseObject({
+            begun: z.boolean(),
+            final: z.enum(["completed", "failed", "cancelled"]).optional(),
+            endedAtMs: z.number().optional(),
+            groups: z.record(z.string(), group).optional(),
+            /** Set if the groups are stored in parts. */
+            layout: z.literal("parts").optional(),
+        })
+        .refine(({ groups, layout }) => (groups === undefined) === (layout === "parts"), "no groups"),
+    "progress-part": z.looseObject({ groups: z.record(z.string(), group) }),
     registration,
     leader: registration,
 } as const;
--- a/packages/store/src/replica/storedValueCodec.spec.ts
+++ b/packages/store/src/replica/storedValueCodec.spec.ts
@@ -27,6 +27,7 @@
         definition: job,
         cancel: { atMs: 1 },
         progress,
+        "progress-part": { groups: progress.groups },
         registration,
         leader: registration,
     };
@@ -40,6 +41,27 @@
             }
         });
 
+        it("keep the placements of a large gang, which are stored as ranges", () => {
+            const placements = Array.from({ length: 20_000 }, (_, index) => ({
+                index,
+                worker: `w${Math.floor(index / 700)}`,
+                boot: { id: `i-${Math.floor(index / 700)}`, bornMs: 1 },
+            }));
+            const gang = { phase: "placed" as const, run: 1, failures: 0, failedRun: 0 };
+            for (const kept of [placements, placements.filter(({ index }) => index % 3 !== 1)]) {
+                const content = { begun: true, groups: { "0.0": { ...gang, placements: kept } } };
+                const value = encodeContent("progress", content, "w");
+                expect(value.length).to.be.below(1_048_576);
+                expect(decodeContent("progress", value)).to.deep.equal(content);
+            }
+        });
+
+        it("tell progress that is stored in parts from progress that lacks its groups", () => {
+            const head = { begun: true, layout: "parts" as const };
+            expect(decodeContent("progress", encodeContent("progress", head, "w"))).to.deep.equal(head);
+            expect(decodeContent("progress", '{"write":"w","content":{"begun":true}}')).to.equal(undefined);
+        });
+
         it("keep fields that a later release has added", () => {
             const later = { ...registration, region: "south" };
             expect(decodeContent("registration", encodeContent("registration", later, "w"))).to.deep.equal(
@@ -59,6 +81,15 @@
             }
         });
 
+        // Guards against an odd range that would fill the memory.
+        it("are not decoded as progress if they hold more placements than a job has tasks", () => {
+            const range = '{"from":0,"to":9000000000000000,"worker":"w","boot":{"id":"i","bornMs":1}}';
+            const fields = '"phase":"placed","run":1,"failures":0,"failedRun":0';
+            const group = `{${fields},"placements":[${range}]}`;
+            const value = `{"write":"w","content":{"begun":true,"groups":{"0.0":${group}}}}`;
+            expect(decodeContent("progress", value)).to.equal(undefined);
+        });
+
         // Guards against an odd registration of another writer: its address was called again and again.
         it("are not decoded as a registration if the address has no valid port", () => {
             for (const address of [
--- a/packages/store/src/replica/storedValueCodec.ts
+++ b/packages/store/src/replica/storedValueCodec.ts
@@ -1,5 +1,11 @@
 import type { Job } from "@tanagerdeck/decisions/job/jobTypes";
-import type { Progress } from "@tanagerdeck/decisions/job/progressTypes";
+import {
+    sameBoot,
+    type Boot,
+    type GroupProgress,
+    type ProgressSummary,
+    type TaskPlacement,
+} from "@tanagerdeck/decisions/job/progressTypes";
 import { isNestedDeeperThan } from "./nestingDepth.ts";
 import { STORED_CONTENT_SCHEMAS } from "./storedContentSchema.ts";
 
@@ -22,12 +28,17 @@
     content: T;
 }
 
+/** State of a job, with the progress of its groups or the note that they are stored in parts. */
+export type StoredProgress = ProgressSummary &
+    ({ groups: Record<string, GroupProgress>; layout?: undefined } | { groups?: undefined; layout: "parts" });
+
 /** Types of the stored values, by the kind of content. */
 export interface StoredContents {
     definition: Job;
     /** Wall-clock time at the entry that cancelled the job. */
     cancel: { atMs: number };
-    progress: Progress;
+    progress: StoredProgress;
+    "progress-part": { groups: Record<string, GroupProgress> };
     registration: Registration;
     leader: Registration;
 }
@@ -42,7 +53,27 @@
     write: string,
 ): string {
     const stored: StoredEnvelope<StoredContents[K]> = { write, content };
-    return JSON.stringify(stored);
+    return JSON.stringify(stored, (key, value) => (key === "placements" ? packPlacements(value) : value));
+}
+
+/** Placements above this number are stored as ranges of consecutive tasks. */
+const MAX_SINGLE_PLACEMENTS = 64;
+
+/** Joins the placements of consecutive tasks on one worker; the schema of the stored contents expands them. */
+function packPlacements(placements: TaskPlacement[]): unknown[] {
+    if (placements.length <= MAX_SINGLE_PLACEMENTS) {
+        return placements;
+    }
+    const ranges: { from: number; to: number; worker: string; boot: Boot }[] = [];
+    for (const { index, worker, boot } of placements) {
+        const last = ranges.at(-1);
+        if (last && last.to === index - 1 && last.worker === worker && sameBoot(last.boot, boot)) {
+            last.to = index;
+        } else {
+            ranges.push({ from: index, to: index, worker, boot });
+        }
+    }
+    return ranges;
 }
 
 /** Decodes a stored value; returns undefined if `encodeContent` cannot have written it as this kind of content. */
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -20,7 +20,6 @@
 import type { RunningProcess } from "@tanagerdeck/runtime/process/runningProcess";
 import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
 import type { Change, Item } from "@tanagerdeck/store/keyvalue/keyValueTypes";
-import { listAll } from "@tanagerdeck/store/keyvalue/listing";
 import { commitWithRetry } from "@tanagerdeck/store/keyvalue/commitWithRetry";
 import { startLeadershipTask, type LeadershipEvent } from "@tanagerdeck/store/leadership/leadershipTask";
 import { startManifestTask } from "@tanagerdeck/store/manifest/manifestTask";
@@ -30,6 +29,7 @@
     decodeRegistration,
     type Registration,
 } from "@tanagerdeck/store/replica/storedValueCodec";
+import { listForPlanner } from "@tanagerdeck/store/replica/plannerListing";
 import { startReplicaTask } from "@tanagerdeck/store/replica/replicaTask";
 import { entryKey, parseStoreKey, ROOT_PREFIX } from "@tanagerdeck/store/replica/storeKeys";
 import { createExposition } from "@tanagerdeck/runtime/metrics/exposition";
@@ -163,7 +163,7 @@
             log: log.part("planner"),
             metrics,
             newWriteId,
-            list: () => listAll(store, ROOT_PREFIX),
+            list: () => listForPlanner(store),
             commit: transaction =>
                 commitWithRetry(store, transaction, { clock, giveUpAt: clock.now() + RECORD_RETRY_LIMIT_MS }),
             sessions,
--- a/standins/src/plan/planFixture.ts
+++ b/standins/src/plan/planFixture.ts
@@ -1,5 +1,6 @@
 import type { Job, Resources, Step } from "@tanagerdeck/decisions/job/jobTypes";
-import type { Boot } from "@tanagerdeck/decisions/job/progressTypes";
+import type { Boot, Progress } from "@tanagerdeck/decisions/job/progressTypes";
+import type { RecordedProgress } from "@tanagerdeck/decisions/plan/clusterState";
 import type {
     EndedTask,
     RunningTask,
@@ -48,6 +49,11 @@
     };
 }
 
+/** Progress that the store holds as one value. */
+export function recordedOf(progress: Progress): RecordedProgress {
+    return { progress, layout: "whole", revisions: new Map([["head", 1]]) };
+}
+
 /** A ready worker with 64 cores and 8 accelerators; `changes` overrides its fields. */
 export function descriptionOf(name: string, changes: Partial<WorkerDescription> = {}): WorkerDescription {
     return {
