Let a job that is too dear for its leader start fewer tasks instead of ending the lease

Cause: the bound held for a step of one occurrence, not for the job, and nothing slowed a job down whose running tasks alone make rounds long. Reports list all tasks of a worker, so their number times their size grew with the square.

The orders of a round are a message of their own and a task of the runtime yields after 20 ms, so renewals run in between.

--- a/packages/decisions/src/plan/largeJob.spec.ts
+++ b/packages/decisions/src/plan/largeJob.spec.ts
@@ -13,7 +13,8 @@
 } from "./clusterState.ts";
 import { buildOrders } from "./planOrders.ts";
 import { applyReport } from "./planReport.ts";
-import { applyDecision, buildRoundInput, MAX_STARTING_GROUPS } from "./planRound.ts";
+import { MAX_STARTING_TASKS } from "./planPace.ts";
+import { applyDecision, buildRoundInput } from "./planRound.ts";
 import { closeStalled, closeStuckStarts } from "./stallDetection.ts";
 
 /** Guards against a job of many tasks that makes rounds longer than the leader's lease, so that nothing is planned. */
@@ -108,7 +109,7 @@
         let placed = playRound();
         expect(placed.get("other")).to.equal(1);
         for (let round = 0; round < 8; round++) {
-            expect(placed.get("large")).to.equal(MAX_STARTING_GROUPS);
+            expect(placed.get("large")).to.equal(MAX_STARTING_TASKS);
             reportAll(large);
             now += 100;
             placed = playRound();
@@ -116,12 +117,19 @@
         expect(longestMs).to.be.below(LEASE_LIMIT_MS);
     });
 
-    it("places no more tasks of a step than may start at once until some have started", () => {
+    it("takes bounded rounds if all occurrences of its schedule are due at once", () => {
+        const schedule = { firstDueMs: -MAX_TASKS, intervalMs: 1, occurrences: MAX_TASKS };
+        addJob(cluster, jobOf("large", [tinyStep(1)], { schedule }), undefined, now);
+        expect(playRound().get("large")).to.equal(MAX_STARTING_TASKS);
+        expect(longestMs).to.be.below(LEASE_LIMIT_MS);
+    });
+
+    it("places no more tasks of a job than may be starting at once", () => {
         const large = addJob(cluster, jobOf("large", [tinyStep(2_000)]), undefined, now);
-        expect(playRound().get("large")).to.equal(MAX_STARTING_GROUPS);
+        expect(playRound().get("large")).to.equal(MAX_STARTING_TASKS);
         expect(playRound().get("large")).to.equal(undefined);
         reportAll(large);
-        expect(playRound().get("large")).to.equal(MAX_STARTING_GROUPS);
+        expect(playRound().get("large")).to.equal(MAX_STARTING_TASKS);
     });
 
     it("reaches its end, with steps that depend on each other", () => {
--- a/packages/decisions/src/plan/planPace.spec.ts
+++ b/packages/decisions/src/plan/planPace.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { pauseBeforeRoundMs } from "./planPace.ts";
+import { MAX_STARTING_TASKS, pauseBeforeRoundMs, startingTasksAfter } from "./planPace.ts";
 
 describe("the pace of scheduling rounds", () => {
     describe("after a short round", () => {
@@ -23,3 +23,14 @@
         });
     });
 });
+
+/** Guards against a job that makes the rounds of each leader longer than its lease by the number of tasks that run. */
+describe("the number of starting tasks of a large job", () => {
+    it("is the full one after short rounds", () =>
+        expect(startingTasksAfter(100)).to.equal(MAX_STARTING_TASKS));
+
+    it("falls as rounds grow longer, but never to zero", () => {
+        expect(startingTasksAfter(300)).to.be.within(1, MAX_STARTING_TASKS - 1);
+        expect(startingTasksAfter(5_000)).to.be.within(1, 16);
+    });
+});
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -3,6 +3,7 @@
 import type { TaskPlacement } from "../job/progressTypes.ts";
 import { dueAtMs, type TaskGroup } from "../job/taskGroups.ts";
 import type { QueueTerms } from "../job/jobTypes.ts";
+import { countTasks } from "../job/jobSize.ts";
 import { guaranteedJobs } from "../schedule/guarantees.ts";
 import { coreEquivalents, estimateOf, valueOf, type JobValue } from "../schedule/jobValue.ts";
 import {
@@ -23,7 +24,8 @@
     type WorkerEntry,
 } from "./clusterState.ts";
 
-import { isStepDone, stepIndexKey } from "./groupIndex.ts";
+import { isStepDone } from "./groupIndex.ts";
+import { MAX_STARTING_TASKS } from "./planPace.ts";
 import { isSuspect, workersOfStartingSuspects } from "./suspectGroups.ts";
 import { isQuarantineAllowed, isQuarantined, countRecentFaults } from "./workerQuarantine.ts";
 
@@ -36,6 +38,8 @@
     guaranteedGpus: (clientAccount: string) => number;
     /** How many times slower tasks run far from their data or from each other. */
     farFactor: number;
+    /** Tasks of a job of more than `MAX_STARTING_TASKS` that may be starting at once. */
+    startingTasks?: number | undefined;
 }
 
 /** Time without a report after which a worker gets no new tasks. */
@@ -58,7 +62,7 @@
     const waiting: WaitingGroup[] = [];
     const withheld = new Map<string, number>();
     for (const { entry, terms } of openJobs) {
-        const ready = readyGroups(entry, context.wallMs);
+        const ready = readyGroups(entry, context);
         if (ready.withheld > 0) {
             withheld.set(entry.job.id, ready.withheld);
         }
@@ -139,45 +143,40 @@
     };
 }
 
-/**
- * Groups of one step that may be starting at once. It bounds what one round decides, records and orders for a job,
- * whatever the job's size, so that the round stays shorter than the leader's lease.
- */
-export const MAX_STARTING_GROUPS = 256;
-
-/** Groups of a job that may start now, and the number of those that wait until others of their step have started. */
-function readyGroups(entry: JobEntry, wallMs: number): { groups: TaskGroup[]; withheld: number } {
+/** Groups of a job that may start now, and the number of those that wait until others of the job have started. */
+function readyGroups(
+    entry: JobEntry,
+    { wallMs, startingTasks = MAX_STARTING_TASKS }: RoundContext,
+): { groups: TaskGroup[]; withheld: number } {
     const groups: TaskGroup[] = [];
     let withheld = 0;
-    for (const [key, waiting] of entry.index.waiting) {
+    let left = countTasks(entry.job) > MAX_STARTING_TASKS ? startingTasks - countStarting(entry) : Infinity;
+    for (const waiting of entry.index.waiting.values()) {
         const [first] = waiting;
         if (!first || !isReady(entry, first, wallMs)) {
             continue;
         }
-        const isLarge = !first.step.gang && first.step.count > MAX_STARTING_GROUPS;
-        const limit = isLarge ? MAX_STARTING_GROUPS - countStarting(entry, key) : waiting.size;
         const chosen: TaskGroup[] = [];
         for (const group of waiting) {
-            if (chosen.length >= limit) {
+            if (left <= 0) {
                 break;
             }
+            left -= group.indexes.length;
             chosen.push(group);
         }
         withheld += waiting.size - chosen.length;
-        chosen.sort((left, right) => left.indexes[0]! - right.indexes[0]!);
+        // A group that runs again keeps its place among the others.
+        chosen.sort((one, other) => one.position - other.position);
         groups.push(...chosen);
     }
     return { groups, withheld };
 }
 
-/** Number of a step's open runs whose tasks have not all started. */
-function countStarting(entry: JobEntry, step: string): number {
+/** Number of a job's tasks in open runs that have not all started. */
+function countStarting({ progress, runs }: JobEntry): number {
     let starting = 0;
-    for (const [key, run] of entry.runs) {
-        const group = entry.groupsByKey.get(key);
-        if (group && !run.hasStarted && stepIndexKey(group.occurrence, group.stepIndex) === step) {
-            starting += 1;
-        }
+    for (const [key, run] of runs) {
+        starting += run.hasStarted ? 0 : groupProgress(progress, key).placements.length;
     }
     return starting;
 }
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -13,7 +13,7 @@
 import { buildOrders } from "@tanagerdeck/decisions/plan/planOrders";
 import { applyReport, closeRunsOfLostAgents } from "@tanagerdeck/decisions/plan/planReport";
 import { closeStalled, closeStuckStarts } from "@tanagerdeck/decisions/plan/stallDetection";
-import { pauseBeforeRoundMs } from "@tanagerdeck/decisions/plan/planPace";
+import { pauseBeforeRoundMs, startingTasksAfter } from "@tanagerdeck/decisions/plan/planPace";
 import { applyDecision, quarantinedWorkers, buildRoundInput } from "@tanagerdeck/decisions/plan/planRound";
 import { separateSuspects } from "@tanagerdeck/decisions/plan/suspectGroups";
 import type { WorkerDescription } from "@tanagerdeck/decisions/worker/workerReport";
@@ -192,6 +192,7 @@
             termsOf: queueTermsOf,
             guaranteedGpus: account => guaranteedGpus(state, account),
             farFactor: options.farFactor,
+            startingTasks: startingTasksAfter(state.lastRound.durationMs),
         });
         planningLog.round(state.cluster, input);
         planningLog.quarantine(quarantinedWorkers(state.cluster, clock.now()));
@@ -343,10 +344,19 @@
                 const startedAt = clock.now();
                 plan(state);
                 recordProgress(state, context);
+                // A message of its own, as the task may yield between messages, so that the lease is renewed.
+                context.post({ kind: "order", plannedMs: clock.now() - startedAt });
+            },
+            order(state, { plannedMs }) {
+                if (!canPlan(state)) {
+                    return;
+                }
+                const startedAt = clock.now();
                 sendOrders(state);
                 const endedAt = clock.now();
-                state.lastRound = { endedAt, durationMs: endedAt - startedAt };
-                metrics.roundEnded((endedAt - startedAt) / 1_000);
+                const durationMs = plannedMs + endedAt - startedAt;
+                state.lastRound = { endedAt, durationMs };
+                metrics.roundEnded(durationMs / 1_000);
             },
             tick(state, _message, context) {
                 if (state.isHalted) {
--- a/packages/peer/src/planner/plannerTypes.ts
+++ b/packages/peer/src/planner/plannerTypes.ts
@@ -23,6 +23,8 @@
     | { kind: "suspend" }
     | { kind: "resume" }
     | { kind: "plan" }
+    /** The last step of a round; `plannedMs` is the duration of the others. */
+    | { kind: "order"; plannedMs: number }
     | { kind: "tick" }
     | { kind: "recorded"; write: RecordWrite; result: Either<Failure, CommitReply> }
     | { kind: "halt"; reply: Reply<void> };
--- a/packages/peer/src/session/sessionTask.ts
+++ b/packages/peer/src/session/sessionTask.ts
@@ -7,6 +7,7 @@
     SyncReport,
     SyncRequest,
 } from "@tanagerdeck/decisions/worker/workerReport";
+import { pauseAfterReportMs } from "@tanagerdeck/decisions/worker/reportPace";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
@@ -165,7 +166,13 @@
                             return;
                         }
                         acceptReport(state, reply.report);
-                        context.post({ kind: "call" });
+                        const { running, ended } = reply.report;
+                        const pauseMs = pauseAfterReportMs(running.length + ended.length);
+                        if (pauseMs > 0) {
+                            context.after(pauseMs, { kind: "call" });
+                        } else {
+                            context.post({ kind: "call" });
+                        }
                     },
                 });
             },
--- a/packages/runtime/src/task/task.ts
+++ b/packages/runtime/src/task/task.ts
@@ -48,6 +48,8 @@
 
 /** Largest number of messages that a task handles before it yields to the event loop. */
 const MAX_MESSAGES_PER_TURN = 256;
+/** Time after which a task yields to the event loop, so that long messages of one task do not add up. */
+const MAX_TURN_MS = 20;
 
 /** Starts a task that owns `state` and handles one message at a time. */
 export function startTask<S, M extends TaskMessage>(definition: TaskDefinition<S, M>): Task<M> {
@@ -104,7 +106,8 @@
     }
 
     function processQueue(): void {
-        for (let handled = 0; handled < MAX_MESSAGES_PER_TURN; handled++) {
+        const turnEndsAt = clock.now() + MAX_TURN_MS;
+        for (let handled = 0; handled < MAX_MESSAGES_PER_TURN && clock.now() < turnEndsAt; handled++) {
             const message = queue.shift();
             if (!message) {
                 isScheduled = false;
