Let a group return after two seconds to a worker on which it has failed

Cause: a retry left out the workers on which the group had failed if it fitted on the others by their whole capacity, however long those stayed in use.

Evidence: "tries the worker again after a while, and not before" in clusterState.spec.ts failed before the change ("Target cannot be null or undefined": no decision).

--- a/packages/decisions/src/plan/clusterState.spec.ts
+++ b/packages/decisions/src/plan/clusterState.spec.ts
@@ -22,6 +22,7 @@
 import { buildOrders } from "./planOrders.ts";
 import { applyReport, closeRunsOfLostAgents } from "./planReport.ts";
 import { applyDecision, buildRoundInput } from "./planRound.ts";
+import { scheduleRound } from "../schedule/schedulingRound.ts";
 import { closeStalled, closeStuckStarts } from "./stallDetection.ts";
 
 describe("cluster state", () => {
@@ -64,6 +65,37 @@
         });
     }
 
+    describe("with a group that has failed on the only worker with room", () => {
+        // Guards against a group that waits for a worker in use, for as long as that one is in use.
+        it("tries the worker again after a while, and not before", () => {
+            const label = { labels: ["a", "r1-1"] };
+            const failing = addWorker("failing", label);
+            addWorker("busy", label);
+            addWorker("other");
+            const whole = { cpuMillis: 64_000, memoryMb: 1_000, gpus: 8 };
+            const lasting = stepOf({ resources: whole, longRunning: true, requiredLabel: "r1-1" });
+            addPlaced("lasting", lasting, ["busy"]);
+            const entry = addPlaced("job", stepOf({ requiredLabel: "r1-1" }), ["failing"]);
+            const end = { number: 1, task: "job.0.0.0", run: 1, end: "failed" as const };
+            applyReport(cluster, failing, reportOf(descriptionOf("failing", label), { ended: [end] }), now);
+            expect(phaseOf(entry)).to.equal("waiting");
+            now += 1_000;
+            expect(scheduleRound(input())).to.deep.equal([]);
+            now += 1_500;
+            for (const [name, worker] of cluster.workers) {
+                applyReport(
+                    cluster,
+                    worker,
+                    reportOf(descriptionOf(name, name === "other" ? {} : label)),
+                    now,
+                );
+            }
+            const [decision] = scheduleRound(input());
+            expect(decision).to.deep.include({ kind: "place", job: "job" });
+            expect(decision).to.have.deep.property("places", [{ index: 0, worker: "failing" }]);
+        });
+    });
+
     describe("with a placed group", () => {
         it("orders its start only once the placement is recorded", () => {
             const worker = addWorker("a");
--- a/packages/decisions/src/plan/clusterState.ts
+++ b/packages/decisions/src/plan/clusterState.ts
@@ -52,8 +52,8 @@
     isWriting: boolean;
     /** Open runs by group. */
     runs: Map<string, OpenRunState>;
-    /** Workers on which a group has failed, by group key; a retry prefers other workers. */
-    failedOn: Map<string, Set<string>>;
+    /** Workers on which a group has failed, with the time of the latest failure, by group key. */
+    failedOn: Map<string, Map<string, number>>;
 }
 
 /** An agent and its worker. */
@@ -231,13 +231,13 @@
     { now, isStall }: { now: number; isStall: boolean },
 ): void {
     worker.faults = withFault(worker.faults, { at: now, failedGroup: `${entry.job.id}.${key}`, isStall });
-    addFailedWorker(entry, key, worker.name);
+    addFailedWorker(entry, key, worker.name, now);
 }
 
-/** Records that a group has failed on a worker, so that the retry prefers others. */
-export function addFailedWorker(entry: JobEntry, key: string, worker: string): void {
-    const failedOn = entry.failedOn.get(key) ?? new Set();
-    entry.failedOn.set(key, failedOn.add(worker));
+/** Records that a group has failed on a worker, which the retry avoids for a time. */
+export function addFailedWorker(entry: JobEntry, key: string, worker: string, now: number): void {
+    const failedOn = entry.failedOn.get(key) ?? new Map<string, number>();
+    entry.failedOn.set(key, failedOn.set(worker, now));
 }
 
 /** The rules of a group, taken from its step and its queue. */
--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -86,7 +86,7 @@
             lost.push({ ...run, end: state.end ?? "lost" });
         }
     }
-    endLostTasks(cluster, worker, lost, events);
+    endLostTasks(cluster, worker, lost, now, events);
     closeRunsOfOtherBoots(cluster, worker);
     if (report.worker && !isSameCapacity(previousCapacity, report.worker.capacity)) {
         closeRunsOverCapacity(cluster, worker, report.worker.capacity);
@@ -239,6 +239,7 @@
     cluster: ClusterState,
     worker: WorkerEntry,
     lost: LostTask[],
+    now: number,
     events: PlanEvent[],
 ): void {
     const listed = new Set(worker.report?.ended.map(runKey));
@@ -256,7 +257,7 @@
             if (row.end === "lost") {
                 continue;
             }
-            addFailedWorker(entry, group.key, worker.name);
+            addFailedWorker(entry, group.key, worker.name, now);
             const next = groupProgress(entry.progress, group.key);
             if (next.phase === "failed" && crashesWorkers(next, groupRulesOf(entry, group))) {
                 const detail = `crashes=${next.crashes?.[row.index]?.total ?? 0}`;
@@ -329,7 +330,7 @@
         for (const { entry, group, placement, progress } of openPlacements(cluster, worker.name)) {
             lost.push({ ...runIdOf(entry, group, placement.index, progress.run), end: "lost" });
         }
-        endLostTasks(cluster, { ...worker, report: undefined }, lost, events);
+        endLostTasks(cluster, { ...worker, report: undefined }, lost, now, events);
     }
     return events;
 }
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -73,7 +73,7 @@
                 isGuaranteed: guaranteed.has(entry.job.id),
                 priority: terms.priority,
                 value: lookUpValue(entry, group),
-                failedOn: workersToAvoid(entry, group, startingSuspects),
+                failedOn: workersToAvoid(entry, group, startingSuspects, context.now),
             });
         }
     }
@@ -89,17 +89,31 @@
 
 const NO_WORKERS: ReadonlySet<string> = new Set();
 
-/** Workers on which the group has failed, and for a suspect also those on which another one is starting. */
+/**
+ * Time for which a group that has failed on a worker avoids it. The worker may be faulty and would use up the job's
+ * attempts; but the others may stay in use for any time, so the group must not wait for them for good.
+ */
+const AVOID_FAILED_WORKER_MS = 2_000;
+
+/** Workers on which the group has just failed, and for a suspect also those on which another one is starting. */
 function workersToAvoid(
     entry: JobEntry,
     group: TaskGroup,
     startingSuspects: ReadonlySet<string>,
+    now: number,
 ): ReadonlySet<string> {
-    const failedOn = entry.failedOn.get(group.key) ?? NO_WORKERS;
-    if (startingSuspects.size === 0 || !isSuspect(entry, group)) {
-        return failedOn;
+    const failures = entry.failedOn.get(group.key);
+    const avoidsStarting = startingSuspects.size > 0 && isSuspect(entry, group);
+    if (!failures && !avoidsStarting) {
+        return NO_WORKERS;
+    }
+    const avoided = new Set<string>();
+    for (const [worker, failedAt] of failures ?? []) {
+        if (now - failedAt < AVOID_FAILED_WORKER_MS) {
+            avoided.add(worker);
+        }
     }
-    return new Set([...failedOn, ...startingSuspects]);
+    return avoidsStarting ? new Set([...avoided, ...startingSuspects]) : avoided;
 }
 
 type ValueLookup = (entry: JobEntry, group: TaskGroup) => JobValue;
--- a/packages/decisions/src/schedule/scheduleTypes.ts
+++ b/packages/decisions/src/schedule/scheduleTypes.ts
@@ -30,7 +30,7 @@
     isGuaranteed: boolean;
     priority: number;
     value: JobValue;
-    /** Workers that are tried last, above all those on which the group has failed. */
+    /** Workers that the group avoids for now, above all those on which it has just failed. */
     failedOn: ReadonlySet<string>;
 }
 
--- a/packages/peer/src/planner/planningLog.ts
+++ b/packages/peer/src/planner/planningLog.ts
@@ -70,7 +70,7 @@
             isFar,
             priority: entry && termsOf(entry).priority,
             waitedMs: entry && Math.round(clock.wall() - entry.job.acceptedAtMs),
-            failedOn: [...(entry?.failedOn.get(group) ?? [])].join(" ") || undefined,
+            failedOn: [...(entry?.failedOn.get(group)?.keys() ?? [])].join(" ") || undefined,
             reportAgeMs: Math.round(reportAgeMs),
         });
     }
