Expect no end of long-running work when a place is planned

Cause: long-running work counts as 100 percent done, so the forecast let it end at once. A near place then always seemed sooner than a far one, and the reservation for it kept other work off the workers.

Change: groups of long-running steps are left out of the forecast, unless their run is being closed. The plain searches of the property test do the same.

Evidence: "places the group far from its data, as long-running work frees no near place" in schedulingRound.spec.ts failed before the change.

--- a/packages/decisions/src/schedule/plannedPlace.ts
+++ b/packages/decisions/src/schedule/plannedPlace.ts
@@ -22,9 +22,10 @@
 /** Expected ends less than this time apart are treated as one batch. */
 export const SAME_END_MS = 200;
 
-/** Groups the placed groups by their expected end, earliest first. */
+/** Groups the placed groups by their expected end, earliest first; long-running ones that stay have none. */
 export function batchesByEnd(fleet: FleetTable, placed: PlacedGroup[]): EndBatch[] {
-    const ending = [...placed].sort((left, right) => left.remainingMs - right.remainingMs);
+    const ending = placed.filter(({ group, isClosing }) => isClosing || !group.step.longRunning);
+    ending.sort((left, right) => left.remainingMs - right.remainingMs);
     const batches: EndBatch[] = [];
     for (const { remainingMs, workers, group } of ending) {
         const ends = { resources: group.step.resources, positions: positionsOf(fleet, workers) };
--- a/packages/decisions/src/schedule/schedulingRound.spec.ts
+++ b/packages/decisions/src/schedule/schedulingRound.spec.ts
@@ -112,6 +112,25 @@
         });
     });
 
+    describe("with long-running work on the workers near the data", () => {
+        // Guards against a group that waits for good for a near place, and keeps others off the workers meanwhile.
+        it("places the group far from its data, as long-running work frees no near place", () => {
+            const near = workerOf("near", { rack: "r1" });
+            const far = workerOf("far", { rack: "r2" });
+            const lasting = placedOn(
+                near,
+                "lasting",
+                stepOf({ resources: resourcesOf(64, 8), longRunning: true }),
+                {
+                    remainingMs: 0,
+                },
+            );
+            const waiting = waitingOf(jobOf("j", [stepOf({ dataRack: "r1" })]));
+            const decisions = round({ workers: [near, far], waiting, placed: [lasting] });
+            expect(placesOf(decisions, "j")).to.deep.equal(["far"]);
+        });
+    });
+
     describe("with free capacity", () => {
         it("prefers a partly used worker, so that whole workers stay free", () => {
             const used = workerOf("used", { free: { cpuMillis: 20_000, memoryMb: 9_000, gpus: 3 } });
--- a/standins/src/plan/plain/plainPlannedPlace.ts
+++ b/standins/src/plan/plain/plainPlannedPlace.ts
@@ -26,7 +26,8 @@
     available: AvailableCapacity,
     search: PlaceSearch,
 ): PlannedPlace | undefined {
-    const ending = [...placed].sort((left, right) => left.remainingMs - right.remainingMs);
+    const ending = placed.filter(({ group, isClosing }) => isClosing || !group.step.longRunning);
+    ending.sort((left, right) => left.remainingMs - right.remainingMs);
     const batches = countsByEnd(ending);
     const earliest = shortestPrefix(batches.length, length => {
         const freed = capacityOf(ending.slice(0, batches[length - 1]));
