Keep quarantines short while little of the service is in use

Cause: the quarantine is for a busy service, where a faulty worker always has room and draws the waiting work; it also held where that work had nowhere else to go.

Change: while less than half of each resource of the service is in use, a quarantine ends within 2 s of the last failure and holds back no second group. Placement still prefers workers with fewer recent failures.

--- a/packages/decisions/src/plan/clusterState.spec.ts
+++ b/packages/decisions/src/plan/clusterState.spec.ts
@@ -96,6 +96,42 @@
         });
     });
 
+    describe("with a quarantined worker that alone has a label", () => {
+        /** Two groups fail on the worker, and another worker has `used` of its 8 accelerators in use. */
+        function quarantine(used: number): void {
+            const label = { labels: ["a", "r1-1"] };
+            addWorker("only", label);
+            addWorker("other");
+            const step = { resources: { cpuMillis: 1_000, memoryMb: 1_000, gpus: used } };
+            addPlaced("load", stepOf(step), ["other"]);
+            for (const [position, id] of ["one", "two", "three", "four", "five", "six"].entries()) {
+                addPlaced(id, stepOf({ requiredLabel: "r1-1" }), ["only"]);
+                const end = { number: position + 1, task: `${id}.0.0.0`, run: 1, end: "failed" as const };
+                const report = reportOf(descriptionOf("only", label), { ended: [end] });
+                applyReport(cluster, cluster.workers.get("only")!, report, now);
+            }
+            now += 2_100;
+            for (const [name, worker] of cluster.workers) {
+                applyReport(
+                    cluster,
+                    worker,
+                    reportOf(descriptionOf(name, name === "only" ? label : {})),
+                    now,
+                );
+            }
+        }
+
+        it("is used again after two seconds while little of the service is in use", () => {
+            quarantine(7);
+            expect(scheduleRound(input())).to.have.length(6);
+        });
+
+        it("stays out for longer while much of the service is in use, as others become free", () => {
+            quarantine(8);
+            expect(scheduleRound(input())).to.deep.equal([]);
+        });
+    });
+
     describe("with a placed group", () => {
         it("orders its start only once the placement is recorded", () => {
             const worker = addWorker("a");
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -260,14 +260,48 @@
         }
     }
     const names = new Set<string>();
-    for (const { name, faults } of cluster.workers.values()) {
-        if (isQuarantined(faults, busy.has(name), now)) {
+    let idle: Set<string> | undefined;
+    for (const { name, faults, description } of cluster.workers.values()) {
+        if (faults.length === 0) {
+            continue;
+        }
+        idle ??= idleServices(cluster);
+        const load = { hasTasks: busy.has(name), isServiceIdle: idle.has(description?.service ?? "") };
+        if (isQuarantined(faults, load, now)) {
             names.add(name);
         }
     }
     return isQuarantineAllowed(names.size, cluster.workers.size) ? names : new Set();
 }
 
+/** Largest fraction of a service's capacity in use with which the service counts as idle. */
+const IDLE_FRACTION = 0.5;
+
+/** Services of which less than a fraction of each resource is in use. */
+function idleServices(cluster: ClusterState): Set<string> {
+    const capacity = new Map<string, Resources>();
+    const used = new Map<string, Resources>();
+    const add = (sums: Map<string, Resources>, service: string, amount: Resources) =>
+        sums.set(service, addResources(sums.get(service) ?? NO_RESOURCES, amount));
+    for (const { description } of cluster.workers.values()) {
+        if (description) {
+            add(capacity, description.service, description.capacity);
+        }
+    }
+    for (const { entry, group } of openPlacements(cluster)) {
+        add(used, entry.job.service, group.step.resources);
+    }
+    const idle = new Set<string>();
+    for (const [service, total] of capacity) {
+        const inUse = used.get(service) ?? NO_RESOURCES;
+        const names = ["cpuMillis", "memoryMb", "gpus"] as const;
+        if (names.every(name => total[name] === 0 || inUse[name] < total[name] * IDLE_FRACTION)) {
+            idle.add(service);
+        }
+    }
+    return idle;
+}
+
 /** Whether the worker is ready and reports. A worker with stray runs gets no tasks until those runs have stopped. */
 function isSchedulable(worker: WorkerEntry, now: number): boolean {
     const hasRecentReport = worker.hasReported && now - worker.lastReportAt < REPORT_TIMEOUT_MS;
--- a/packages/decisions/src/plan/workerQuarantine.ts
+++ b/packages/decisions/src/plan/workerQuarantine.ts
@@ -17,6 +17,8 @@
 /** Length of the first quarantine; it doubles with each further failure. */
 const FIRST_QUARANTINE_MS = 1_000;
 const MAX_QUARANTINE_MS = 8_000;
+/** Longest quarantine while the service has much free capacity, as a task may be bound to just this worker. */
+const MAX_IDLE_QUARANTINE_MS = 2_000;
 /** If a larger fraction of the workers fails, the tasks are more likely at fault than the workers. */
 const MAX_QUARANTINED_FRACTION = 1 / 3;
 
@@ -34,17 +36,32 @@
     return faults.filter(({ at }) => now - at < RECENT_FAULT_MS).length;
 }
 
+/** What decides on the quarantine of a worker besides its faults. */
+export interface WorkerLoad {
+    hasTasks: boolean;
+    /** Whether little of the service's capacity is in use. */
+    isServiceIdle: boolean;
+}
+
 /**
  * Whether a worker is quarantined. It gets no tasks until the quarantine has ended, and then one group at a time until
- * a task succeeds.
+ * a task succeeds. In an idle service the other workers are preferred anyway, so the quarantine is short there and holds
+ * back no second group.
  */
-export function isQuarantined(faults: WorkerFault[], hasTasks: boolean, now: number): boolean {
+export function isQuarantined(
+    faults: WorkerFault[],
+    { hasTasks, isServiceIdle }: WorkerLoad,
+    now: number,
+): boolean {
     const last = faults.at(-1);
     const failures = countFailures(faults, now);
     if (!last || failures < QUARANTINE_THRESHOLD) {
         return false;
     }
     const lengthMs = FIRST_QUARANTINE_MS * 2 ** (failures - QUARANTINE_THRESHOLD);
+    if (isServiceIdle) {
+        return now - last.at < Math.min(MAX_IDLE_QUARANTINE_MS, lengthMs);
+    }
     return hasTasks || now - last.at < Math.min(MAX_QUARANTINE_MS, lengthMs);
 }
 
