Start tasks of each step of a large job, not of the first ones only

What callers saw: nothing yet; found when the bound of starting tasks was read again. With a job of more than 256 tasks whose first step found no room, the other steps were not considered at all.

Cause: the bound counted the groups that a round considers, in the order of the steps.

Change: each ready step of a large job gets a part of the bound, and which step comes first changes every 100 ms.

Evidence: "starts a step that finds room although another one finds none" in largeJob.spec.ts, with a plain step and with a gang, failed before the change. Jobs of up to 256 tasks are not affected.

--- a/packages/decisions/src/plan/largeJob.spec.ts
+++ b/packages/decisions/src/plan/largeJob.spec.ts
@@ -132,6 +132,20 @@
         expect(playRound().get("large")).to.equal(MAX_STARTING_TASKS);
     });
 
+    it("starts a step that finds room although another one finds none", () => {
+        for (const changes of [{}, { gang: true }]) {
+            const blocked = tinyStep(2_000, { requiredLabel: "nowhere", ...changes });
+            const id = `large-${Object.keys(changes).length}`;
+            addJob(cluster, jobOf(id, [blocked, tinyStep(2_000)]), undefined, now);
+            let placed = 0;
+            for (let round = 0; round < 2; round++) {
+                placed += playRound().get(id) ?? 0;
+                now += 100;
+            }
+            expect(placed).to.be.above(100);
+        }
+    });
+
     it("reaches its end, with steps that depend on each other", () => {
         const steps = [tinyStep(2_000), tinyStep(2_000, { after: [0] })];
         const large = addJob(cluster, jobOf("large", steps), undefined, now);
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -160,30 +160,47 @@
 /** Groups of a job that may start now, and the number of those that wait until others of the job have started. */
 function readyGroups(
     entry: JobEntry,
-    { wallMs, startingTasks = MAX_STARTING_TASKS }: RoundContext,
+    { now, wallMs, startingTasks = MAX_STARTING_TASKS }: RoundContext,
 ): { groups: TaskGroup[]; withheld: number } {
-    const groups: TaskGroup[] = [];
-    let withheld = 0;
-    let left = countTasks(entry.job) > MAX_STARTING_TASKS ? startingTasks - countStarting(entry) : Infinity;
+    const steps: Set<TaskGroup>[] = [];
+    let ready = 0;
     for (const waiting of entry.index.waiting.values()) {
         const [first] = waiting;
-        if (!first || !isReady(entry, first, wallMs)) {
-            continue;
+        if (first && isReady(entry, first, wallMs)) {
+            steps.push(waiting);
+            ready += waiting.size;
         }
-        const chosen: TaskGroup[] = [];
-        for (const group of waiting) {
-            if (left <= 0) {
+    }
+    const isLarge = countTasks(entry.job) > MAX_STARTING_TASKS;
+    const limit = isLarge ? startingTasks - countStarting(entry) : Infinity;
+    const groups = isLarge ? chooseGroups(steps, limit, now) : steps.flatMap(waiting => [...waiting]);
+    // A group that runs again keeps its place among the others.
+    groups.sort((left, right) => left.position - right.position);
+    return { groups, withheld: ready - groups.length };
+}
+
+/** Time after which other steps of a large job come first, as those that came first may find no room. */
+const STEP_ROTATION_MS = 100;
+
+/** Chooses groups of about `limit` tasks, from each step a part, as one step may find no room where another does. */
+function chooseGroups(steps: Set<TaskGroup>[], limit: number, now: number): TaskGroup[] {
+    const groups: TaskGroup[] = [];
+    const share = Math.ceil(limit / steps.length);
+    const turn = Math.floor(now / STEP_ROTATION_MS);
+    const offset = steps.length > MAX_STARTING_TASKS ? turn * MAX_STARTING_TASKS : turn;
+    let chosen = 0;
+    for (let number = 0; number < steps.length && chosen < limit; number++) {
+        let ofStep = 0;
+        for (const group of steps[(offset + number) % steps.length]!) {
+            if (ofStep >= share) {
                 break;
             }
-            left -= group.indexes.length;
-            chosen.push(group);
+            ofStep += group.indexes.length;
+            groups.push(group);
         }
-        withheld += waiting.size - chosen.length;
-        // A group that runs again keeps its place among the others.
-        chosen.sort((one, other) => one.position - other.position);
-        groups.push(...chosen);
+        chosen += ofStep;
     }
-    return { groups, withheld };
+    return groups;
 }
 
 /** Number of a job's tasks in open runs that have not all started. */
