Blame no task for the end of a worker that has said that it leaves

Cause: while a leave message without a start time is checked, the boot does not count as having left, so the next boot that answers meanwhile was taken for a crash under its tasks. A heartbeat that waits for its confirmation was also checked again and again after the boot had left.

Change: a worker that says that it leaves has announced its end, and its message drops the claims of the boot.

Evidence: "blames no task if the next boot answers before the leave is confirmed" in agentTask.spec.ts failed before.

--- a/packages/backend/src/agent/agentTask.spec.ts
+++ b/packages/backend/src/agent/agentTask.spec.ts
@@ -443,6 +443,14 @@
                     expect(await isClosed()).to.equal(true);
                 });
 
+                it("blames no task if the next boot answers before the leave is confirmed", async () => {
+                    await sendLeave();
+                    worker.running = [];
+                    await restartWorker({ id: "i-2", bornMs: 9_000 });
+                    const { stops } = await report({ stops: [{ task, run: 1, boot }] });
+                    expect(stops[0]?.state).to.deep.equal({ kind: "closed", end: undefined });
+                });
+
                 it("gives the worker no new tasks while it is checked, and goes on if it stays", async () => {
                     await sendLeave();
                     expect((await report()).worker?.condition).to.equal("draining");
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -21,7 +21,7 @@
     type StopAttempt,
 } from "./agentState.ts";
 import type { AgentMessage, AgentOptions } from "./agentTypes.ts";
-import { addClaim, claimKey, presenceOf } from "./bootClaims.ts";
+import { addClaim, claimKey, dropClaims, presenceOf } from "./bootClaims.ts";
 import { callResult } from "./callResult.ts";
 import { noteStart } from "./workerCrash.ts";
 
@@ -256,6 +256,7 @@
             },
             left(state, { id, bornMs, reply }, context) {
                 reply();
+                dropClaims(state, id, bornMs);
                 const { worker } = state;
                 if (!worker || worker.boot.id !== id || worker.hasLeft) {
                     return;
--- a/packages/backend/src/agent/bootClaims.ts
+++ b/packages/backend/src/agent/bootClaims.ts
@@ -37,6 +37,15 @@
     return true;
 }
 
+/** Drops the claims of a boot that leaves; without a start time, those of all boots with the id. */
+export function dropClaims({ claims }: AgentState, id: string, bornMs: number | undefined): void {
+    for (const [key, claim] of claims) {
+        if (claim.id === id && (bornMs === undefined || claim.bornMs === bornMs)) {
+            claims.delete(key);
+        }
+    }
+}
+
 /**
  * What the worker's answer to a call that names a boot says about this boot.
  * - `present`: the worker is this boot.
--- a/packages/backend/src/agent/workerCrash.ts
+++ b/packages/backend/src/agent/workerCrash.ts
@@ -38,8 +38,8 @@
     return isGone && !hasAnnouncedEnd(worker) ? endsOfCrash(state, now).get(runKey(order)) : undefined;
 }
 
-function hasAnnouncedEnd({ heartbeat, hasLeft }: KnownWorker): boolean {
-    return hasLeft || heartbeat.isDraining;
+function hasAnnouncedEnd({ heartbeat, isLeaving, hasLeft }: KnownWorker): boolean {
+    return hasLeft || isLeaving || heartbeat.isDraining;
 }
 
 function endsOfCrash(state: AgentState, now: number): Map<string, CrashEnd> {
