--- a/packages/peer/src/planner/largeJobRecording.spec.ts
+++ b/packages/peer/src/planner/largeJobRecording.spec.ts
@@ -1,7 +1,10 @@
 import { expect } from "chai";
+import { Left } from "purify-ts/Either";
 import type { Step } from "@tanagerdeck/decisions/job/jobTypes";
+import { GROUPS_PER_PART } from "@tanagerdeck/decisions/plan/progressSlots";
 import { leaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import { scheduleRound } from "@tanagerdeck/decisions/schedule/schedulingRound";
+import { failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import {
     runKey,
     type EndedTask,
@@ -41,6 +44,8 @@
     let writtenBytes: number;
     let largestValue: number;
     let largestTransaction: number;
+    /** Removing transactions that the store still takes. */
+    let removals: number;
     /** The tasks that the worker runs, and those that have ended, by run. */
     let running: Map<string, RunningTask>;
     let ended: EndedTask[];
@@ -54,6 +59,7 @@
         writtenBytes = 0;
         largestValue = 0;
         largestTransaction = 0;
+        removals = Infinity;
         running = new Map();
         ended = [];
         starts = [];
@@ -101,6 +107,9 @@
             list: () => listForPlanner(store),
             commit(transaction) {
                 measure(transaction);
+                if (transaction.removes.length > 0 && removals-- <= 0) {
+                    return Promise.resolve(Left(failure("not-run", "platform-unavailable", "refused")));
+                }
                 return store.commit(transaction);
             },
             sessions: {
@@ -239,4 +248,13 @@
         expect(left.filter(item => item.key.startsWith(PROGRESS_PARTS_PREFIX))).to.deep.equal([]);
         expect(largestTransaction).to.be.at.most(MAX_ENTRIES);
     }).timeout(60_000);
+
+    // Guards against a definition that outlives its progress: the next leader would run the job again.
+    it("does not end before the definition when the removal stops half-way", async () => {
+        removals = 1;
+        await playJob(29 * GROUPS_PER_PART);
+        await clock.advance(KEEP_MS + 2_000);
+        expect(store.item(jobKey("large", "definition"))).to.not.equal(undefined);
+        expect(stateOf("large")?.final).to.equal("completed");
+    }).timeout(60_000);
 });
