--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -1,27 +1,23 @@
-import { sameBoot, type Boot } from "@tanagerdeck/decisions/job/progressTypes";
+import { sameBoot } from "@tanagerdeck/decisions/job/progressTypes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { RunId, SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
 import { startTask, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import { mergeStartOrders, mergeStopOrders } from "./agentOrders.ts";
 import { applyRunLists, buildReport } from "./agentReport.ts";
 import {
-    adoptBoot,
-    bootOf,
     resetForBoot,
     findCloseReason,
     workerCondition,
     createAgentState,
     isRenewalGranted,
     SILENT_AFTER_HOLDS,
-    applyHeartbeat,
     workerNow,
     type AgentState,
-    type KnownWorker,
     type StartAttempt,
     type StopAttempt,
 } from "./agentState.ts";
 import type { AgentMessage, AgentOptions } from "./agentTypes.ts";
-import { addClaim, claimKey, dropClaims, presenceOf } from "./bootClaims.ts";
+import { createBootHandlers } from "./bootHandlers.ts";
 import { callResult } from "./callResult.ts";
 import { noteStart } from "./workerCrash.ts";
 
@@ -36,10 +32,6 @@
 const CALL_RETRY_MS = 150;
 /** Delay before another hold reads the worker's lists again to confirm a stop. */
 const STOP_CHECK_DELAY_MS = 10;
-/** Interval at which a worker that says that it leaves is checked. */
-const LEAVE_CHECK_INTERVAL_MS = 50;
-/** A worker that still answers this long after its message that it leaves did not send it. */
-const LEAVE_TIMEOUT_MS = 2_000;
 
 type Context = TaskContext<AgentMessage>;
 
@@ -182,16 +174,17 @@
         }
     }
 
-    /** Reads the lists of the worker if it is this boot, without renewing its lease or dropping ends. */
-    function readLists(state: AgentState, { id }: Boot): ReturnType<typeof port.hold> {
-        return port.hold({ id, fence: state.term, recorded: 0, waitMs: 0 });
-    }
-
-    function recordLeave(state: AgentState, worker: KnownWorker): void {
-        worker.hasLeft = true;
-        log.info("The worker has left.", { worker: worker.boot.id });
-        publishChange(state);
-    }
+    const bootHandlers = createBootHandlers({
+        port,
+        service,
+        clock,
+        log,
+        publishChange,
+        adopted(state, context) {
+            stopStrayRuns(state, context);
+            scheduleHold(state, 0, context);
+        },
+    });
 
     return startTask<AgentState, AgentMessage>({
         name: "agent",
@@ -199,109 +192,7 @@
         reportError: (name, error) => log.error("A handler failed.", { task: name, error: String(error) }),
         state: createAgentState(incarnation, clock.now()),
         handlers: {
-            heartbeat(state, { heartbeat, reply }, context) {
-                reply();
-                const boot = bootOf(heartbeat);
-                if (heartbeat.service !== (service() ?? heartbeat.service)) {
-                    const fields = { worker: boot.id, bornMs: boot.bornMs, service: heartbeat.service };
-                    log.warn("A heartbeat names another service than the worker's; it is ignored.", fields);
-                    return;
-                }
-                if (state.worker && sameBoot(state.worker.boot, boot)) {
-                    const before = workerCondition(state);
-                    applyHeartbeat(state.worker, heartbeat);
-                    const condition = workerCondition(state);
-                    if (condition !== before) {
-                        log.info("The worker's condition was updated.", { worker: boot.id, condition });
-                        publishChange(state);
-                    }
-                } else if (addClaim(state, heartbeat)) {
-                    context.post({ kind: "confirm", key: claimKey(boot) });
-                }
-            },
-            // A heartbeat may be late or come from another writer, so a boot counts only once the worker answers as it.
-            confirm(state, { key }, context) {
-                const claim = state.claims.get(key);
-                if (claim && state.term > 0) {
-                    context.start(
-                        () => readLists(state, bootOf(claim)),
-                        result => ({ kind: "confirmed", key, result }),
-                    );
-                }
-            },
-            confirmed(state, { key, result }, context) {
-                const claim = state.claims.get(key);
-                if (!claim) {
-                    return;
-                }
-                const boot = bootOf(claim);
-                const presence = presenceOf(boot, result);
-                if (presence === "unreachable" || presence === "unknown") {
-                    context.after(CALL_RETRY_MS, { kind: "confirm", key });
-                    return;
-                }
-                state.claims.delete(key);
-                const fields = { worker: boot.id, bornMs: boot.bornMs, service: claim.service };
-                if (presence === "absent" || boot.bornMs < state.bornMs) {
-                    log.warn("A heartbeat names a boot that the worker is not; it is ignored.", fields);
-                    return;
-                }
-                adoptBoot(state, claim, clock.now());
-                log.info("A new boot of the worker was detected.", fields);
-                stopStrayRuns(state, context);
-                scheduleHold(state, 0, context);
-                const condition = workerCondition(state);
-                log.info("The worker's condition was updated.", { worker: boot.id, condition });
-                publishChange(state);
-            },
-            left(state, { id, bornMs, reply }, context) {
-                reply();
-                dropClaims(state, id, bornMs);
-                const { worker } = state;
-                if (!worker || worker.boot.id !== id || worker.hasLeft) {
-                    return;
-                }
-                if (bornMs !== undefined && bornMs !== worker.boot.bornMs) {
-                    log.warn("A former boot of the worker says that it leaves; it is ignored.", {
-                        worker: id,
-                        bornMs,
-                    });
-                    return;
-                }
-                if (bornMs !== undefined) {
-                    recordLeave(state, worker);
-                } else if (!worker.isLeaving) {
-                    // A later boot may have the same id, and only the worker can tell which of them leaves.
-                    worker.isLeaving = true;
-                    log.info("The worker says that it leaves.", { worker: id });
-                    publishChange(state);
-                    context.post({ kind: "check-leave", boot: worker.boot, since: clock.now() });
-                }
-            },
-            "check-leave"(state, { boot, since }, context) {
-                context.start(
-                    () => readLists(state, boot),
-                    result => ({ kind: "leave-checked", boot, since, result }),
-                );
-            },
-            "leave-checked"(state, { boot, since, result }, context) {
-                const { worker } = state;
-                if (!worker || !sameBoot(worker.boot, boot) || worker.hasLeft) {
-                    return;
-                }
-                const presence = presenceOf(boot, result);
-                if (presence === "unreachable" || presence === "absent") {
-                    recordLeave(state, worker);
-                } else if (presence === "present" && clock.now() - since >= LEAVE_TIMEOUT_MS) {
-                    worker.isLeaving = false;
-                    log.warn("The worker still answers after a message that it leaves; it is ignored.", {
-                        worker: boot.id,
-                    });
-                    publishChange(state);
-                } else {
-                    context.after(LEAVE_CHECK_INTERVAL_MS, { kind: "check-leave", boot, since });
-                }
-            },
+            ...bootHandlers,
             sync(state, { request, reply }, context) {
                 const isStale =
                     request.term < state.term ||
--- a/packages/backend/src/agent/bootClaims.ts
+++ b/packages/backend/src/agent/bootClaims.ts
@@ -1,8 +1,7 @@
+import type { Either } from "purify-ts/Either";
 import type { Boot } from "@tanagerdeck/decisions/job/progressTypes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { Either } from "purify-ts/Either";
-import type { AgentState } from "./agentState.ts";
-import { bootOf } from "./agentState.ts";
+import { bootOf, type AgentState } from "./agentState.ts";
 import type { WorkerHeartbeat, WorkerRefusal, WorkerRunLists } from "./workerPort.ts";
 
 /** Claims that are kept at once; a worker has one boot, so more of them come from other writers. */
