--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,4 +1,6 @@
 // A runner crashes while it carries out a stop and starts again under its id. The group that was stopped must run again.
+import { setTimeout } from "node:timers";
+import { URL } from "node:url";
 import { BOUNDS, isTroubled, job, pause, runCase } from "../standin-2/deployment.mjs";
 
 const options = {
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,4 +1,5 @@
 // More than 500 tasks end on a runner while the store is down. None of them may run again after its end `done`.
+import { URL } from "node:url";
 import { setTimeout } from "node:timers";
 import { isTroubled, job, pause, runCase } from "../standin-2/deployment.mjs";
 
--- a/review/standin-2/deployment.mjs
+++ b/review/standin-2/deployment.mjs
@@ -146,7 +146,7 @@
     const network = await findNetwork();
     const folder = mkdtempSync(join(tmpdir(), "review-"));
     const store = await startStore(`${network}.1`);
-    const children = [];
+    const running = new Set();
     const seeds = Array.from({ length: entryCount }, (_, index) => `${network}.${10 + index}:8526`);
     let version = 0;
 
@@ -197,12 +197,13 @@
         const heap = role === "platform-entry" ? 160 : 96;
         const program = ["target/tanagerdeck.cjs", role, path];
         const child = spawn(process.execPath, [`--max-old-space-size=${heap}`, ...program]);
-        children.push(child);
-        const running = { name, ip, proxy, child, role, extra, path, settings, isUp: true, exit: undefined };
+        running.add(child);
+        const started = { name, ip, proxy, child, role, extra, path, settings, isUp: true, exit: undefined };
         child.stderr.on("data", data => note("stderr", { process: name, text: String(data) }));
         child.on("exit", (code, signal) => {
-            running.isUp = false;
-            running.exit = { code, signal };
+            running.delete(child);
+            started.isUp = false;
+            started.exit = { code, signal };
             note("exit", { process: name, code, signal });
         });
         await new Promise((resolve, reject) => {
@@ -222,7 +223,7 @@
             child.on("exit", () => reject(new Error(`${name} ended at its start`)));
         });
         note("ready", { process: name });
-        return running;
+        return started;
     }
 
     const entries = [];
@@ -353,10 +354,8 @@
         },
         runsOf: job => workers.flatMap(worker => worker.running()).filter(run => run.task.startsWith(job)),
         async stop() {
-            for (const child of children) {
-                if (child.exitCode === null && child.signalCode === null) {
-                    child.kill("SIGKILL");
-                }
+            for (const child of running) {
+                child.kill("SIGKILL");
             }
             for (const worker of workers) {
                 worker.close();
--- a/review/standin-2/worker.mjs
+++ b/review/standin-2/worker.mjs
@@ -1,5 +1,6 @@
 // Stand-in of a runner: starts, stops and holds over HTTP/1.1, leases on its own clock, heartbeats to its agent.
 import { createServer, request as sendRequest, Agent } from "node:http";
+import { performance } from "node:perf_hooks";
 import { clearInterval, clearTimeout, setInterval, setTimeout } from "node:timers";
 
 const LISTED_ENDS = 500;
