--- a/review/standin-2/deployment.mjs
+++ b/review/standin-2/deployment.mjs
@@ -147,6 +147,12 @@
     const folder = mkdtempSync(join(tmpdir(), "review-"));
     const store = await startStore(`${network}.1`);
     const running = new Set();
+    // Also if this process fails, none of those that it started stays behind.
+    process.on("exit", () => {
+        for (const child of running) {
+            child.kill("SIGKILL");
+        }
+    });
     const seeds = Array.from({ length: entryCount }, (_, index) => `${network}.${10 + index}:8526`);
     let version = 0;
 
