--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -5,13 +5,15 @@
 
 const TASKS = 700;
 const WORK_MS = 12_000;
-/** The largest span of `platform_down` in the list `troubles` of the site file okasplit. */
+/** The largest span of `platform_down` in the list `troubles` of the site file ckw-deck. */
 const DOWN_MS = 4_500;
+/** A runner of the site ckw-deck. */
+const OPTIONS = { workers: 1, capacity: { cpu: 128_000, mem_mb: 524_288, gpu: 8 }, stopMs: 200 };
 
-await runCase(new URL("record.txt", import.meta.url), { workers: 1 }, async deployment => {
+await runCase(new URL("record.txt", import.meta.url), OPTIONS, async deployment => {
     const { store, events, submit, until, note, call, entries } = deployment;
     const count = kind => events.filter(event => event.kind === kind).length;
-    const wide = job({ ms: WORK_MS, count: TASKS, cpu: 90, mem_mb: 100, gpu: 0, checkpointing: true });
+    const wide = job({ ms: WORK_MS, count: TASKS, cpu: 180, mem_mb: 700, gpu: 0, checkpointing: true });
     const id = await submit("normal", wide, { at: 0 });
     if (!(await until(() => count("end") > 0, 40_000))) {
         throw new Error("no task ended");
