--- a/review/standin-2/worker.mjs
+++ b/review/standin-2/worker.mjs
@@ -223,6 +223,9 @@
             version: "v1",
             slots: 8,
             state: boot.state,
+            ...(boot.leavesAt === undefined
+                ? {}
+                : { remaining_ms: Math.max(0, Math.floor(boot.leavesAt - performance.now())) }),
             cold_remaining_ms: 0,
             born: boot.born,
             capacity,
@@ -269,6 +272,12 @@
             beat();
             beatTimer = setInterval(beat, HEARTBEAT_MS);
         },
+        /** Gives notice that the runner leaves. */
+        drain(remainingMs) {
+            worker.boot.state = "draining";
+            worker.boot.leavesAt = performance.now() + remainingMs;
+            beat();
+        },
         /** Ends the runner at once, with all that it runs and knows. */
         crash() {
             const { boot } = worker;
