--- a/review/standin-2/deployment.mjs
+++ b/review/standin-2/deployment.mjs
@@ -14,6 +14,11 @@
 export const HOST = "desk.example";
 export const QUEUES = ["urgent", "normal", "batch"];
 const ATTEMPTS = 4;
+/** Longer bodies are recorded by their length only. */
+const SHOWN_BODY = 1_000;
+/** Lines of the programs' logs that the record shows: warnings and errors, and those about runs and workers. */
+const SHOWN_LOG =
+    /"level":[4-6]0|"msg":"(agent: A new boot|agent: A stopped|leadership|planner: A job|planner: A group is pre)/;
 
 /** Bounds of the site okasplit. */
 export const BOUNDS = {
@@ -221,7 +226,7 @@
                 for (const line of lines) {
                     if (line.includes('"ready":true')) {
                         resolve();
-                    } else {
+                    } else if (SHOWN_LOG.test(line)) {
                         note("log", { process: name, line });
                     }
                 }
@@ -269,7 +274,7 @@
     function call(entry, method, path, { key = "key-t1", body, deadlineMs = 3_000 } = {}) {
         const text = body === undefined ? "" : JSON.stringify(body);
         const label = `${entry.name} ${method} ${path}`;
-        note("sent", { call: label, body });
+        note("sent", { call: label, body: text.length > SHOWN_BODY ? `${text.length} bytes` : body });
         return new Promise(resolve => {
             const finish = (status, reply) => {
                 note("answered", { call: label, status, reply });
