Have the review's runner save checkpoints and end a failed stand-in with 2

PROTOCOL.md has a new checkpoint with each save_s of work and a fifth entry in each row of running runs; the runner had neither. A stand-in that fails now ends the script with 2 instead of 1.

--- a/review/standin-2/deployment.mjs
+++ b/review/standin-2/deployment.mjs
@@ -14,6 +14,8 @@
 export const HOST = "desk.example";
 export const QUEUES = ["urgent", "normal", "batch"];
 const ATTEMPTS = 4;
+/** `save_s` of the site ckw-deck. */
+const SAVE_MS = 2_000;
 /** Longer bodies are recorded by their length only. */
 const SHOWN_BODY = 1_000;
 /** Lines of the programs' logs that the record shows: warnings and errors, and those about runs and workers. */
@@ -127,6 +129,11 @@
     };
     let status = 2;
     let deployment;
+    // A fault of the stand-ins isn't one of the programs.
+    process.on("uncaughtException", error => {
+        console.error(error);
+        process.exit(2);
+    });
     try {
         note("case", { trouble: isTroubled });
         deployment = await startDeployment(options, note, events);
@@ -383,7 +390,14 @@
 /** A job of one step whose tasks take `ms` each. */
 export function job({ ms, count = 1, cpu = 8_000, mem_mb = 16_000, gpu = 1, failures, ...step }) {
     return {
-        spec: JSON.stringify({ ms, cpu, mem_mb, gpu, failures }),
+        spec: JSON.stringify({
+            ms,
+            cpu,
+            mem_mb,
+            gpu,
+            failures,
+            save_ms: step.checkpointing ? SAVE_MS : undefined,
+        }),
         steps: [{ count, cpu, mem_mb, gpu, estimate_ms: ms, ...step }],
     };
 }
--- a/review/standin-2/worker.mjs
+++ b/review/standin-2/worker.mjs
@@ -5,6 +5,8 @@
 
 const LISTED_ENDS = 500;
 const HEARTBEAT_MS = 1_500;
+/** `restore_ms` of the site okasplit, the longer one. */
+const RESTORE_MS = 600;
 
 /**
  * Creates a runner at `address`. A task's `spec` is JSON: `ms` (its duration), `cpu`, `mem_mb`, `gpu`, `failures` (how many
@@ -51,6 +53,16 @@
     }
     const clockOf = boot => Math.floor(performance.now() - boot.startedAt);
 
+    const workedMs = run => run.resumedMs + Math.max(0, performance.now() - run.workingSince);
+
+    /** The newest checkpoint: one with each `save_ms` of work, and one at a stop. */
+    function savedOf(run, isStopped) {
+        const { save_ms: saveMs } = run.spec;
+        const worked = Math.floor(workedMs(run));
+        const saved = isStopped ? worked : worked - (worked % saveMs);
+        return saveMs === undefined || saved <= 0 ? "" : saved.toString(16).padStart(16, "0");
+    }
+
     function end(boot, run, how) {
         if (boot.runs.get(run.task) !== run) {
             return;
@@ -59,7 +71,7 @@
         clearTimeout(run.timer);
         boot.closed.set(run.task, Math.max(boot.closed.get(run.task) ?? 0, run.run));
         boot.lastEnd += 1;
-        boot.ended.push([boot.lastEnd, run.task, run.run, how, ""]);
+        boot.ended.push([boot.lastEnd, run.task, run.run, how, savedOf(run, how === "stopped")]);
         boot.endClock.set(boot.lastEnd, clockOf(boot));
         note("end", { worker: name, task: run.task, run: run.run, how });
         for (const wake of [...boot.waiting]) {
@@ -82,16 +94,14 @@
             return [409, { clock_ms: now, reason: "old" }];
         }
         const spec = JSON.parse(body.spec);
-        const started = {
-            task,
-            run,
-            spec,
-            startedAt: performance.now(),
-            timer: undefined,
-            isStopping: false,
-        };
+        const resumedMs = body.saved ? parseInt(body.saved, 16) : 0;
+        const workingSince = performance.now() + (body.saved ? RESTORE_MS : 0);
+        const started = { task, run, spec, resumedMs, workingSince, timer: undefined, isStopping: false };
         const how = run <= (spec.failures ?? 0) ? "failed" : "done";
-        started.timer = setTimeout(() => end(boot, started, how), spec.ms);
+        started.timer = setTimeout(
+            () => end(boot, started, how),
+            Math.max(0, spec.ms - resumedMs) + workingSince - performance.now(),
+        );
         boot.runs.set(task, started);
         note("start", { worker: name, task, run, boot: boot.born });
         return [200, { clock_ms: now }];
@@ -110,11 +120,9 @@
 
     function lists(boot) {
         const running = [...boot.runs.values()].map(run => {
-            const percent = Math.min(
-                99,
-                Math.floor((100 * (performance.now() - run.startedAt)) / run.spec.ms),
-            );
-            return [run.task, run.run, "", percent];
+            const percent = Math.min(99, Math.floor((100 * workedMs(run)) / run.spec.ms));
+            // The fifth entry is the processor time in use.
+            return [run.task, run.run, savedOf(run, false), percent, run.spec.cpu ?? 0];
         });
         return [
             200,
