Move the agent's handlers of starts and stops to a file of their own

The handlers of the calls that carry out the leader's orders move to orderHandlers.ts, as those of heartbeats stand in bootHandlers.ts.

--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -1,6 +1,6 @@
 import { sameBoot } from "@tanagerdeck/decisions/job/progressTypes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
-import type { RunId, SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
+import type { SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
 import { startTask, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import { mergeStartOrders, mergeStopOrders } from "./agentOrders.ts";
 import { applyRunLists, buildReport } from "./agentReport.ts";
@@ -13,13 +13,12 @@
     SILENT_AFTER_HOLDS,
     workerNow,
     type AgentState,
-    type StartAttempt,
     type StopAttempt,
 } from "./agentState.ts";
 import type { AgentMessage, AgentOptions } from "./agentTypes.ts";
 import { createBootHandlers } from "./bootHandlers.ts";
+import { createOrderHandlers, stopStrayRuns } from "./orderHandlers.ts";
 import { callResult } from "./callResult.ts";
-import { noteStart } from "./workerCrash.ts";
 
 /**
  * Longest time for which the worker may delay the answer to a hold until a task ends. A hold is the call that renews the
@@ -28,8 +27,6 @@
 const HOLD_WAIT_MS = 1_000;
 /** Shortest time between two holds: the worker answers a hold at once while its list has ends that are not recorded. */
 const MIN_HOLD_INTERVAL_MS = 200;
-/** Delay before a start or stop that could not be sent or got no answer is tried again. */
-const CALL_RETRY_MS = 150;
 /** Delay before another hold reads the worker's lists again to confirm a stop. */
 const STOP_CHECK_DELAY_MS = 10;
 
@@ -120,61 +117,6 @@
         publishChange(state);
     }
 
-    function sendStart(state: AgentState, key: string, attempt: StartAttempt, context: Context): void {
-        const { order } = attempt;
-        const workerClock = workerNow(state, clock);
-        if (!state.worker) {
-            // Waits for the worker's first heartbeat: the boot cannot be told from its id, as a new boot may reuse it.
-            context.after(CALL_RETRY_MS, { kind: "call-start", key });
-            return;
-        }
-        if (!sameBoot(state.worker.boot, order.boot)) {
-            handleRefusal(state, attempt, "other-boot");
-            return;
-        }
-        if (workerCondition(state) === "draining") {
-            handleRefusal(state, attempt, "draining");
-            return;
-        }
-        const isOrderStale = clock.now() - attempt.listedAt > times.startMs;
-        if (workerClock === undefined || isOrderStale || !isRenewalGranted(state, clock)) {
-            context.after(CALL_RETRY_MS, { kind: "call-start", key });
-            return;
-        }
-        attempt.state = "calling";
-        state.renewalSentAt = clock.now();
-        const { task, run, spec, saved } = order;
-        const deadlineMs = Math.floor(workerClock + times.startMs);
-        context.start(
-            () => port.start({ id: order.boot.id, fence: state.term, task, run, spec, saved, deadlineMs }),
-            result => ({ kind: "start-answered", key, result }),
-        );
-    }
-
-    function hasEnded({ ended }: AgentState, { task, run }: RunId): boolean {
-        return ended.some(row => row.task === task && row.run === run);
-    }
-
-    function handleRefusal(state: AgentState, attempt: StartAttempt, reason: StartAttempt["reason"]): void {
-        attempt.state = "refused";
-        attempt.reason = reason;
-        log.info("A start was refused.", { task: attempt.order.task, run: attempt.order.run, reason });
-        publishChange(state);
-    }
-
-    function stopStrayRuns(state: AgentState, context: Context): void {
-        for (const [key, { task, run, boot }] of state.strayStarts) {
-            if (!state.worker || state.worker.boot.id !== boot.id) {
-                state.strayStarts.delete(key);
-                continue;
-            }
-            context.start(
-                () => port.stop({ id: boot.id, fence: state.term, task, run }),
-                result => ({ kind: "stray-answered", key, result }),
-            );
-        }
-    }
-
     const bootHandlers = createBootHandlers({
         port,
         service,
@@ -182,7 +124,7 @@
         log,
         publishChange,
         adopted(state, context) {
-            stopStrayRuns(state, context);
+            stopStrayRuns(state, port, context);
             scheduleHold(state, 0, context);
         },
     });
@@ -194,6 +136,7 @@
         state: createAgentState(incarnation, clock.now()),
         handlers: {
             ...bootHandlers,
+            ...createOrderHandlers({ port, times, clock, log, metrics, publishChange }),
             sync(state, { request, reply }, context) {
                 const isStale =
                     request.term < state.term ||
@@ -302,98 +245,6 @@
                     },
                 });
             },
-            "call-start"(state, { key }, context) {
-                const attempt = state.starts.get(key);
-                if (attempt?.state !== "idle") {
-                    return;
-                }
-                if (state.running.has(key) || hasEnded(state, attempt.order)) {
-                    attempt.state = "started";
-                    publishChange(state);
-                    return;
-                }
-                sendStart(state, key, attempt, context);
-            },
-            "start-answered"(state, { key, result }, context) {
-                metrics.workerCalled("start", callResult(result));
-                const attempt = state.starts.get(key);
-                if (!attempt) {
-                    return;
-                }
-                result.caseOf({
-                    Left(problem) {
-                        if (problem.verdict !== "not-run") {
-                            attempt.isUnanswered = true;
-                            noteStart(state, key, clock.now());
-                        }
-                        attempt.state = "idle";
-                        log.warn("A start got no answer.", {
-                            task: attempt.order.task,
-                            run: attempt.order.run,
-                        });
-                        context.after(CALL_RETRY_MS, { kind: "call-start", key });
-                    },
-                    Right(reply) {
-                        if (reply.kind === "refused") {
-                            handleRefusal(state, attempt, reply.reason);
-                            return;
-                        }
-                        attempt.state = "started";
-                        const { task, run, saved } = attempt.order;
-                        if (!hasEnded(state, attempt.order)) {
-                            noteStart(state, key, clock.now());
-                            const sinceClockMs = reply.clockMs;
-                            state.running.set(key, { task, run, saved, percent: 0, sinceClockMs });
-                        }
-                        publishChange(state);
-                    },
-                });
-            },
-            "call-stop"(state, { key }, context) {
-                const attempt = state.stops.get(key);
-                if (attempt?.state !== "idle") {
-                    return;
-                }
-                if (findCloseReason(state, attempt, clock, times)) {
-                    attempt.state = "closed";
-                    publishChange(state);
-                    return;
-                }
-                const { boot, task, run } = attempt.order;
-                attempt.state = "calling";
-                context.start(
-                    () => port.stop({ id: boot.id, fence: state.term, task, run }),
-                    result => ({ kind: "stop-answered", key, result }),
-                );
-            },
-            "stop-answered"(state, { key, result }, context) {
-                metrics.workerCalled("stop", callResult(result));
-                const attempt = state.stops.get(key);
-                if (!attempt) {
-                    return;
-                }
-                const reply = result.toMaybe().extract();
-                if (reply?.kind === "accepted") {
-                    attempt.state = "answered";
-                    attempt.answeredClockMs = reply.clockMs;
-                    context.post({ kind: "hold", waitMs: 0 });
-                    return;
-                }
-                if (reply?.reason === "other-boot") {
-                    attempt.state = "other-boot";
-                    publishChange(state);
-                    return;
-                }
-                attempt.state = "idle";
-                context.after(CALL_RETRY_MS, { kind: "call-stop", key });
-            },
-            "stray-answered"(state, { key, result }, context) {
-                if (result.isRight()) {
-                    state.strayStarts.delete(key);
-                    return;
-                }
-                context.after(CALL_RETRY_MS, { kind: "hold", waitMs: 0 });
-            },
             // Renews the lease a last time, so that tasks keep running while this process restarts.
             "last-hold"(state, { reply }, context) {
                 state.poll?.stopTimer();
--- /dev/null
+++ b/packages/backend/src/agent/orderHandlers.ts
@@ -0,0 +1,196 @@
+import { sameBoot } from "@tanagerdeck/decisions/job/progressTypes";
+import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
+import type { RunId } from "@tanagerdeck/decisions/worker/workerReport";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import type { Log } from "@tanagerdeck/runtime/log/log";
+import type { SchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
+import type { Handlers, TaskContext } from "@tanagerdeck/runtime/task/task";
+import {
+    findCloseReason,
+    isRenewalGranted,
+    workerCondition,
+    workerNow,
+    type AgentState,
+    type StartAttempt,
+} from "./agentState.ts";
+import type { AgentMessage } from "./agentTypes.ts";
+import { callResult } from "./callResult.ts";
+import { noteStart } from "./workerCrash.ts";
+import type { WorkerPort } from "./workerPort.ts";
+
+/** Delay before a start or stop that could not be sent or got no answer is tried again. */
+const CALL_RETRY_MS = 150;
+
+type Context = TaskContext<AgentMessage>;
+
+/** What the handlers of starts and stops need. */
+export interface OrderHandlerOptions {
+    port: WorkerPort;
+    times: LeaseTimes;
+    clock: Clock;
+    log: Log;
+    metrics: SchedulerMetrics;
+    publishChange: (state: AgentState) => void;
+}
+
+/** Handlers of the calls that carry out the leader's orders. */
+export type OrderHandlers = Pick<
+    Handlers<AgentState, AgentMessage>,
+    "call-start" | "start-answered" | "call-stop" | "stop-answered" | "stray-answered"
+>;
+
+/** Creates the handlers of starts and stops. */
+export function createOrderHandlers(options: OrderHandlerOptions): OrderHandlers {
+    const { port, times, clock, log, metrics, publishChange } = options;
+
+    function sendStart(state: AgentState, key: string, attempt: StartAttempt, context: Context): void {
+        const { order } = attempt;
+        const workerClock = workerNow(state, clock);
+        if (!state.worker) {
+            // Waits for the worker's first heartbeat: the boot cannot be told from its id, as a new boot may reuse it.
+            context.after(CALL_RETRY_MS, { kind: "call-start", key });
+            return;
+        }
+        if (!sameBoot(state.worker.boot, order.boot)) {
+            handleRefusal(state, attempt, "other-boot");
+            return;
+        }
+        if (workerCondition(state) === "draining") {
+            handleRefusal(state, attempt, "draining");
+            return;
+        }
+        const isOrderStale = clock.now() - attempt.listedAt > times.startMs;
+        if (workerClock === undefined || isOrderStale || !isRenewalGranted(state, clock)) {
+            context.after(CALL_RETRY_MS, { kind: "call-start", key });
+            return;
+        }
+        attempt.state = "calling";
+        state.renewalSentAt = clock.now();
+        const { task, run, spec, saved } = order;
+        const deadlineMs = Math.floor(workerClock + times.startMs);
+        context.start(
+            () => port.start({ id: order.boot.id, fence: state.term, task, run, spec, saved, deadlineMs }),
+            result => ({ kind: "start-answered", key, result }),
+        );
+    }
+
+    function hasEnded({ ended }: AgentState, { task, run }: RunId): boolean {
+        return ended.some(row => row.task === task && row.run === run);
+    }
+
+    function handleRefusal(state: AgentState, attempt: StartAttempt, reason: StartAttempt["reason"]): void {
+        attempt.state = "refused";
+        attempt.reason = reason;
+        log.info("A start was refused.", { task: attempt.order.task, run: attempt.order.run, reason });
+        publishChange(state);
+    }
+
+    return {
+        "call-start"(state, { key }, context) {
+            const attempt = state.starts.get(key);
+            if (attempt?.state !== "idle") {
+                return;
+            }
+            if (state.running.has(key) || hasEnded(state, attempt.order)) {
+                attempt.state = "started";
+                publishChange(state);
+                return;
+            }
+            sendStart(state, key, attempt, context);
+        },
+        "start-answered"(state, { key, result }, context) {
+            metrics.workerCalled("start", callResult(result));
+            const attempt = state.starts.get(key);
+            if (!attempt) {
+                return;
+            }
+            result.caseOf({
+                Left(problem) {
+                    if (problem.verdict !== "not-run") {
+                        attempt.isUnanswered = true;
+                        noteStart(state, key, clock.now());
+                    }
+                    attempt.state = "idle";
+                    log.warn("A start got no answer.", {
+                        task: attempt.order.task,
+                        run: attempt.order.run,
+                    });
+                    context.after(CALL_RETRY_MS, { kind: "call-start", key });
+                },
+                Right(reply) {
+                    if (reply.kind === "refused") {
+                        handleRefusal(state, attempt, reply.reason);
+                        return;
+                    }
+                    attempt.state = "started";
+                    const { task, run, saved } = attempt.order;
+                    if (!hasEnded(state, attempt.order)) {
+                        noteStart(state, key, clock.now());
+                        const sinceClockMs = reply.clockMs;
+                        state.running.set(key, { task, run, saved, percent: 0, sinceClockMs });
+                    }
+                    publishChange(state);
+                },
+            });
+        },
+        "call-stop"(state, { key }, context) {
+            const attempt = state.stops.get(key);
+            if (attempt?.state !== "idle") {
+                return;
+            }
+            if (findCloseReason(state, attempt, clock, times)) {
+                attempt.state = "closed";
+                publishChange(state);
+                return;
+            }
+            const { boot, task, run } = attempt.order;
+            attempt.state = "calling";
+            context.start(
+                () => port.stop({ id: boot.id, fence: state.term, task, run }),
+                result => ({ kind: "stop-answered", key, result }),
+            );
+        },
+        "stop-answered"(state, { key, result }, context) {
+            metrics.workerCalled("stop", callResult(result));
+            const attempt = state.stops.get(key);
+            if (!attempt) {
+                return;
+            }
+            const reply = result.toMaybe().extract();
+            if (reply?.kind === "accepted") {
+                attempt.state = "answered";
+                attempt.answeredClockMs = reply.clockMs;
+                context.post({ kind: "hold", waitMs: 0 });
+                return;
+            }
+            if (reply?.reason === "other-boot") {
+                attempt.state = "other-boot";
+                publishChange(state);
+                return;
+            }
+            attempt.state = "idle";
+            context.after(CALL_RETRY_MS, { kind: "call-stop", key });
+        },
+        "stray-answered"(state, { key, result }, context) {
+            if (result.isRight()) {
+                state.strayStarts.delete(key);
+                return;
+            }
+            context.after(CALL_RETRY_MS, { kind: "hold", waitMs: 0 });
+        },
+    };
+}
+
+/** Stops the runs whose start a former boot may have left to this one. */
+export function stopStrayRuns(state: AgentState, port: WorkerPort, context: Context): void {
+    for (const [key, { task, run, boot }] of state.strayStarts) {
+        if (!state.worker || state.worker.boot.id !== boot.id) {
+            state.strayStarts.delete(key);
+            continue;
+        }
+        context.start(
+            () => port.stop({ id: boot.id, fence: state.term, task, run }),
+            result => ({ kind: "stray-answered", key, result }),
+        );
+    }
+}
