Share the set-up of the agent's specs

The next spec of the agent needs the same stand-in of worker and leader; it stands in testing/agentHarness.ts.

--- a/packages/backend/src/agent/agentTask.spec.ts
+++ b/packages/backend/src/agent/agentTask.spec.ts
@@ -1,114 +1,31 @@
 import { expect } from "chai";
-import { leaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
-import type {
-    CrashEnd,
-    StartOrder,
-    SyncReply,
-    SyncReport,
-    SyncRequest,
-} from "@tanagerdeck/decisions/worker/workerReport";
-import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
-import { noopLog } from "@tanagerdeck/runtime/log/log";
-import { noopSchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
-import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
-import { createScriptedWorker, type ScriptedWorker } from "@tanagerdeck/standins/agent/scriptedWorker";
-import { startAgentTask } from "./agentTask.ts";
-import type { AgentMessage } from "./agentTypes.ts";
-import type { WorkerHeartbeat } from "./workerPort.ts";
+import type { CrashEnd } from "@tanagerdeck/decisions/worker/workerReport";
+import type { ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import type { Reply } from "@tanagerdeck/runtime/task/task";
+import type { ScriptedWorker } from "@tanagerdeck/standins/agent/scriptedWorker";
+import {
+    FIRST_BOOT as boot,
+    startAgentHarness,
+    startOrder,
+    type AgentHarness,
+} from "./testing/agentHarness.ts";
 
 describe("the agent task", () => {
-    const times = leaseTimes(6_000);
-    const boot = { id: "i-1", bornMs: 1_000 };
+    let harness: AgentHarness;
     let clock: ManualClock;
     let worker: ScriptedWorker;
-    let agent: Task<AgentMessage>;
-    let sequence: number;
-
-    function startAgent(): void {
-        agent = startAgentTask({
-            port: worker,
-            service: () => "desk",
-            times,
-            incarnation: "first",
-            clock,
-            log: noopLog,
-            metrics: noopSchedulerMetrics,
-        });
-    }
+    let times: AgentHarness["times"];
 
     beforeEach(() => {
-        clock = createManualClock();
-        worker = createScriptedWorker(clock);
-        sequence = 0;
-        startAgent();
+        harness = startAgentHarness();
+        ({ clock, worker, times } = harness);
     });
 
-    afterEach(() => agent.stop());
-
-    function sendHeartbeat(changes: Partial<WorkerHeartbeat> = {}): Promise<void> {
-        const heartbeat: WorkerHeartbeat = {
-            id: boot.id,
-            bornMs: boot.bornMs,
-            sequence: ++sequence,
-            service: "desk",
-            availabilityZone: "zone",
-            isDraining: false,
-            labels: ["a", "r1"],
-            rack: "r1",
-            capacity: { cpuMillis: 64_000, memoryMb: 1_000, gpus: 8 },
-            clockMs: worker.clockMs(),
-            ...changes,
-        };
-        return agent.ask((reply: Reply<void>) => ({ kind: "heartbeat", heartbeat, reply }));
-    }
-
-    /** The worker starts again as another boot and says so. */
-    async function restartWorker(boot: { id: string; bornMs: number }): Promise<void> {
-        worker.id = boot.id;
-        worker.bornMs = boot.bornMs;
-        await sendHeartbeat(boot);
-        await clock.settle();
-    }
-
-    let calls = 0;
-
-    function sync(changes: Partial<SyncRequest> = {}): Promise<SyncReply> {
-        const request: SyncRequest = {
-            term: 7,
-            sequence: ++calls,
-            starts: [],
-            stops: [],
-            seenVersion: 0,
-            waitMs: 0,
-            ...changes,
-        };
-        return agent.ask((reply: Reply<SyncReply>) => ({ kind: "sync", request, reply }));
-    }
-
-    async function report(changes: Partial<SyncRequest> = {}): Promise<SyncReport> {
-        const reply = await sync(changes);
-        if (reply.kind !== "report") {
-            throw new Error("The call was stale.");
-        }
-        return reply.report;
-    }
-
-    /** Sends the first heartbeat and grants the renewal of the lease. */
-    async function startWithGrant(): Promise<SyncReport["stamp"]> {
-        await sendHeartbeat();
-        const { stamp } = await report();
-        await sync({ grant: { stamp, ms: times.grantMs } });
-        await clock.settle();
-        return stamp;
-    }
-
-    function startOrder(task: string, run = 1): StartOrder {
-        return { task, run, boot, spec: "spec" };
-    }
+    afterEach(() => harness.stop());
 
     describe("under a grant", () => {
         it("renews the lease with each hold", async () => {
-            await startWithGrant();
+            await harness.startWithGrant();
             await clock.advance(3_000);
             const deadlines = worker.holds.flatMap(hold => hold.deadlineMs ?? []);
             expect(deadlines.length).to.be.at.least(3);
@@ -116,7 +33,7 @@
         });
 
         it("stops renewing when the grant ends, so that the leader may place the tasks elsewhere", async () => {
-            await startWithGrant();
+            await harness.startWithGrant();
             await clock.advance(times.grantMs + 1_500);
             const last = worker.holds.at(-1);
             expect(last).to.not.equal(undefined);
@@ -124,18 +41,18 @@
         });
 
         it("ignores a grant that echoes another incarnation's stamp", async () => {
-            await sendHeartbeat();
-            const { stamp } = await report();
-            await sync({ grant: { stamp: { ...stamp, incarnation: "earlier" }, ms: times.grantMs } });
+            await harness.sendHeartbeat();
+            const { stamp } = await harness.report();
+            await harness.sync({ grant: { stamp: { ...stamp, incarnation: "earlier" }, ms: times.grantMs } });
             await clock.advance(2_000);
             expect(worker.holds.flatMap(hold => hold.deadlineMs ?? [])).to.deep.equal([]);
         });
 
         it("measures the grant from its stamp, not from its arrival, as a call may be delayed", async () => {
-            const stamp = await startWithGrant();
+            const stamp = await harness.startWithGrant();
             await clock.advance(times.grantMs + 500);
             worker.holds = [];
-            await sync({ grant: { stamp, ms: times.grantMs } });
+            await harness.sync({ grant: { stamp, ms: times.grantMs } });
             await clock.advance(1_500);
             expect(worker.holds.flatMap(hold => hold.deadlineMs ?? [])).to.deep.equal([]);
         });
@@ -143,10 +60,10 @@
 
     describe("with an order to start", () => {
         it("starts the run once and reports it as running", async () => {
-            await startWithGrant();
-            await sync({ starts: [startOrder("j.0.0.0")] });
+            await harness.startWithGrant();
+            await harness.sync({ starts: [startOrder("j.0.0.0")] });
             await clock.settle();
-            const { running, starts } = await report({ starts: [startOrder("j.0.0.0")] });
+            const { running, starts } = await harness.report({ starts: [startOrder("j.0.0.0")] });
             expect(worker.starts).to.have.length(1);
             expect(worker.starts[0]).to.include({ fence: 7, id: "i-1", run: 1 });
             expect(running.map(row => row.task)).to.deep.equal(["j.0.0.0"]);
@@ -154,36 +71,36 @@
         });
 
         it("retries a start that got no answer, and gives up before the gang's limit", async () => {
-            await startWithGrant();
+            await harness.startWithGrant();
             worker.behaviour = "silent";
-            await sync({ starts: [startOrder("j.0.0.0")] });
+            await harness.sync({ starts: [startOrder("j.0.0.0")] });
             await clock.advance(10_000);
             expect(worker.starts.length).to.be.within(2, 5);
         });
 
         it("refuses a start for another boot, as the new boot may not know which runs were stopped", async () => {
-            await startWithGrant();
+            await harness.startWithGrant();
             const other = { ...startOrder("j.0.0.0"), boot: { id: "i-1", bornMs: 999 } };
-            await sync({ starts: [other] });
+            await harness.sync({ starts: [other] });
             await clock.settle();
-            const { starts } = await report({ starts: [other] });
+            const { starts } = await harness.report({ starts: [other] });
             expect(starts[0]?.state).to.deep.equal({ kind: "refused", reason: "other-boot" });
             expect(worker.starts).to.deep.equal([]);
         });
 
         it("refuses a start as soon as the worker drains", async () => {
-            await startWithGrant();
-            await sendHeartbeat({ isDraining: true, remainingMs: 2_000 });
-            await sync({ starts: [startOrder("j.0.0.0")] });
+            await harness.startWithGrant();
+            await harness.sendHeartbeat({ isDraining: true, remainingMs: 2_000 });
+            await harness.sync({ starts: [startOrder("j.0.0.0")] });
             await clock.settle();
-            const { starts, worker: description } = await report({ starts: [startOrder("j.0.0.0")] });
+            const { starts, worker: description } = await harness.report({ starts: [startOrder("j.0.0.0")] });
             expect(starts[0]?.state).to.deep.equal({ kind: "refused", reason: "draining" });
             expect(description?.condition).to.equal("draining");
         });
 
         it("sends no start after its own restart until a heartbeat arrives", async () => {
-            const { stamp } = await report();
-            await sync({ grant: { stamp, ms: times.grantMs }, starts: [startOrder("j.0.0.0")] });
+            const { stamp } = await harness.report();
+            await harness.sync({ grant: { stamp, ms: times.grantMs }, starts: [startOrder("j.0.0.0")] });
             await clock.advance(1_000);
             expect(worker.starts).to.deep.equal([]);
         });
@@ -193,42 +110,42 @@
         const stop = { task: "j.0.0.0", run: 1, boot };
 
         it("is closed only when lists made after the stop no longer show the run", async () => {
-            await startWithGrant();
+            await harness.startWithGrant();
             worker.running = [{ task: "j.0.0.0", run: 1, percent: 10 }];
-            await sync({ stops: [stop] });
+            await harness.sync({ stops: [stop] });
             await clock.advance(50);
-            expect((await report({ stops: [stop] })).stops[0]?.state.kind).to.equal("pending");
+            expect((await harness.report({ stops: [stop] })).stops[0]?.state.kind).to.equal("pending");
             worker.running = [];
             await clock.advance(1_500);
-            expect((await report({ stops: [stop] })).stops[0]?.state.kind).to.equal("closed");
+            expect((await harness.report({ stops: [stop] })).stops[0]?.state.kind).to.equal("closed");
         });
 
         it("stays pending when a heartbeat names the boot whose lists were read before it", async () => {
             // Seen on ckw-deck scale-1: a restarted agent lost the list of running tasks when the heartbeat arrived, so
             // the stop was reported as closed and the task was started a second time.
             worker.running = [{ task: "j.0.0.0", run: 1, percent: 10 }];
-            const { stamp } = await report();
-            await sync({ grant: { stamp, ms: times.grantMs }, stops: [stop] });
+            const { stamp } = await harness.report();
+            await harness.sync({ grant: { stamp, ms: times.grantMs }, stops: [stop] });
             await clock.advance(100);
-            await sendHeartbeat();
-            expect((await report({ stops: [stop] })).stops[0]?.state.kind).to.equal("pending");
+            await harness.sendHeartbeat();
+            expect((await harness.report({ stops: [stop] })).stops[0]?.state.kind).to.equal("pending");
         });
 
         it("is closed by a boot with another id, since that boot refuses late starts", async () => {
-            await startWithGrant();
-            await restartWorker({ id: "i-2", bornMs: 9_000 });
-            await sync({ stops: [stop] });
+            await harness.startWithGrant();
+            await harness.restartWorker({ id: "i-2", bornMs: 9_000 });
+            await harness.sync({ stops: [stop] });
             await clock.settle();
-            expect((await report({ stops: [stop] })).stops[0]?.state.kind).to.equal("closed");
+            expect((await harness.report({ stops: [stop] })).stops[0]?.state.kind).to.equal("closed");
         });
 
         it("is sent to a new boot with the same id, which would execute a late start of the run", async () => {
-            await startWithGrant();
-            await restartWorker({ id: "i-1", bornMs: 9_000 });
-            await sync({ stops: [stop] });
+            await harness.startWithGrant();
+            await harness.restartWorker({ id: "i-1", bornMs: 9_000 });
+            await harness.sync({ stops: [stop] });
             await clock.advance(50);
             expect(worker.stops.map(call => call.task)).to.deep.equal(["j.0.0.0"]);
-            expect((await report({ stops: [stop] })).stops[0]?.state.kind).to.equal("closed");
+            expect((await harness.report({ stops: [stop] })).stops[0]?.state.kind).to.equal("closed");
         });
     });
 
@@ -236,16 +153,16 @@
         // Guards against a run that goes on for good because its stop was given up while the worker was silent.
         it("sends the stop when the worker answers again and still lists the run", async () => {
             const stop = { task: "j.0.0.0", run: 1, boot };
-            await startWithGrant();
+            await harness.startWithGrant();
             worker.behaviour = "silent";
             await clock.advance(12_000);
-            expect((await report({ stops: [stop] })).stops[0]?.state.kind).to.equal("closed");
+            expect((await harness.report({ stops: [stop] })).stops[0]?.state.kind).to.equal("closed");
             await clock.settle();
             expect(worker.stops).to.deep.equal([]);
             worker.running = [{ task: "j.0.0.0", run: 1, percent: 10 }];
             worker.behaviour = "answers";
             await clock.advance(2_000);
-            await sync({ stops: [stop] });
+            await harness.sync({ stops: [stop] });
             await clock.settle();
             expect(worker.stops.map(call => call.task)).to.deep.equal(["j.0.0.0"]);
         });
@@ -253,21 +170,21 @@
 
     describe("when the worker ends a run", () => {
         it("reports the end at once and lets the worker drop it only when it is recorded", async () => {
-            await startWithGrant();
-            const waiting = report({ seenVersion: (await report()).version, waitMs: 5_000 });
+            await harness.startWithGrant();
+            const waiting = harness.report({ seenVersion: (await harness.report()).version, waitMs: 5_000 });
             worker.ended = [{ number: 1, task: "j.0.0.0", run: 1, end: "done" }];
             await clock.advance(1_500);
             expect((await waiting).ended).to.have.length(1);
             expect(worker.holds.at(-1)?.recorded).to.equal(0);
-            await sync({ recorded: { boot, number: 1 } });
+            await harness.sync({ recorded: { boot, number: 1 } });
             await clock.advance(1_500);
             expect(worker.holds.at(-1)?.recorded).to.equal(1);
-            expect((await report()).ended).to.deep.equal([]);
+            expect((await harness.report()).ended).to.deep.equal([]);
         });
 
         // Guards against an end that is not recorded yet when all VMs lose power, so that the task runs again.
         it("reads the next end as soon as the one before is recorded", async () => {
-            await startWithGrant();
+            await harness.startWithGrant();
             worker.ended = [{ number: 1, task: "j.0.0.0", run: 1, end: "done" }];
             await clock.advance(1_500);
             const holds = worker.holds.length;
@@ -275,28 +192,28 @@
                 await clock.advance(1);
             }
             worker.ended = [{ number: 2, task: "j.0.0.1", run: 1, end: "done" }];
-            await sync({ recorded: { boot, number: 1 } });
+            await harness.sync({ recorded: { boot, number: 1 } });
             await clock.advance(10);
-            expect((await report()).ended.map(({ number }) => number)).to.deep.equal([2]);
+            expect((await harness.report()).ended.map(({ number }) => number)).to.deep.equal([2]);
         });
     });
 
     describe("when the worker does not answer", () => {
         it("lets the lease expire and then reports it as lapsed", async () => {
-            await startWithGrant();
+            await harness.startWithGrant();
             worker.behaviour = "silent";
             await clock.advance(6_000);
-            const early = await report();
+            const early = await harness.report();
             expect(early.worker).to.include({ condition: "silent", hasLapsed: false });
             await clock.advance(6_000);
-            expect((await report()).worker?.hasLapsed).to.equal(true);
+            expect((await harness.report()).worker?.hasLapsed).to.equal(true);
         });
 
         it("reports the worker as gone when its address refuses connections", async () => {
-            await startWithGrant();
+            await harness.startWithGrant();
             worker.behaviour = "refuses-connections";
             await clock.advance(2_000);
-            expect((await report()).worker?.condition).to.equal("gone");
+            expect((await harness.report()).worker?.condition).to.equal("gone");
         });
     });
 
@@ -305,8 +222,8 @@
 
         /** The worker starts the task and works on it for a time. */
         async function runFor(workedMs: number): Promise<void> {
-            await startWithGrant();
-            await sync({ starts: [startOrder(task)] });
+            await harness.startWithGrant();
+            await harness.sync({ starts: [startOrder(task)] });
             await clock.settle();
             worker.running = [{ task, run: 1, percent: 0 }];
             await clock.advance(workedMs);
@@ -318,8 +235,8 @@
             await clock.advance(3_000);
             worker.behaviour = "answers";
             worker.running = [];
-            await restartWorker({ id: "i-2", bornMs: 9_000 });
-            const { stops } = await report({ stops: [{ task, run: 1, boot }] });
+            await harness.restartWorker({ id: "i-2", bornMs: 9_000 });
+            const { stops } = await harness.report({ stops: [{ task, run: 1, boot }] });
             const state = stops[0]?.state;
             return state?.kind === "closed" ? state.end : undefined;
         }
@@ -327,7 +244,7 @@
         it("blames a task that had just started, also to a leader that takes over afterwards", async () => {
             await runFor(100);
             expect(await endAfterCrash()).to.equal("crashed-at-start");
-            const { stops } = await report({ term: 8, stops: [{ task, run: 1, boot }] });
+            const { stops } = await harness.report({ term: 8, stops: [{ task, run: 1, boot }] });
             expect(stops[0]?.state).to.deep.equal({ kind: "closed", end: "crashed-at-start" });
         });
 
@@ -337,24 +254,24 @@
         });
 
         it("blames a task whose start got no answer, as it may have been executed", async () => {
-            await startWithGrant();
+            await harness.startWithGrant();
             worker.behaviour = "silent";
-            await sync({ starts: [startOrder(task)] });
+            await harness.sync({ starts: [startOrder(task)] });
             await clock.advance(700);
             expect(await endAfterCrash()).to.equal("crashed-at-start");
         });
 
         it("does not blame a task that could not be sent to the worker", async () => {
-            await startWithGrant();
+            await harness.startWithGrant();
             worker.behaviour = "refuses-connections";
-            await sync({ starts: [startOrder(task)] });
+            await harness.sync({ starts: [startOrder(task)] });
             await clock.advance(700);
             expect(await endAfterCrash()).to.equal(undefined);
         });
 
         it("does not blame a task if the worker had announced its end", async () => {
             await runFor(100);
-            await sendHeartbeat({ isDraining: true });
+            await harness.sendHeartbeat({ isDraining: true });
             expect(await endAfterCrash()).to.equal(undefined);
         });
 
@@ -362,7 +279,7 @@
             await runFor(100);
             worker.behaviour = "refuses-connections";
             await clock.advance(12_000);
-            const { stops } = await report({ stops: [{ task, run: 1, boot }] });
+            const { stops } = await harness.report({ stops: [{ task, run: 1, boot }] });
             expect(stops[0]?.state).to.deep.equal({ kind: "closed", end: "crashed-at-start" });
         });
     });
@@ -371,15 +288,19 @@
         const task = "j.0.0.0";
 
         async function expectRunGoesOn(): Promise<void> {
-            const { worker: description, running, stops } = await report({ stops: [{ task, run: 1, boot }] });
+            const {
+                worker: description,
+                running,
+                stops,
+            } = await harness.report({ stops: [{ task, run: 1, boot }] });
             expect(description?.boot).to.deep.equal(boot);
             expect(running.map(row => row.task)).to.deep.equal([task]);
             expect(stops[0]?.state.kind).to.equal("pending");
         }
 
         beforeEach(async () => {
-            await startWithGrant();
-            await sync({ starts: [startOrder(task)] });
+            await harness.startWithGrant();
+            await harness.sync({ starts: [startOrder(task)] });
             await clock.settle();
             worker.running = [{ task, run: 1, percent: 10 }];
             await clock.advance(1_500);
@@ -387,52 +308,54 @@
 
         // Guards against a heartbeat of another writer that closes the runs of the worker while they go on.
         it("keeps the boot if the heartbeat of a later one names another id than the worker has", async () => {
-            await sendHeartbeat({ id: "i-printer", bornMs: 9_000, sequence: 1 });
+            await harness.sendHeartbeat({ id: "i-printer", bornMs: 9_000, sequence: 1 });
             await clock.settle();
             await expectRunGoesOn();
         });
 
         it("keeps the boot if the heartbeat names a later start than the worker has", async () => {
-            await sendHeartbeat({ bornMs: 9_000, sequence: 1 });
+            await harness.sendHeartbeat({ bornMs: 9_000, sequence: 1 });
             await clock.settle();
             await expectRunGoesOn();
         });
 
         it("ignores a heartbeat that names another service", async () => {
-            await sendHeartbeat({ service: "ledger-printer", isDraining: true });
-            await sendHeartbeat({ id: "i-printer", bornMs: 9_000, service: "ledger-printer" });
+            await harness.sendHeartbeat({ service: "ledger-printer", isDraining: true });
+            await harness.sendHeartbeat({ id: "i-printer", bornMs: 9_000, service: "ledger-printer" });
             await clock.settle();
             await expectRunGoesOn();
-            expect((await report()).worker).to.include({ service: "desk", condition: "ready" });
+            expect((await harness.report()).worker).to.include({ service: "desk", condition: "ready" });
         });
 
         it("goes on taking the worker's heartbeats after many of other writers", async () => {
             for (let number = 1; number <= 20; number++) {
-                await sendHeartbeat({ id: `i-odd-${number}`, bornMs: 9_000 + number });
+                await harness.sendHeartbeat({ id: `i-odd-${number}`, bornMs: 9_000 + number });
             }
             await clock.settle();
             await expectRunGoesOn();
-            await sendHeartbeat({ isDraining: true });
-            expect((await report()).worker?.condition).to.equal("draining");
+            await harness.sendHeartbeat({ isDraining: true });
+            expect((await harness.report()).worker?.condition).to.equal("draining");
         });
 
         it("accepts the next boot once the worker answers as that boot", async () => {
             worker.behaviour = "silent";
             worker.running = [];
-            await restartWorker({ id: "i-2", bornMs: 9_000 });
-            expect((await report()).worker?.boot).to.deep.equal(boot);
+            await harness.restartWorker({ id: "i-2", bornMs: 9_000 });
+            expect((await harness.report()).worker?.boot).to.deep.equal(boot);
             worker.behaviour = "answers";
             await clock.advance(1_000);
-            expect((await report()).worker?.boot).to.deep.equal({ id: "i-2", bornMs: 9_000 });
+            expect((await harness.report()).worker?.boot).to.deep.equal({ id: "i-2", bornMs: 9_000 });
         });
 
         describe("and says that it leaves", () => {
             function sendLeave(changes: { id?: string; bornMs?: number | undefined } = {}): Promise<void> {
-                return agent.ask((reply: Reply<void>) => ({ kind: "left", id: boot.id, ...changes, reply }));
+                return harness
+                    .agent()
+                    .ask((reply: Reply<void>) => ({ kind: "left", id: boot.id, ...changes, reply }));
             }
 
             async function isClosed(): Promise<boolean> {
-                const { stops } = await report({ stops: [{ task, run: 1, boot }] });
+                const { stops } = await harness.report({ stops: [{ task, run: 1, boot }] });
                 return stops[0]?.state.kind === "closed";
             }
 
@@ -440,7 +363,7 @@
             it("keeps the boot if the message names an earlier start", async () => {
                 await sendLeave({ bornMs: boot.bornMs - 500 });
                 await expectRunGoesOn();
-                expect((await report()).worker?.condition).to.equal("ready");
+                expect((await harness.report()).worker?.condition).to.equal("ready");
             });
 
             it("closes the runs at once if the message names the boot", async () => {
@@ -461,80 +384,77 @@
                 it("blames no task if the next boot answers before the leave is confirmed", async () => {
                     await sendLeave();
                     worker.running = [];
-                    await restartWorker({ id: "i-2", bornMs: 9_000 });
-                    const { stops } = await report({ stops: [{ task, run: 1, boot }] });
+                    await harness.restartWorker({ id: "i-2", bornMs: 9_000 });
+                    const { stops } = await harness.report({ stops: [{ task, run: 1, boot }] });
                     expect(stops[0]?.state).to.deep.equal({ kind: "closed", end: undefined });
                 });
 
                 it("gives the worker no new tasks while it is checked, and goes on if it stays", async () => {
                     await sendLeave();
-                    expect((await report()).worker?.condition).to.equal("draining");
+                    expect((await harness.report()).worker?.condition).to.equal("draining");
                     await clock.advance(2_500);
                     await expectRunGoesOn();
-                    expect((await report()).worker?.condition).to.equal("ready");
+                    expect((await harness.report()).worker?.condition).to.equal("ready");
                 });
             });
 
             it("does not come back through a late heartbeat of the boot that has left", async () => {
                 await sendLeave({ bornMs: boot.bornMs });
-                await sendHeartbeat();
-                expect((await report()).worker?.condition).to.equal("gone");
+                await harness.sendHeartbeat();
+                expect((await harness.report()).worker?.condition).to.equal("gone");
             });
         });
 
         describe("after a restart of the agent", () => {
             // Guards against runs that count as open for good, as their worker stays away while its agent starts again.
             it("reports the lease of a worker that stays away as lapsed", async () => {
-                await agent.stop();
+                await harness.stop();
                 worker.behaviour = "refuses-connections";
-                startAgent();
-                calls = 0;
+                harness.start();
                 await clock.advance(3_000);
-                expect(await report()).to.deep.include({ worker: undefined, hasLapsed: false });
+                expect(await harness.report()).to.deep.include({ worker: undefined, hasLapsed: false });
                 await clock.advance(6_000);
-                expect(await report()).to.deep.include({ worker: undefined, hasLapsed: true });
+                expect(await harness.report()).to.deep.include({ worker: undefined, hasLapsed: true });
             });
 
             // Guards against a report that describes the worker and lists none of its tasks, which are then closed.
             it("describes the worker together with the tasks that it runs", async () => {
-                await agent.stop();
-                startAgent();
-                calls = 0;
-                await report();
-                await sendHeartbeat();
+                await harness.stop();
+                harness.start();
+                await harness.report();
+                await harness.sendHeartbeat();
                 await clock.settle();
-                const { worker: description, running } = await report();
+                const { worker: description, running } = await harness.report();
                 expect(description?.boot).to.deep.equal(boot);
                 expect(running.map(row => row.task)).to.deep.equal([task]);
             });
 
             // Guards against a late heartbeat of a former boot that is taken for the present one.
             it("ignores a heartbeat of the boot before the one that runs", async () => {
-                await agent.stop();
-                startAgent();
-                calls = 0;
-                await sendHeartbeat({ id: "i-0", bornMs: 500 });
-                await report();
+                await harness.stop();
+                harness.start();
+                await harness.sendHeartbeat({ id: "i-0", bornMs: 500 });
+                await harness.report();
                 await clock.settle();
-                expect((await report()).worker).to.equal(undefined);
-                await sendHeartbeat();
+                expect((await harness.report()).worker).to.equal(undefined);
+                await harness.sendHeartbeat();
                 await clock.settle();
-                expect((await report()).worker?.boot).to.deep.equal(boot);
+                expect((await harness.report()).worker?.boot).to.deep.equal(boot);
             });
         });
     });
 
     describe("with calls from several leaders", () => {
         it("refuses an older term, whose orders may be revoked", async () => {
-            await startWithGrant();
-            await sync({ term: 9 });
-            expect(await sync({ term: 7 })).to.deep.equal({ kind: "stale", term: 9 });
+            await harness.startWithGrant();
+            await harness.sync({ term: 9 });
+            expect(await harness.sync({ term: 7 })).to.deep.equal({ kind: "stale", term: 9 });
         });
 
         it("answers an out-of-order call as stale", async () => {
-            await startWithGrant();
-            const late = calls;
-            expect((await sync({ sequence: late })).kind).to.equal("stale");
+            await harness.startWithGrant();
+            const late = harness.lastSequence();
+            expect((await harness.sync({ sequence: late })).kind).to.equal("stale");
         });
     });
 });
