--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -33,7 +33,7 @@
 export interface StopAttempt {
     order: StopOrder;
     state: "idle" | "calling" | "answered" | "other-boot" | "closed";
-    /** The worker's clock when it answered the stop. */
+    /** Clock of the present boot when it answered the stop. */
     answeredClockMs: number;
     /** Whether the close of the run was logged; each report repeats the close, the log has it once. */
     isCloseLogged: boolean;
@@ -223,7 +223,10 @@
     return { id, bornMs };
 }
 
-/** Clears the state of the previous boot. Starts that may still be executed are kept as stray starts. */
+/**
+ * Clears the state of the previous boot. Starts that may still be executed are kept as stray starts, and listed stops are
+ * to be sent again: the new boot knows none of them, and its clock cannot be compared with that of an earlier answer.
+ */
 export function resetForBoot(state: AgentState, bornMs: number, now: number): void {
     recordCrash(state, now);
     state.bornMs = bornMs;
@@ -238,6 +241,10 @@
     state.recorded = 0;
     state.listsClockMs = 0;
     state.starts.clear();
+    for (const attempt of state.stops.values()) {
+        // A call in flight is sent again once it is answered.
+        attempt.state = attempt.state === "calling" ? "calling" : "idle";
+    }
     state.startedAt.clear();
     state.consecutiveUnansweredHolds = 0;
     state.unansweredSince = undefined;
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -17,7 +17,7 @@
 } from "./agentState.ts";
 import type { AgentMessage, AgentOptions } from "./agentTypes.ts";
 import { createBootHandlers } from "./bootHandlers.ts";
-import { createOrderHandlers, stopStrayRuns } from "./orderHandlers.ts";
+import { createOrderHandlers, sendStops, stopStrayRuns } from "./orderHandlers.ts";
 import { callResult } from "./callResult.ts";
 
 /**
@@ -124,6 +124,7 @@
         log,
         publishChange,
         adopted(state, context) {
+            sendStops(state, context);
             stopStrayRuns(state, port, context);
             scheduleHold(state, 0, context);
         },
@@ -223,6 +224,7 @@
                         }
                         if (lists.bornMs > state.bornMs) {
                             resetForBoot(state, lists.bornMs, clock.now());
+                            sendStops(state, context);
                         }
                         state.unansweredSince = undefined;
                         if (state.worker && state.worker.boot.bornMs < lists.bornMs) {
--- a/packages/backend/src/agent/agentTypes.ts
+++ b/packages/backend/src/agent/agentTypes.ts
@@ -43,7 +43,13 @@
     | { kind: "call-start"; key: string }
     | { kind: "start-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
     | { kind: "call-stop"; key: string }
-    | { kind: "stop-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
+    /** `bornMs` is the start time of the boot that the agent knew when it sent the stop. */
+    | {
+          kind: "stop-answered";
+          key: string;
+          bornMs: number;
+          result: Either<Failure, WorkerAcceptance | WorkerRefusal>;
+      }
     | { kind: "stray-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
     | { kind: "last-hold"; reply: Reply<void> };
 
--- /dev/null
+++ b/packages/backend/src/agent/bootChange.spec.ts
@@ -0,0 +1,79 @@
+import { expect } from "chai";
+import type { ScriptedWorker } from "@tanagerdeck/standins/agent/scriptedWorker";
+import type { ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { FIRST_BOOT, startAgentHarness, startOrder, type AgentHarness } from "./testing/agentHarness.ts";
+
+const TASK = "j.0.0.0";
+const STOP = { task: TASK, run: 1, boot: FIRST_BOOT };
+
+describe("a worker that starts again under its id", () => {
+    let harness: AgentHarness;
+    let clock: ManualClock;
+    let worker: ScriptedWorker;
+
+    beforeEach(async () => {
+        harness = startAgentHarness();
+        ({ clock, worker } = harness);
+        await harness.startWithGrant();
+    });
+
+    afterEach(() => harness.stop());
+
+    /** The worker has lost what it ran and knew, its clock starts at 0, and it describes itself after a second. */
+    async function restartUnderSameId(bornMs = 9_000): Promise<void> {
+        worker.behaviour = "answers";
+        worker.running = [];
+        worker.ended = [];
+        worker.clockOffsetMs = -clock.now();
+        worker.bornMs = bornMs;
+        await clock.advance(1_000);
+        await harness.restartWorker({ ...FIRST_BOOT, bornMs });
+    }
+
+    async function stopState(): Promise<string | undefined> {
+        return (await harness.report({ stops: [STOP] })).stops[0]?.state.kind;
+    }
+
+    async function runTask(): Promise<void> {
+        await harness.sync({ starts: [startOrder(TASK)] });
+        await clock.settle();
+        worker.running = [{ task: TASK, run: 1, percent: 10 }];
+        await clock.advance(1_500);
+    }
+
+    describe("while a stop is carried out", () => {
+        // Guards against a stop that stays open for as long as the former boot had been up, as their clocks are compared.
+        it("confirms a stop that the former boot has answered", async () => {
+            await runTask();
+            await harness.sync({ stops: [STOP] });
+            await clock.advance(50);
+            expect(await stopState()).to.equal("pending");
+            await restartUnderSameId();
+            await clock.advance(1_000);
+            expect(await stopState()).to.equal("closed");
+        });
+
+        // Guards against a late start that the new boot carries out, as only the former one was told to stop the run.
+        it("sends the stop to the new boot too", async () => {
+            await runTask();
+            await harness.sync({ stops: [STOP] });
+            await clock.advance(50);
+            const sent = worker.stops.length;
+            await restartUnderSameId();
+            await clock.advance(100);
+            expect(worker.stops.length).to.be.greaterThan(sent);
+        });
+
+        // Guards against the answer of the former boot, whose clock is far ahead, that arrives after the new one's lists.
+        it("does not take an answer that was on its way for one of the new boot", async () => {
+            await runTask();
+            worker.answerDelayMs = 3_000;
+            await harness.sync({ stops: [STOP] });
+            await clock.settle();
+            worker.answerDelayMs = 0;
+            await restartUnderSameId();
+            await clock.advance(3_000);
+            expect(await stopState()).to.equal("closed");
+        });
+    });
+});
--- a/packages/backend/src/agent/orderHandlers.ts
+++ b/packages/backend/src/agent/orderHandlers.ts
@@ -144,18 +144,25 @@
                 return;
             }
             const { boot, task, run } = attempt.order;
+            const { bornMs } = state;
             attempt.state = "calling";
             context.start(
                 () => port.stop({ id: boot.id, fence: state.term, task, run }),
-                result => ({ kind: "stop-answered", key, result }),
+                result => ({ kind: "stop-answered", key, bornMs, result }),
             );
         },
-        "stop-answered"(state, { key, result }, context) {
+        "stop-answered"(state, { key, bornMs, result }, context) {
             metrics.workerCalled("stop", callResult(result));
             const attempt = state.stops.get(key);
             if (!attempt) {
                 return;
             }
+            if (bornMs !== state.bornMs) {
+                // The former boot may have answered; the present one must be told to refuse the run as well.
+                attempt.state = "idle";
+                context.post({ kind: "call-stop", key });
+                return;
+            }
             const reply = result.toMaybe().extract();
             if (reply?.kind === "accepted") {
                 attempt.state = "answered";
@@ -181,6 +188,15 @@
     };
 }
 
+/** Sends the listed stops that the present boot has not been told of. */
+export function sendStops(state: AgentState, context: Context): void {
+    for (const [key, attempt] of state.stops) {
+        if (attempt.state === "idle") {
+            context.post({ kind: "call-stop", key });
+        }
+    }
+}
+
 /** Stops the runs whose start a former boot may have left to this one. */
 export function stopStrayRuns(state: AgentState, port: WorkerPort, context: Context): void {
     for (const [key, { task, run, boot }] of state.strayStarts) {
--- a/standins/src/agent/scriptedWorker.ts
+++ b/standins/src/agent/scriptedWorker.ts
@@ -18,6 +18,8 @@
 /** A worker whose lists and answers are set by a test; it records the calls that it receives. */
 export interface ScriptedWorker extends WorkerPort {
     behaviour: CallBehaviour;
+    /** Time for which the answer to a start or stop is on its way; the worker has carried the call out before. */
+    answerDelayMs: number;
     /** A call that names another id is refused. */
     id: string;
     bornMs: number;
@@ -28,13 +30,15 @@
     starts: WorkerStartOrder[];
     stops: WorkerStopOrder[];
     holds: WorkerHoldOrder[];
+    /** The worker's clock when the given clock was at 0; a new boot's clock starts again. */
+    clockOffsetMs: number;
     clockMs(): number;
 }
 
 /** Time after which an unanswered call fails. */
 const TIMEOUT_MS = 600;
 
-/** Builds a worker; its clock starts at 5,000,000 and advances with the given one. */
+/** Builds a worker whose clock advances with the given one. */
 export function createScriptedWorker(clock: Clock): ScriptedWorker {
     function answer<T>(read: () => T): Promise<Either<Failure, T>> {
         if (worker.behaviour === "refuses-connections") {
@@ -50,9 +54,18 @@
         return Promise.resolve(Right(read()));
     }
 
+    function answerOrder<T>(read: () => T): Promise<Either<Failure, T>> {
+        const { answerDelayMs } = worker;
+        const answered = answer(read);
+        return answerDelayMs === 0
+            ? answered
+            : new Promise(resolve => clock.startTimer(answerDelayMs, () => resolve(answered)));
+    }
+
     const accepted = (): WorkerAcceptance => ({ kind: "accepted", clockMs: worker.clockMs() });
     const worker: ScriptedWorker = {
         behaviour: "answers",
+        answerDelayMs: 0,
         id: "i-1",
         bornMs: 1_000,
         running: [],
@@ -61,16 +74,17 @@
         starts: [],
         stops: [],
         holds: [],
-        clockMs: () => 5_000_000 + clock.now(),
+        clockOffsetMs: 5_000_000,
+        clockMs: () => worker.clockOffsetMs + clock.now(),
         start(order) {
             worker.starts.push(order);
-            return answer((): WorkerAcceptance | WorkerRefusal =>
+            return answerOrder((): WorkerAcceptance | WorkerRefusal =>
                 worker.startRefusal ? { kind: "refused", reason: worker.startRefusal } : accepted(),
             );
         },
         stop(order) {
             worker.stops.push(order);
-            return answer(accepted);
+            return answerOrder(accepted);
         },
         async hold(order) {
             worker.holds.push(order);
