Ignore the late answer of a former boot to a start

What callers would see: a job without anything running, as its run counts as running on a worker that has lost it.

A start was answered by the former boot, and the answer arrived after the boot change, when the leader had listed the start again. The run was kept as running because the answer's clock lies ahead of all lists of the new boot.

Change: the answer to a start names the boot under which it was sent, and counts only while that is the known one.

Evidence: the new case of bootChange.spec.ts listed the run as running before; 45 passing after.

--- a/packages/backend/src/agent/agentTypes.ts
+++ b/packages/backend/src/agent/agentTypes.ts
@@ -41,9 +41,14 @@
           result: Either<Failure, WorkerRunLists | WorkerRefusal>;
       }
     | { kind: "call-start"; key: string }
-    | { kind: "start-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
+    /** `bornMs` is the start time of the boot that the agent knew when it sent the start. */
+    | {
+          kind: "start-answered";
+          key: string;
+          bornMs: number;
+          result: Either<Failure, WorkerAcceptance | WorkerRefusal>;
+      }
     | { kind: "call-stop"; key: string }
-    /** `bornMs` is the start time of the boot that the agent knew when it sent the stop. */
     | {
           kind: "stop-answered";
           key: string;
--- a/packages/backend/src/agent/bootChange.spec.ts
+++ b/packages/backend/src/agent/bootChange.spec.ts
@@ -76,4 +76,19 @@
             expect(await stopState()).to.equal("closed");
         });
     });
+
+    describe("while a start is carried out", () => {
+        // Guards against a run that counts as running for good: the answer's clock is ahead of all lists of the new boot.
+        it("does not list a run whose start the former boot has answered late", async () => {
+            worker.answerDelayMs = 3_000;
+            await harness.sync({ starts: [startOrder(TASK)] });
+            await clock.settle();
+            worker.answerDelayMs = 0;
+            await restartUnderSameId();
+            await harness.sync({ starts: [startOrder(TASK)] });
+            await clock.advance(3_000);
+            const { running } = await harness.report({ starts: [startOrder(TASK)] });
+            expect(running).to.deep.equal([]);
+        });
+    });
 });
--- a/packages/backend/src/agent/orderHandlers.ts
+++ b/packages/backend/src/agent/orderHandlers.ts
@@ -66,11 +66,12 @@
         }
         attempt.state = "calling";
         state.renewalSentAt = clock.now();
+        const { bornMs } = state;
         const { task, run, spec, saved } = order;
         const deadlineMs = Math.floor(workerClock + times.startMs);
         context.start(
             () => port.start({ id: order.boot.id, fence: state.term, task, run, spec, saved, deadlineMs }),
-            result => ({ kind: "start-answered", key, result }),
+            result => ({ kind: "start-answered", key, bornMs, result }),
         );
     }
 
@@ -98,10 +99,10 @@
             }
             sendStart(state, key, attempt, context);
         },
-        "start-answered"(state, { key, result }, context) {
+        "start-answered"(state, { key, bornMs, result }, context) {
             metrics.workerCalled("start", callResult(result));
             const attempt = state.starts.get(key);
-            if (!attempt) {
+            if (!attempt || bornMs !== state.bornMs) {
                 return;
             }
             result.caseOf({
