Tell each later boot of a worker's id to stop starts without an answer

A start that got no answer may be executed seconds later, and a later boot has not seen the stop. Its time limit does not help, as the new clock begins at 0.

A stop of this kind that fails is sent again; before, only a hold was.

--- a/packages/backend/src/agent/agentOrders.ts
+++ b/packages/backend/src/agent/agentOrders.ts
@@ -13,7 +13,7 @@
     for (const order of orders) {
         const key = runKey(order);
         if (!state.starts.has(key)) {
-            state.starts.set(key, { order, state: "idle", listedAt: now, isUnanswered: false });
+            state.starts.set(key, { order, state: "idle", listedAt: now });
             added.push(key);
         }
     }
--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -16,6 +16,7 @@
 import type { Clock, TimerStop } from "@tanagerdeck/runtime/clock/clock";
 import { elapsedSince } from "@tanagerdeck/runtime/clock/instant";
 import type { Reply } from "@tanagerdeck/runtime/task/task";
+import { addStrayStart, type StrayStart } from "./strayStarts.ts";
 import { recordCrash, type WorkerCrash } from "./workerCrash.ts";
 import type { WorkerHeartbeat } from "./workerPort.ts";
 
@@ -25,8 +26,6 @@
     state: "idle" | "calling" | "started" | "refused";
     reason?: StartRefusal | undefined;
     listedAt: number;
-    /** Whether a call got no answer, so that the worker may still execute it. */
-    isUnanswered: boolean;
 }
 
 /** A stop that the leader lists, and the progress of the call to the worker. */
@@ -80,8 +79,8 @@
     recorded: number;
     starts: Map<string, StartAttempt>;
     stops: Map<string, StopAttempt>;
-    /** Runs of an earlier boot whose start got no answer; the worker must be told to stop them. */
-    strayStarts: Map<string, StopOrder>;
+    /** Starts without an answer, which a later boot with the same id may execute; each such boot is told to stop them. */
+    strayStarts: Map<string, StrayStart>;
     /** Agent's time at which each run of this boot was started, or may have been, without those that have ended. */
     startedAt: Map<string, number>;
     /** The latest crashes of the worker, oldest first. */
@@ -230,9 +229,9 @@
 export function resetForBoot(state: AgentState, bornMs: number, now: number): void {
     recordCrash(state, now);
     state.bornMs = bornMs;
-    for (const [key, { order, isUnanswered, state: progress }] of state.starts) {
-        if (isUnanswered || progress === "calling") {
-            state.strayStarts.set(key, { task: order.task, run: order.run, boot: order.boot });
+    for (const { order, state: progress } of state.starts.values()) {
+        if (progress === "calling") {
+            addStrayStart(state, order, now);
         }
     }
     state.running.clear();
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -125,7 +125,7 @@
         publishChange,
         adopted(state, context) {
             sendStops(state, context);
-            stopStrayRuns(state, port, context);
+            stopStrayRuns(state, context);
             scheduleHold(state, 0, context);
         },
     });
--- a/packages/backend/src/agent/agentTypes.ts
+++ b/packages/backend/src/agent/agentTypes.ts
@@ -41,7 +41,7 @@
           result: Either<Failure, WorkerRunLists | WorkerRefusal>;
       }
     | { kind: "call-start"; key: string }
-    /** `bornMs` is the start time of the boot that the agent knew when it sent the start. */
+    /** In the answers to starts and stops, `bornMs` is the start time of the boot that the agent knew when it sent the call. */
     | {
           kind: "start-answered";
           key: string;
@@ -55,7 +55,13 @@
           bornMs: number;
           result: Either<Failure, WorkerAcceptance | WorkerRefusal>;
       }
-    | { kind: "stray-answered"; key: string; result: Either<Failure, WorkerAcceptance | WorkerRefusal> }
+    | { kind: "call-stray"; key: string; bornMs: number }
+    | {
+          kind: "stray-answered";
+          key: string;
+          bornMs: number;
+          result: Either<Failure, WorkerAcceptance | WorkerRefusal>;
+      }
     | { kind: "last-hold"; reply: Reply<void> };
 
 /** Dependencies of the agent task. */
--- a/packages/backend/src/agent/bootChange.spec.ts
+++ b/packages/backend/src/agent/bootChange.spec.ts
@@ -90,5 +90,24 @@
             const { running } = await harness.report({ starts: [startOrder(TASK)] });
             expect(running).to.deep.equal([]);
         });
+
+        // Guards against a late start that a boot carries out although the run was stopped at the boot before.
+        it("stops a run whose start got no answer at each later boot", async () => {
+            worker.behaviour = "silent";
+            await harness.sync({ starts: [startOrder(TASK)] });
+            await clock.advance(700);
+            await harness.sync({ stops: [STOP] });
+            worker.behaviour = "answers";
+            await clock.advance(1_000);
+            await harness.sync({});
+            for (const bornMs of [9_000, 12_000]) {
+                worker.stops = [];
+                await restartUnderSameId(bornMs);
+                await clock.advance(500);
+                expect(worker.stops.map(({ task, run }) => ({ task, run }))).to.deep.equal([
+                    { task: TASK, run: 1 },
+                ]);
+            }
+        });
     });
 });
--- a/packages/backend/src/agent/orderHandlers.ts
+++ b/packages/backend/src/agent/orderHandlers.ts
@@ -14,6 +14,7 @@
     type StartAttempt,
 } from "./agentState.ts";
 import type { AgentMessage } from "./agentTypes.ts";
+import { addStrayStart, openStrayStarts } from "./strayStarts.ts";
 import { callResult } from "./callResult.ts";
 import { noteStart } from "./workerCrash.ts";
 import type { WorkerPort } from "./workerPort.ts";
@@ -36,7 +37,7 @@
 /** Handlers of the calls that carry out the leader's orders. */
 export type OrderHandlers = Pick<
     Handlers<AgentState, AgentMessage>,
-    "call-start" | "start-answered" | "call-stop" | "stop-answered" | "stray-answered"
+    "call-start" | "start-answered" | "call-stop" | "stop-answered" | "call-stray" | "stray-answered"
 >;
 
 /** Creates the handlers of starts and stops. */
@@ -108,7 +109,7 @@
             result.caseOf({
                 Left(problem) {
                     if (problem.verdict !== "not-run") {
-                        attempt.isUnanswered = true;
+                        addStrayStart(state, attempt.order, clock.now());
                         noteStart(state, key, clock.now());
                     }
                     attempt.state = "idle";
@@ -179,12 +180,22 @@
             attempt.state = "idle";
             context.after(CALL_RETRY_MS, { kind: "call-stop", key });
         },
-        "stray-answered"(state, { key, result }, context) {
-            if (result.isRight()) {
-                state.strayStarts.delete(key);
+        "call-stray"(state, { key, bornMs }, context) {
+            const stray = state.strayStarts.get(key);
+            if (!stray || bornMs !== state.bornMs) {
                 return;
             }
-            context.after(CALL_RETRY_MS, { kind: "hold", waitMs: 0 });
+            const { task, run, boot } = stray.order;
+            context.start(
+                () => port.stop({ id: boot.id, fence: state.term, task, run }),
+                result => ({ kind: "stray-answered", key, bornMs, result }),
+            );
+        },
+        "stray-answered"(_state, { key, bornMs, result }, context) {
+            metrics.workerCalled("stop", callResult(result));
+            if (result.isLeft()) {
+                context.after(CALL_RETRY_MS, { kind: "call-stray", key, bornMs });
+            }
         },
     };
 }
@@ -198,16 +209,9 @@
     }
 }
 
-/** Stops the runs whose start a former boot may have left to this one. */
-export function stopStrayRuns(state: AgentState, port: WorkerPort, context: Context): void {
-    for (const [key, { task, run, boot }] of state.strayStarts) {
-        if (!state.worker || state.worker.boot.id !== boot.id) {
-            state.strayStarts.delete(key);
-            continue;
-        }
-        context.start(
-            () => port.stop({ id: boot.id, fence: state.term, task, run }),
-            result => ({ kind: "stray-answered", key, result }),
-        );
+/** Stops the runs that the present boot may start late, as a former boot with its id has not answered their starts. */
+export function stopStrayRuns(state: AgentState, context: Context): void {
+    for (const key of openStrayStarts(state, context.clock.now())) {
+        context.post({ kind: "call-stray", key, bornMs: state.bornMs });
     }
 }
