Read the ends of a boot from the first one on when it is described

What callers would see: a task that has ended is started again, with its end acknowledged (rule TWICE).

Ends that are reported before the worker is described may be those of a former boot. Their numbers were kept when the first description named the next boot, so that its ends with the same numbers counted as read and were acknowledged.

Change: the first description of a worker clears the numbers of the reported ends, as a change of the boot does. Ends that are applied twice change nothing the second time.

Evidence: the case of bootChange.spec.ts found the group 'placed' instead of 'done' before; it passes after.

--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -62,7 +62,8 @@
     worker.hasReported = true;
     if (report.worker) {
         worker.description = report.worker;
-        if (previousBoot && !sameBoot(previousBoot, report.worker.boot)) {
+        if (!previousBoot || !sameBoot(previousBoot, report.worker.boot)) {
+            // Each boot numbers its ends from 1 on. Before the first description they may be those of a former boot.
             worker.reportedEnds.clear();
         }
     } else if (worker.description) {
