Count the end of a late start on the next boot of its worker

A start that got no answer runs late on the next boot under the same id and ends there. The leader dropped the end because the run was placed on the former boot, acknowledged it, and took the run for lost.

Change: an end counts if its run is the open one and its worker the one on which the run was placed. A run is ordered on one worker only, a boot with another id refuses it, and a boot that lists its end refuses a later start.

Evidence: the second case of bootChange.spec.ts found the group 'waiting' instead of 'done' before.

--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -153,17 +153,15 @@
     }
 }
 
-function applyEndedTasks({ cluster, worker, boot, now, events }: ReportContext, rows: EndedTask[]): void {
+/** Applies the listed ends. A run was ordered on one worker only, so an end counts whichever boot of it has started the run. */
+function applyEndedTasks({ cluster, worker, now, events }: ReportContext, rows: EndedTask[]): void {
     const unknownEnds = rows.filter(({ number }) => worker.reportedEnds.get(number)?.version === undefined);
     for (const row of unknownEnds) {
         worker.reportedEnds.set(row.number, { job: undefined, version: 0 });
     }
     for (const { entry, group, rows: ends } of groupRows(cluster, unknownEnds)) {
         const progress = groupProgress(entry.progress, group.key);
-        const expected = ends.filter(({ index }) => {
-            const placement = placementOf(progress, index);
-            return placement?.worker === worker.name && (!boot || sameBoot(placement.boot, boot));
-        });
+        const expected = ends.filter(({ index }) => placementOf(progress, index)?.worker === worker.name);
         for (const row of applyEnds(cluster, entry, group, expected)) {
             events.push({ ...eventOf("ended", worker, row, entry.job.id), detail: row.end });
             updateFaults(worker, { entry, group, index: row.index }, row.end, now);
