--- a/packages/backend/src/agent/agentReport.ts
+++ b/packages/backend/src/agent/agentReport.ts
@@ -1,3 +1,4 @@
+import { listsAllEnds } from "@tanagerdeck/decisions/worker/endsPage";
 import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import {
     runKey,
@@ -40,6 +41,7 @@
             percent,
         })),
         ended: state.ended,
+        hasMoreEnds: state.hasMoreEnds,
         starts: [...state.starts.values()].map(attempt => ({
             run: toRunName(attempt.order),
             state: startOrderState(attempt),
@@ -71,6 +73,7 @@
     }
     const hasChanged = running.size !== state.running.size || lists.ended.length !== state.ended.length;
     state.running = running;
+    state.hasMoreEnds = !listsAllEnds(lists);
     state.ended = lists.ended.filter(row => row.number > state.recorded);
     for (const row of state.ended) {
         state.running.delete(runKey(row));
--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -73,6 +73,8 @@
     /** Running tasks; `sinceClockMs` is the worker's clock when it listed or started them. */
     running: Map<string, RunningTask & { sinceClockMs: number }>;
     ended: EndedTask[];
+    /** Whether the worker may have ended runs that its newest lists do not show yet. */
+    hasMoreEnds: boolean;
     /** Number of the latest end of this boot that the agent has seen. */
     lastEndNumber: number;
     /** Ends of this boot up to this number are recorded by the leader. */
@@ -119,6 +121,7 @@
         workerClock: undefined,
         running: new Map(),
         ended: [],
+        hasMoreEnds: false,
         lastEndNumber: 0,
         recorded: 0,
         starts: new Map(),
@@ -236,6 +239,7 @@
     }
     state.running.clear();
     state.ended = [];
+    state.hasMoreEnds = false;
     state.lastEndNumber = 0;
     state.recorded = 0;
     state.listsClockMs = 0;
@@ -270,5 +274,7 @@
         return "lapsed";
     }
     const hasNewerLists = progress === "answered" && state.listsClockMs > answeredClockMs;
-    return hasNewerLists && !state.running.has(runKey(order)) ? "not-listed" : undefined;
+    return hasNewerLists && !state.hasMoreEnds && !state.running.has(runKey(order))
+        ? "not-listed"
+        : undefined;
 }
--- a/packages/backend/src/agent/workerCrash.ts
+++ b/packages/backend/src/agent/workerCrash.ts
@@ -46,6 +46,10 @@
     const crashedAt = state.unansweredSince ?? now;
     const ends = new Map<string, CrashEnd>();
     for (const [key, startedAt] of state.startedAt) {
+        if (state.hasMoreEnds && !state.running.has(key)) {
+            // It may have ended before the crash.
+            continue;
+        }
         ends.set(key, crashedAt - startedAt < START_PHASE_MS ? "crashed-at-start" : "crashed");
     }
     return ends;
--- a/packages/decisions/src/plan/stallDetection.ts
+++ b/packages/decisions/src/plan/stallDetection.ts
@@ -1,5 +1,5 @@
 import { closeRun, groupProgress } from "../job/progressChange.ts";
-import type { TaskPlacement } from "../job/progressTypes.ts";
+import type { GroupProgress, TaskPlacement } from "../job/progressTypes.ts";
 import type { TaskGroup } from "../job/taskGroups.ts";
 import { estimateOf } from "../schedule/jobValue.ts";
 import { runKey } from "../worker/workerReport.ts";
@@ -11,6 +11,7 @@
     type OpenRunState,
 } from "./clusterState.ts";
 import { runIdOf } from "./planReport.ts";
+import { isUnlistedUnknown } from "./unlistedTask.ts";
 
 /** A run that was closed because it did not progress. */
 export interface StalledRun {
@@ -33,8 +34,6 @@
 const MIN_STALL_MS = 3_000;
 /** Time for which a worker's reports may lack a started task, as lists may be older than the answer to a start. */
 const UNLISTED_TIMEOUT_MS = 2_000;
-/** Ends that a worker lists at once; those behind them are not known yet. */
-const MAX_LISTED_ENDS = 500;
 /** Allowance for slow workers, which take several times the estimate for each percent of the work. */
 const SLOW_WORKER_FACTOR = 12;
 /** Fraction of the time already worked, which a restart would lose, that is added to the stall limit. */
@@ -53,7 +52,7 @@
             }
             const reportedAt = oldestReportAt(cluster, progress.placements);
             const stalledMs = timeSinceProgress(run, progress.placements.length, reportedAt);
-            if (stalledMs <= stallLimitMs(group, run, reportedAt)) {
+            if (stalledMs <= stallLimitMs(group, run, reportedAt) || hasUnknownTask(cluster, progress, run)) {
                 continue;
             }
             progressing ??= progressingRuns(cluster, now);
@@ -81,7 +80,8 @@
                 progress.phase === "placed" &&
                 entry.recordedVersion >= run.version &&
                 run.tasks.size < progress.placements.length;
-            if (!isStarting || now - run.openedAt < START_TIMEOUT_MS) {
+            const isLate = isStarting && now - run.openedAt >= START_TIMEOUT_MS;
+            if (!isLate || hasUnknownTask(cluster, progress, run)) {
                 continue;
             }
             const missing = progress.placements.filter(({ index }) => !run.tasks.has(index));
@@ -105,16 +105,17 @@
  */
 export function closeUnlisted(cluster: ClusterState): UnlistedRun[] {
     const unlisted: UnlistedRun[] = [];
-    for (const { name, description, lastReportAt, report } of cluster.workers.values()) {
+    for (const worker of cluster.workers.values()) {
+        const { name, description, lastReportAt, report } = worker;
         // The lists of a worker that does not answer are those of its last answer; those of an unknown one are empty.
         const isAnswering = description?.condition === "ready" || description?.condition === "draining";
-        if (!isAnswering || (report?.ended.length ?? 0) >= MAX_LISTED_ENDS) {
+        if (!isAnswering) {
             continue;
         }
         for (const { entry, group, progress, placement } of [...openPlacements(cluster, name)]) {
             const task = entry.runs.get(group.key)?.tasks.get(placement.index);
             const isUnlisted = task !== undefined && lastReportAt - task.listedAt > UNLISTED_TIMEOUT_MS;
-            if (progress.phase !== "placed" || !isUnlisted) {
+            if (progress.phase !== "placed" || !isUnlisted || isUnlistedUnknown(worker, task)) {
                 continue;
             }
             const run = runKey(runIdOf(entry, group, placement.index, progress.run));
@@ -127,6 +128,16 @@
     return unlisted;
 }
 
+/** Whether a task of the run may be running or have ended although its worker does not list it. */
+function hasUnknownTask(cluster: ClusterState, { placements }: GroupProgress, run: OpenRunState): boolean {
+    for (const { index, worker } of placements) {
+        if (isUnlistedUnknown(cluster.workers.get(worker), run.tasks.get(index))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /**
  * Time up to which all workers of a run have reported. Stalls are measured up to it, as the progress after a worker's
  * last report is unknown.
--- a/packages/decisions/src/worker/workerReport.ts
+++ b/packages/decisions/src/worker/workerReport.ts
@@ -117,6 +117,8 @@
     running: RunningTask[];
     /** Ends that are not yet recorded. */
     ended: EndedTask[];
+    /** Whether the worker may have ended further runs, which it lists when those in `ended` are acknowledged. */
+    hasMoreEnds?: boolean | undefined;
     /** States of the orders listed in the call. */
     starts: { run: RunId; state: OrderState }[];
     stops: { run: RunId; state: OrderState }[];
--- a/standins/src/agent/scriptedWorker.ts
+++ b/standins/src/agent/scriptedWorker.ts
@@ -37,6 +37,8 @@
 
 /** Time after which an unanswered call fails. */
 const TIMEOUT_MS = 600;
+/** Ends that the worker lists at once. */
+const LISTED_ENDS = 500;
 
 /** Builds a worker whose clock advances with the given one. */
 export function createScriptedWorker(clock: Clock): ScriptedWorker {
@@ -95,7 +97,9 @@
                           clockMs: worker.clockMs(),
                           bornMs: worker.bornMs,
                           running: worker.running,
-                          ended: worker.ended.filter(row => row.number > order.recorded),
+                          ended: worker.ended
+                              .filter(row => row.number > order.recorded)
+                              .slice(0, LISTED_ENDS),
                       }
                     : { kind: "refused", reason: "other-boot" };
             const hasEnds = worker.ended.some(row => row.number > order.recorded);
--- a/standins/src/emulator/workerServer.ts
+++ b/standins/src/emulator/workerServer.ts
@@ -49,6 +49,8 @@
 
 const BODY_LIMIT_BYTES = 64 * 1024;
 const MAX_WAIT_MS = 2_000;
+/** Ends that the worker lists at once. */
+const LISTED_ENDS = 500;
 
 interface CallBody {
     task: string;
@@ -126,7 +128,10 @@
             clock_ms: worker.clockMs(),
             born: worker.bornMs,
             running: worker.running().map(row => [row.task, row.run, row.saved ?? "", row.percent]),
-            ended: worker.ended().map(row => [row.number, row.task, row.run, row.end, row.saved ?? ""]),
+            ended: worker
+                .ended()
+                .slice(0, LISTED_ENDS)
+                .map(row => [row.number, row.task, row.run, row.end, row.saved ?? ""]),
         });
     }
 
