--- a/packages/peer/src/planner/largeJobRecording.spec.ts
+++ b/packages/peer/src/planner/largeJobRecording.spec.ts
@@ -115,6 +115,8 @@
             sessions: {
                 open() {},
                 grants() {},
+                withhold: () => Promise.resolve(),
+                release() {},
                 order: (_agent, orders) => applyStarts(orders.starts),
             },
             schedule: scheduleRound,
--- a/packages/peer/src/planner/plannerTask.spec.ts
+++ b/packages/peer/src/planner/plannerTask.spec.ts
@@ -61,6 +61,8 @@
                     addresses.set(agent, address);
                 },
                 grants() {},
+                withhold: () => Promise.resolve(),
+                release() {},
                 order(_agent, orders) {
                     for (const { task } of orders.starts) {
                         started.add(task);
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -1,4 +1,3 @@
-import { Left } from "purify-ts/Either";
 import type { QueueTerms } from "@tanagerdeck/decisions/job/jobTypes";
 import type { ManifestIndex } from "@tanagerdeck/decisions/manifest/access";
 import { closedAfterMs } from "@tanagerdeck/decisions/lease/leaseTimes";
@@ -11,8 +10,7 @@
     type ClusterState,
 } from "@tanagerdeck/decisions/plan/clusterState";
 import { buildOrders } from "@tanagerdeck/decisions/plan/planOrders";
-import { applyReport, closeRunsOfLostAgents } from "@tanagerdeck/decisions/plan/planReport";
-import { closeStalled, closeStuckStarts, closeUnlisted } from "@tanagerdeck/decisions/plan/stallDetection";
+import { applyReport } from "@tanagerdeck/decisions/plan/planReport";
 import { pauseBeforeRoundMs, startingTasksAfter } from "@tanagerdeck/decisions/plan/planPace";
 import { applyDecision, quarantinedWorkers, buildRoundInput } from "@tanagerdeck/decisions/plan/planRound";
 import { separateSuspects } from "@tanagerdeck/decisions/plan/suspectGroups";
@@ -26,6 +24,9 @@
     type Registration,
 } from "@tanagerdeck/store/replica/storedValueCodec";
 import { jobKey, LEADER_KEY, parseStoreKey } from "@tanagerdeck/store/replica/storeKeys";
+import { createAbsenceRecorder, createAbsenceState, type AbsenceState } from "./absenceRecording.ts";
+import { createStartCommit } from "./commitStart.ts";
+import { closeOverdueRuns } from "./overdueRuns.ts";
 import { closeRunsOfEndedJob, loadClusterState } from "./clusterStateLoading.ts";
 import { removeStoredJob } from "./jobRemoval.ts";
 import type { PlannerMessage, PlannerOptions } from "./plannerTypes.ts";
@@ -47,6 +48,7 @@
     startedAt: number;
     /** Orders last sent to each agent, as JSON, so that unchanged ones are not sent again. */
     sentOrders: Map<string, string>;
+    absences: AbsenceState;
     /** Store changes that arrived before the cluster state was loaded. */
     earlyChanges: Change[];
 }
@@ -85,9 +87,20 @@
         lastRound: { endedAt: clock.now(), durationMs: 0 },
         startedAt: clock.now(),
         sentOrders: new Map(),
+        absences: createAbsenceState(clock.now()),
         earlyChanges: [],
     };
     const planningLog = createPlanningLog({ term, clock, log, metrics, termsOf: queueTermsOf });
+    const startCommit = createStartCommit(commit);
+    const absenceRecorder = createAbsenceRecorder({
+        term,
+        clock,
+        log,
+        newWriteId,
+        sessions,
+        commit: startCommit,
+        halt: () => haltAndNotify(state),
+    });
 
     function queueTermsOf({ job }: JobEntry): QueueTerms {
         return state.index?.queuesByName.get(job.queue)?.terms ?? job.terms;
@@ -108,6 +121,7 @@
         for (const key of loadClusterState(state.cluster, items, state.startedAt, clock.now())) {
             logUnreadable(key);
         }
+        absenceRecorder.load(state, items);
     }
 
     function register(state: PlannerState, name: string, item: { key: string; value: string }): void {
@@ -213,20 +227,7 @@
     }
 
     function commitWrite(write: RecordWrite, context: Context): void {
-        context.start(
-            () => commit(write.transaction),
-            result => ({ kind: "recorded", write, result }),
-            error => ({
-                kind: "recorded",
-                write,
-                result: Left({
-                    kind: "failure",
-                    verdict: "may-have-run",
-                    reason: "platform-unavailable",
-                    detail: String(error),
-                }),
-            }),
-        );
+        startCommit(context, write.transaction, result => ({ kind: "recorded", write, result }));
     }
 
     function sendOrders(state: PlannerState): void {
@@ -286,6 +287,8 @@
             log.error("A handler failed.", { task: name, error: describeError(error) }),
         state,
         handlers: {
+            withheld: absenceRecorder.withheld,
+            "absences-recorded": absenceRecorder["absences-recorded"],
             loaded(state, { result }, context) {
                 result.caseOf({
                     Left(problem) {
@@ -372,19 +375,8 @@
                     return;
                 }
                 if (!state.isSuspended) {
-                    planningLog.events(
-                        state.cluster,
-                        closeRunsOfLostAgents(state.cluster, closedAfterMs(times), clock.now()),
-                    );
-                    for (const run of closeStuckStarts(state.cluster, clock.now())) {
-                        planningLog.stuckStart(run);
-                    }
-                    for (const run of closeUnlisted(state.cluster)) {
-                        planningLog.unlisted(run);
-                    }
-                    for (const run of closeStalled(state.cluster, clock.now())) {
-                        planningLog.stalled(run);
-                    }
+                    closeOverdueRuns(state.cluster, closedAfterMs(times), clock.now(), planningLog);
+                    absenceRecorder.update(state, context);
                     removeExpiredJobs(state, context);
                     requestPlan(state, context);
                 }
--- a/packages/peer/src/planner/plannerTypes.ts
+++ b/packages/peer/src/planner/plannerTypes.ts
@@ -12,6 +12,7 @@
 import type { Change, CommitReply, Transaction } from "@tanagerdeck/store/keyvalue/keyValueTypes";
 import type { Listing } from "@tanagerdeck/store/keyvalue/listing";
 import type { AgentOrders } from "../session/sessionTask.ts";
+import type { AbsenceMessage } from "./absenceRecording.ts";
 import type { RecordWrite } from "./progressRecording.ts";
 
 /** Messages of the planner's task. */
@@ -27,6 +28,7 @@
     | { kind: "order"; plannedMs: number }
     | { kind: "tick" }
     | { kind: "recorded"; write: RecordWrite; result: Either<Failure, CommitReply> }
+    | AbsenceMessage
     | { kind: "halt"; reply: Reply<void> };
 
 /** Operations of the planner on its sessions with the agents. */
@@ -36,6 +38,13 @@
     order(agent: string, orders: AgentOrders): void;
     /** Allows or forbids all sessions to grant leases. */
     grants(isAllowed: boolean): void;
+    /**
+     * Forbids grants to one agent, whether its session is open yet or not. Resolves when no further grant is sent and all
+     * reports that led to one were passed on.
+     */
+    withhold(agent: string): Promise<void>;
+    /** Allows grants to the agent again. */
+    release(agent: string): void;
 }
 
 /** Dependencies of the planner's task. */
--- /dev/null
+++ b/packages/peer/src/session/sessionTask.spec.ts
@@ -0,0 +1,90 @@
+import { expect } from "chai";
+import { Right, type Either } from "purify-ts/Either";
+import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import type { SyncReply, SyncRequest } from "@tanagerdeck/decisions/worker/workerReport";
+import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
+import { noopLog } from "@tanagerdeck/runtime/log/log";
+import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
+import { descriptionOf, reportOf } from "@tanagerdeck/standins/plan/planFixture";
+import { startSessionTask, type SessionMessage } from "./sessionTask.ts";
+
+describe("a session whose grants are withheld", () => {
+    let clock: ManualClock;
+    let session: Task<SessionMessage>;
+    let requests: SyncRequest[];
+    /** What the planner sees, in order. */
+    let seen: string[];
+    let answer: ((reply: Either<Failure, SyncReply>) => void) | undefined;
+
+    beforeEach(async () => {
+        clock = createManualClock();
+        requests = [];
+        seen = [];
+        session = startSessionTask({
+            agent: "a",
+            address: "h:1",
+            term: 7,
+            grantMs: 10_000,
+            clock,
+            log: noopLog,
+            sync(_address, request) {
+                requests.push(request);
+                return new Promise(resolve => (answer = resolve));
+            },
+            reported: () => seen.push("report"),
+            outdated() {},
+        });
+        await clock.settle();
+    });
+
+    afterEach(() => session.stop());
+
+    async function sendReport(now: number): Promise<void> {
+        const stamp = { incarnation: "first", now, wall: now };
+        answer!(Right({ kind: "report", report: { ...reportOf(descriptionOf("a")), stamp, version: now } }));
+        await clock.settle();
+    }
+
+    async function withhold(): Promise<void> {
+        await session.ask((reply: Reply<void>) => ({ kind: "withhold", reply }));
+        seen.push("withheld");
+    }
+
+    it("has granted leases before", async () => {
+        await sendReport(1);
+        expect(requests.at(-1)?.grant?.stamp.now).to.equal(1);
+    });
+
+    // Guards against an absence that is recorded although a report has led to a grant meanwhile.
+    it("passes on the reports that led to a grant first", async () => {
+        const stamp = { incarnation: "first", now: 1, wall: 1 };
+        answer!(Right({ kind: "report", report: { ...reportOf(descriptionOf("a")), stamp } }));
+        const reported = clock.settle();
+        await Promise.all([reported, withhold()]);
+        const granted = requests.filter(({ grant }) => grant !== undefined).length;
+        expect(granted).to.be.at.most(seen.slice(0, seen.indexOf("withheld")).length);
+    });
+
+    it("grants none for the reports that follow", async () => {
+        await withhold();
+        await sendReport(1);
+        await sendReport(2);
+        expect(requests.at(-1)?.grant).to.equal(undefined);
+        expect(seen).to.deep.equal(["withheld", "report", "report"]);
+    });
+
+    it("grants one at once when it is released", async () => {
+        await withhold();
+        await sendReport(1);
+        session.send({ kind: "release" });
+        await clock.settle();
+        expect(requests.at(-1)?.grant?.stamp.now).to.equal(1);
+    });
+
+    it("grants none when the leader may grant again", async () => {
+        await withhold();
+        session.send({ kind: "grants", isAllowed: true });
+        await sendReport(1);
+        expect(requests.at(-1)?.grant).to.equal(undefined);
+    });
+});
--- a/packages/peer/src/session/sessionTask.ts
+++ b/packages/peer/src/session/sessionTask.ts
@@ -11,7 +11,7 @@
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
-import { startTask, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
+import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 
 /** Orders of the leader for one agent, sent with each sync. */
 export interface AgentOrders {
@@ -25,6 +25,9 @@
     | { kind: "order"; orders: AgentOrders }
     /** Whether the leader may grant leases. */
     | { kind: "grants"; isAllowed: boolean }
+    /** Stops granting leases to this agent until `release`; reports that led to a grant were passed on before the reply. */
+    | { kind: "withhold"; reply: Reply<void> }
+    | { kind: "release" }
     | { kind: "address"; address: string }
     | { kind: "call" }
     | { kind: "answered"; address: string; result: Either<Failure, SyncReply> };
@@ -48,6 +51,8 @@
     address: string;
     orders: AgentOrders;
     mayGrant: boolean;
+    /** Whether the agent's absence is recorded or being recorded, so that it gets no grant. */
+    isWithheld: boolean;
     sequence: number;
     inFlight: number;
     stamp: Stamp | undefined;
@@ -74,7 +79,7 @@
         const request: SyncRequest = {
             term,
             sequence,
-            grant: state.mayGrant && stamp ? { stamp, ms: grantMs } : undefined,
+            grant: state.mayGrant && !state.isWithheld && stamp ? { stamp, ms: grantMs } : undefined,
             recorded: orders.recorded,
             starts: orders.starts,
             stops: orders.stops,
@@ -114,6 +119,7 @@
             address: options.address,
             orders: { starts: [], stops: [], recorded: undefined },
             mayGrant: true,
+            isWithheld: false,
             sequence: 0,
             inFlight: 0,
             stamp: undefined,
@@ -128,6 +134,16 @@
             grants(state, { isAllowed }) {
                 state.mayGrant = isAllowed;
             },
+            withhold(state, { reply }) {
+                state.isWithheld = true;
+                reply();
+            },
+            release(state, _message, context) {
+                if (state.isWithheld) {
+                    state.isWithheld = false;
+                    call(state, context);
+                }
+            },
             address(state, { address }, context) {
                 if (state.address !== address) {
                     state.address = address;
--- a/packages/store/src/replica/storeKeys.ts
+++ b/packages/store/src/replica/storeKeys.ts
@@ -7,16 +7,23 @@
  */
 export const PROGRESS_PARTS_PREFIX = "tanagerdeck-progress/";
 
+/** Prefix of what a leader hands over to the next one. Only leaders read it, so it lies outside of `ROOT_PREFIX`. */
+export const HANDOVER_PREFIX = "tanagerdeck-handover/";
+
+/** Key of the agents that have not reported to the leader for some time. */
+export const ABSENCES_KEY = `${HANDOVER_PREFIX}absences`;
+
 /** Parts of a stored job; each part has its own key. */
 export type JobPart = "definition" | "cancel" | "progress";
 
-/** A parsed key below `ROOT_PREFIX` or `PROGRESS_PARTS_PREFIX`. */
+/** A parsed key below `ROOT_PREFIX`, `PROGRESS_PARTS_PREFIX` or `HANDOVER_PREFIX`. */
 export type StoreKey =
     | { kind: "job"; id: string; part: JobPart }
     | { kind: "progress-part"; id: string; number: number }
     | { kind: "entry"; name: string }
     | { kind: "agent"; name: string }
-    | { kind: "leader" };
+    | { kind: "leader" }
+    | { kind: "absences" };
 
 /** Key of the leader, the only process that plans. It is bound to the leader's lease. */
 export const LEADER_KEY = `${ROOT_PREFIX}leader`;
@@ -53,6 +60,9 @@
     if (key === LEADER_KEY) {
         return { kind: "leader" };
     }
+    if (key === ABSENCES_KEY) {
+        return { kind: "absences" };
+    }
     const [, id, number] = PROGRESS_PART_KEY.exec(key) ?? [];
     if (id !== undefined) {
         return { kind: "progress-part", id, number: Number(number) };
--- a/packages/store/src/replica/storedContentSchema.ts
+++ b/packages/store/src/replica/storedContentSchema.ts
@@ -124,4 +124,5 @@
     "progress-part": z.looseObject({ groups: z.record(z.string(), group) }),
     registration,
     leader: registration,
+    absences: z.looseObject({ agents: z.record(z.string(), z.number().nonnegative()) }),
 } as const;
--- a/packages/store/src/replica/storedValueCodec.spec.ts
+++ b/packages/store/src/replica/storedValueCodec.spec.ts
@@ -30,6 +30,7 @@
         "progress-part": { groups: progress.groups },
         registration,
         leader: registration,
+        absences: { agents: { a: 2_500 } },
     };
     const kinds = Object.keys(contents) as (keyof StoredContents)[];
 
--- a/packages/store/src/replica/storedValueCodec.ts
+++ b/packages/store/src/replica/storedValueCodec.ts
@@ -41,6 +41,11 @@
     "progress-part": { groups: Record<string, GroupProgress> };
     registration: Registration;
     leader: Registration;
+    /**
+     * Agents that have not reported to the leader, each with the time in ms for which it had not when this was written. No
+     * leader grants a lease to a listed agent.
+     */
+    absences: { agents: Record<string, number> };
 }
 
 /** Levels of nesting above which a stored value is not decoded; those written here have less than ten. */
--- a/packages/tanagerdeck/src/platform/sessionSet.ts
+++ b/packages/tanagerdeck/src/platform/sessionSet.ts
@@ -20,6 +20,7 @@
 /** Creates a set that keeps one session task for each agent; grants are allowed until `grants(false)`. */
 export function createSessionSet(options: SessionSetOptions): SessionSet {
     const sessions = new Map<string, Task<SessionMessage>>();
+    const withheld = new Set<string>();
     let areGrantsAllowed = true;
     return {
         open(agent, address) {
@@ -36,6 +37,10 @@
                 reported: report => reported(agent, report),
             });
             session.send({ kind: "grants", isAllowed: areGrantsAllowed });
+            if (withheld.has(agent)) {
+                // The first call carries no grant, as there is no report yet.
+                void session.ask(reply => ({ kind: "withhold", reply }));
+            }
             sessions.set(agent, session);
         },
         order: (agent, orders) => sessions.get(agent)?.send({ kind: "order", orders }),
@@ -45,6 +50,14 @@
                 session.send({ kind: "grants", isAllowed });
             }
         },
+        async withhold(agent) {
+            withheld.add(agent);
+            await sessions.get(agent)?.ask(reply => ({ kind: "withhold", reply }));
+        },
+        release(agent) {
+            withheld.delete(agent);
+            sessions.get(agent)?.send({ kind: "release" });
+        },
         async close() {
             await Promise.all([...sessions.values()].map(session => session.stop()));
         },
