Tell boots apart by the order of calls, not by their start times alone

What callers would see: a worker whose wall clock was set back before it started again is never used again, and what it ran is shown as running (rule LOST).

Lists and heartbeats of a boot with an earlier start time counted as those of a former boot.

Change: each call carries the boot that was known when it was sent. If that is still the known one, another start time in the answer means a later boot, whatever the clock says. A heartbeat of any start time is checked with the worker, as those of later ones were.

--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -220,6 +220,15 @@
     state.workerClock ??= { clockMs: heartbeat.clockMs, at: now };
 }
 
+/**
+ * Whether a boot with this start time has answered before the known boot did. The start times alone do not tell, as the
+ * wall clock may be set back: a call that was sent once the known boot had answered reaches that boot or a later one.
+ */
+export function isFormerBoot(state: AgentState, bornMs: number, knownWhenSent: number): boolean {
+    const wasKnown = knownWhenSent === state.bornMs;
+    return !wasKnown && (bornMs === knownWhenSent || bornMs < state.bornMs);
+}
+
 /** The boot that a heartbeat speaks for. */
 export function bootOf({ id, bornMs }: WorkerHeartbeat): Boot {
     return { id, bornMs };
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -5,6 +5,7 @@
 import { mergeStartOrders, mergeStopOrders } from "./agentOrders.ts";
 import { applyRunLists, buildReport } from "./agentReport.ts";
 import {
+    isFormerBoot,
     resetForBoot,
     findCloseReason,
     workerCondition,
@@ -75,7 +76,7 @@
             state.renewalSentAt = clock.now();
         }
         const sentAt = clock.now();
-        const { recorded } = state;
+        const { recorded, bornMs } = state;
         state.holdsInFlight += 1;
         context.start(
             () =>
@@ -86,7 +87,7 @@
                     deadlineMs: canRenew ? Math.floor(workerClock + times.leaseMs) : undefined,
                     waitMs,
                 }),
-            result => ({ kind: "held", sentAt, recorded, result }),
+            result => ({ kind: "held", sentAt, bornMs, recorded, result }),
         );
     }
 
@@ -197,7 +198,7 @@
                 }
                 sendHold(state, waitMs, context);
             },
-            held(state, { sentAt, recorded, result }, context) {
+            held(state, { sentAt, bornMs, recorded, result }, context) {
                 state.holdsInFlight -= 1;
                 metrics.workerCalled("hold", callResult(result));
                 const durationMs = clock.now() - sentAt;
@@ -218,16 +219,15 @@
                         const before = workerCondition(state);
                         state.consecutiveUnansweredHolds = 0;
                         state.isRefusingConnections = false;
-                        if (lists.bornMs < state.bornMs) {
-                            // A late answer of an earlier boot.
+                        if (isFormerBoot(state, lists.bornMs, bornMs)) {
                             return;
                         }
-                        if (lists.bornMs > state.bornMs) {
+                        if (lists.bornMs !== state.bornMs) {
                             resetForBoot(state, lists.bornMs, clock.now());
                             sendStops(state, context);
                         }
                         state.unansweredSince = undefined;
-                        if (state.worker && state.worker.boot.bornMs < lists.bornMs) {
+                        if (state.worker && state.worker.boot.bornMs !== lists.bornMs) {
                             // Only the start time of the new boot is known until its first heartbeat.
                             state.worker = undefined;
                             publishChange(state);
@@ -251,6 +251,7 @@
             "last-hold"(state, { reply }, context) {
                 state.poll?.stopTimer();
                 answerPoll(state);
+                const { bornMs, recorded } = state;
                 const workerClock = workerNow(state, clock);
                 if (!isRenewalGranted(state, clock) || workerClock === undefined) {
                     reply();
@@ -261,14 +262,14 @@
                         const held = await port.hold({
                             id: state.worker?.boot.id,
                             fence: state.term,
-                            recorded: state.recorded,
+                            recorded,
                             deadlineMs: Math.floor(workerClock + times.leaseMs),
                             waitMs: 0,
                         });
                         reply();
                         return held;
                     },
-                    result => ({ kind: "held", sentAt: clock.now(), recorded: state.recorded, result }),
+                    result => ({ kind: "held", sentAt: clock.now(), bornMs, recorded, result }),
                 );
             },
         },
--- a/packages/backend/src/agent/agentTypes.ts
+++ b/packages/backend/src/agent/agentTypes.ts
@@ -15,14 +15,22 @@
     WorkerRefusal,
 } from "./workerPort.ts";
 
-/** Messages that the agent task handles. */
+/**
+ * Messages that the agent task handles. In the answers to calls, `bornMs` is the start time of the boot that the agent knew
+ * when it sent the call.
+ */
 export type AgentMessage =
     /** The reply acknowledges the heartbeat; it is sent for outdated heartbeats too. */
     | { kind: "heartbeat"; heartbeat: WorkerHeartbeat; reply: Reply<void> }
     /** The worker's message that it leaves; `bornMs` is absent if the message does not name the start time. */
     | { kind: "left"; id: string; bornMs?: number | undefined; reply: Reply<void> }
     | { kind: "confirm"; key: string }
-    | { kind: "confirmed"; key: string; result: Either<Failure, WorkerRunLists | WorkerRefusal> }
+    | {
+          kind: "confirmed";
+          key: string;
+          bornMs: number;
+          result: Either<Failure, WorkerRunLists | WorkerRefusal>;
+      }
     | { kind: "check-leave"; boot: Boot; since: number }
     | {
           kind: "leave-checked";
@@ -37,11 +45,11 @@
     | {
           kind: "held";
           sentAt: number;
+          bornMs: number;
           recorded: number;
           result: Either<Failure, WorkerRunLists | WorkerRefusal>;
       }
     | { kind: "call-start"; key: string }
-    /** In the answers to starts and stops, `bornMs` is the start time of the boot that the agent knew when it sent the call. */
     | {
           kind: "start-answered";
           key: string;
--- a/packages/backend/src/agent/bootChange.spec.ts
+++ b/packages/backend/src/agent/bootChange.spec.ts
@@ -77,6 +77,24 @@
         });
     });
 
+    describe("with a wall clock that was set back", () => {
+        // Guards against a worker that is never used again, as its boot counts as an earlier one.
+        it("is the known boot although its start time lies before that of the former one", async () => {
+            await restartUnderSameId(500);
+            await clock.advance(1_500);
+            expect((await harness.report()).worker).to.deep.include({
+                boot: { ...FIRST_BOOT, bornMs: 500 },
+                condition: "ready",
+            });
+        });
+
+        it("is the known boot also under another id", async () => {
+            await harness.restartWorker({ id: "i-2", bornMs: 500 });
+            await clock.advance(1_500);
+            expect((await harness.report()).worker?.boot).to.deep.equal({ id: "i-2", bornMs: 500 });
+        });
+    });
+
     describe("while a start is carried out", () => {
         // Guards against a run that counts as running for good: the answer's clock is ahead of all lists of the new boot.
         it("does not list a run whose start the former boot has answered late", async () => {
--- a/packages/backend/src/agent/bootClaims.ts
+++ b/packages/backend/src/agent/bootClaims.ts
@@ -25,9 +25,6 @@
         }
         return false;
     }
-    if (heartbeat.bornMs < state.bornMs) {
-        return false;
-    }
     const [oldest] = state.claims.keys();
     if (oldest !== undefined && state.claims.size >= MAX_CLAIMS) {
         state.claims.delete(oldest);
--- a/packages/backend/src/agent/bootHandlers.ts
+++ b/packages/backend/src/agent/bootHandlers.ts
@@ -7,6 +7,7 @@
     adoptBoot,
     applyHeartbeat,
     bootOf,
+    isFormerBoot,
     workerCondition,
     type AgentState,
     type KnownWorker,
@@ -83,13 +84,14 @@
         confirm(state, { key }, context) {
             const claim = state.claims.get(key);
             if (claim && state.term > 0) {
+                const { bornMs } = state;
                 context.start(
                     () => readLists(state, bootOf(claim)),
-                    result => ({ kind: "confirmed", key, result }),
+                    result => ({ kind: "confirmed", key, bornMs, result }),
                 );
             }
         },
-        confirmed(state, { key, result }, context) {
+        confirmed(state, { key, bornMs, result }, context) {
             const claim = state.claims.get(key);
             if (!claim) {
                 return;
@@ -102,7 +104,7 @@
             }
             state.claims.delete(key);
             const fields = { worker: boot.id, bornMs: boot.bornMs, service: claim.service };
-            if (presence === "absent" || boot.bornMs < state.bornMs) {
+            if (presence === "absent" || isFormerBoot(state, boot.bornMs, bornMs)) {
                 log.warn("A heartbeat names a boot that the worker is not; it is ignored.", fields);
                 return;
             }
