Keep an end that the worker has listed until the leader has recorded it

A hold of a former boot that is executed late carries the number of that boot's recorded ends, and makes the new boot under the same id forget its own ends up to it. The agent took each list as the whole truth, so it dropped ends that it had read and the leader had not recorded, as in a store outage.

Change: ends that were read stay in the reports until they are recorded.

Evidence: the new case of bootChange.spec.ts lost the end before; 53 passing after.

--- a/packages/backend/src/agent/agentReport.ts
+++ b/packages/backend/src/agent/agentReport.ts
@@ -2,6 +2,7 @@
 import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import {
     runKey,
+    type EndedTask,
     type OrderState,
     type RunId,
     type SyncReport,
@@ -71,10 +72,11 @@
             running.set(key, row);
         }
     }
-    const hasChanged = running.size !== state.running.size || lists.ended.length !== state.ended.length;
+    const ended = mergeEnds(state, lists.ended);
+    const hasChanged = running.size !== state.running.size || ended.length !== state.ended.length;
     state.running = running;
     state.hasMoreEnds = !listsAllEnds(lists);
-    state.ended = lists.ended.filter(row => row.number > state.recorded);
+    state.ended = ended;
     for (const row of state.ended) {
         state.running.delete(runKey(row));
         state.startedAt.delete(runKey(row));
@@ -87,6 +89,17 @@
     return true;
 }
 
+/**
+ * The ends that are not recorded, by number. One that was listed before stays until then: a hold of a former boot that is
+ * executed late makes the worker forget ends of this boot.
+ */
+function mergeEnds({ ended, recorded }: AgentState, listed: EndedTask[]): EndedTask[] {
+    const byNumber = new Map([...ended, ...listed].map(row => [row.number, row]));
+    return [...byNumber.values()]
+        .filter(({ number }) => number > recorded)
+        .sort((left, right) => left.number - right.number);
+}
+
 function stopOrderState(
     state: AgentState,
     attempt: StopAttempt,
--- a/packages/backend/src/agent/bootChange.spec.ts
+++ b/packages/backend/src/agent/bootChange.spec.ts
@@ -95,6 +95,20 @@
         });
     });
 
+    describe("while ends are not recorded", () => {
+        // Guards against an end that a late hold makes the worker forget, with the number that a former boot's ends had.
+        it("reports an end that it has read until the leader has recorded it", async () => {
+            worker.ended = [{ number: 1, task: TASK, run: 1, end: "done" }];
+            await clock.advance(1_500);
+            worker.ended = [];
+            await clock.advance(1_500);
+            expect((await harness.report()).ended.map(row => row.task)).to.deep.equal([TASK]);
+            await harness.sync({ recorded: { boot: FIRST_BOOT, number: 1 } });
+            await clock.advance(1_500);
+            expect((await harness.report()).ended).to.deep.equal([]);
+        });
+    });
+
     describe("while a start is carried out", () => {
         // Guards against a run that counts as running for good: the answer's clock is ahead of all lists of the new boot.
         it("does not list a run whose start the former boot has answered late", async () => {
