Order no start of a task whose end may be behind the page

Change: a task that has started gets no other start while isUnlistedUnknown holds. The count of a list's rows decides only if its sender does not say whether there are more.

Evidence: 'gets no start while its end may be behind the page' failed before; 196 passing in plan, peer and agent.

--- a/packages/decisions/src/plan/endsPage.spec.ts
+++ b/packages/decisions/src/plan/endsPage.spec.ts
@@ -3,6 +3,7 @@
 import { groupProgress } from "../job/progressChange.ts";
 import type { EndedTask, SyncReport } from "../worker/workerReport.ts";
 import { addJob, createClusterState, getOrAddWorker, type ClusterState } from "./clusterState.ts";
+import { buildOrders } from "./planOrders.ts";
 import { applyReport } from "./planReport.ts";
 import { closeStalled, closeStuckStarts, closeUnlisted } from "./stallDetection.ts";
 
@@ -64,6 +65,25 @@
         });
     });
 
+    // Guards against starts of tasks that have ended, which the worker refuses, so that the runs are closed.
+    describe("and would be started again", () => {
+        function startedTasks(): string[] {
+            return buildOrders(cluster, getOrAddWorker(cluster, "a", 0)).starts.map(({ task }) => task);
+        }
+
+        it("gets no start while its end may be behind the page", () => {
+            report({ ended: page }, 0);
+            expect(startedTasks()).to.deep.equal([]);
+            report({ ended: page.slice(400), hasMoreEnds: true }, 100);
+            expect(startedTasks()).to.deep.equal([]);
+        });
+
+        it("gets one when the worker lists all its ends", () => {
+            report({ ended: page.slice(0, 499), hasMoreEnds: false }, 0);
+            expect(startedTasks()).to.deep.equal(["j.0.0.0"]);
+        });
+    });
+
     describe("by an agent that does not know its worker yet", () => {
         it("is kept", () => {
             report({ running: [{ task: "j.0.0.0", run: 1, percent: 9 }] }, 0);
--- a/packages/decisions/src/plan/planOrders.ts
+++ b/packages/decisions/src/plan/planOrders.ts
@@ -8,6 +8,7 @@
     type WorkerEntry,
 } from "./clusterState.ts";
 import { runIdOf } from "./planReport.ts";
+import { isUnlistedUnknown } from "./unlistedTask.ts";
 
 /** Orders of the leader for one agent. */
 export interface WorkerOrders {
@@ -35,6 +36,12 @@
         if (!isRecorded || !boot || !sameBoot(boot, placement.boot) || reportedRuns.has(runKey(run))) {
             continue;
         }
+        const openRun = entry.runs.get(group.key);
+        const task = openRun?.tasks.get(placement.index);
+        if ((openRun?.hasStarted || task) && isUnlistedUnknown(worker, task)) {
+            // It may have ended; the worker would refuse another start.
+            continue;
+        }
         starts.push({ ...run, boot: placement.boot, spec: entry.job.spec, saved: progress.saved });
     }
     if (boot) {
--- a/packages/decisions/src/worker/endsPage.ts
+++ b/packages/decisions/src/worker/endsPage.ts
@@ -5,8 +5,8 @@
 
 /**
  * Whether a list shows all ends that are not acknowledged, so that a run that is neither running nor listed has left no
- * end. A list that was shortened since the worker returned it carries `hasMoreEnds`.
+ * end. A list that was changed since the worker returned it carries `hasMoreEnds`.
  */
 export function listsAllEnds({ ended, hasMoreEnds }: Pick<SyncReport, "ended" | "hasMoreEnds">): boolean {
-    return !hasMoreEnds && ended.length < MAX_LISTED_ENDS;
+    return hasMoreEnds === undefined ? ended.length < MAX_LISTED_ENDS : !hasMoreEnds;
 }
