Use recorded absences only if the latest term has written them

A leader of an earlier release, which knows no record, grants leases to an agent that the record names; the next leader would take the recorded age for true and close runs that still hold a lease.

Change: the leadership tells the planner the latest earlier term that it has observed, and the planner uses the ages only if the value was written after that term began. Each leader writes the value once at its start if it names agents, so a series of leaders of this release hands the ages on. An entry that knows no former term waits anew.

Evidence: without the check the new case of absenceRecording.spec.ts starts the task 8.1 s after the last report (16.1 s is the least); with it, it passes. The leadership's new case fails without the field.

--- a/packages/peer/src/planner/absenceRecording.spec.ts
+++ b/packages/peer/src/planner/absenceRecording.spec.ts
@@ -38,6 +38,7 @@
     beforeEach(async () => {
         clock = createManualClock();
         store = createMemoryStore(clock);
+        term = undefined;
         present = new Set(["a", "b"]);
         running = new Map([
             ["a", []],
@@ -64,6 +65,8 @@
     });
 
     let terms = 0;
+    /** Revision of the leader key of the latest term. */
+    let term: number | undefined;
 
     /** Another process leads from now on; the one before has ended without a further call. */
     async function lead(): Promise<void> {
@@ -72,9 +75,11 @@
         let writes = 0;
         withheld = new Set();
         const ofTerm = withheld;
-        const term = store.write(LEADER_KEY, `leader-${terms}`);
+        const formerTerm = term;
+        term = store.write(LEADER_KEY, `leader-${terms}`);
         planner = startPlannerTask({
             term,
+            formerTerm,
             times: TIMES,
             clock,
             log: noopLog,
@@ -170,6 +175,15 @@
         });
     });
 
+    // Guards against runs that are closed while a lease that a leader without a record has granted keeps them running.
+    it("is waited for anew after a term of an earlier release, which knows no record", async () => {
+        await advance(8_000);
+        term = store.write(LEADER_KEY, "leader of an earlier release");
+        reportedAt = clock.now();
+        await changeLeader();
+        expect(await restartedAfterMs(60_000)).to.be.at.least(closedAfterMs(TIMES));
+    });
+
     describe("and comes back", () => {
         // Guards against runs that are closed while a lease granted meanwhile keeps them running.
         it("is granted no lease before the store no longer names it", async () => {
--- a/packages/peer/src/planner/absenceRecording.ts
+++ b/packages/peer/src/planner/absenceRecording.ts
@@ -45,7 +45,10 @@
 }
 
 /** Dependencies of the recording of absences. */
-export interface AbsenceOptions extends Pick<PlannerOptions, "term" | "clock" | "newWriteId" | "sessions"> {
+export interface AbsenceOptions extends Pick<
+    PlannerOptions,
+    "term" | "formerTerm" | "clock" | "newWriteId" | "sessions"
+> {
     log: Log;
     commit: StartCommit;
     /** Called if the store shows that the term has ended. */
@@ -75,7 +78,7 @@
 
 /** Creates the recorder of one leader term. */
 export function createAbsenceRecorder(options: AbsenceOptions): AbsenceRecorder {
-    const { term, clock, log, newWriteId, sessions, commit, halt } = options;
+    const { term, formerTerm, clock, log, newWriteId, sessions, commit, halt } = options;
 
     /** Takes over a stored value; an agent that it names is withheld until a later write no longer names it. */
     function adopt(absences: AbsenceState, stored: Item | undefined): Map<string, number> {
@@ -113,7 +116,15 @@
     return {
         load(owner, items) {
             const stored = items.find(item => item.key === ABSENCES_KEY);
-            for (const [agent, ageMs] of adopt(owner.absences, stored)) {
+            const ages = adopt(owner.absences, stored);
+            // Makes the first update write, so that the record is known to be of this term.
+            owner.absences.writtenAt = -Infinity;
+            if (stored && !(formerTerm !== undefined && stored.revision > formerTerm)) {
+                // A leader of an earlier release, which keeps no record, may have granted leases since it was written.
+                log.info("The recorded absences are not of the latest term; they are not used.", { term });
+                return;
+            }
+            for (const [agent, ageMs] of ages) {
                 const worker = owner.cluster.workers.get(agent);
                 if (worker) {
                     worker.lastReportAt = Math.min(worker.lastReportAt, clock.now() - ageMs);
--- a/packages/peer/src/planner/largeJobRecording.spec.ts
+++ b/packages/peer/src/planner/largeJobRecording.spec.ts
@@ -99,6 +99,7 @@
         const term = store.write(LEADER_KEY, "leader");
         planner = startPlannerTask({
             term,
+            formerTerm: undefined,
             times: leaseTimes(6_000),
             clock,
             log: noopLog,
--- a/packages/peer/src/planner/plannerTask.spec.ts
+++ b/packages/peer/src/planner/plannerTask.spec.ts
@@ -49,6 +49,7 @@
         const term = store.write(LEADER_KEY, "leader");
         planner = startPlannerTask({
             term,
+            formerTerm: undefined,
             times: leaseTimes(6_000),
             clock: { ...clock, wall: () => clock.wall() + wallOffsetMs },
             log,
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -94,6 +94,7 @@
     const startCommit = createStartCommit(commit);
     const absenceRecorder = createAbsenceRecorder({
         term,
+        formerTerm: options.formerTerm,
         clock,
         log,
         newWriteId,
--- a/packages/peer/src/planner/plannerTypes.ts
+++ b/packages/peer/src/planner/plannerTypes.ts
@@ -50,6 +50,8 @@
 /** Dependencies of the planner's task. */
 export interface PlannerOptions {
     term: number;
+    /** The latest earlier term that this process knows of. */
+    formerTerm: number | undefined;
     times: LeaseTimes;
     clock: Clock;
     log: Log;
--- a/packages/store/src/leadership/leadershipTask.spec.ts
+++ b/packages/store/src/leadership/leadershipTask.spec.ts
@@ -101,6 +101,22 @@
         expect(kinds(second)).to.deep.equal(["lead"]);
     });
 
+    // Guards against a record of a term before the latest one that counts as current.
+    it("tells each leader the latest term before its own", async () => {
+        const first = addCandidate("a", 0);
+        await run(500);
+        const second = addCandidate("b", 0);
+        await run(500);
+        await first.task.ask((reply: Reply<void>) => ({ kind: "resign", reply }));
+        await run(300);
+        const [firstTerm] = first.events;
+        expect(firstTerm).to.deep.include({ kind: "lead", formerTerm: undefined });
+        expect(second.events[0]).to.deep.include({
+            kind: "lead",
+            formerTerm: firstTerm?.kind === "lead" ? firstTerm.term : undefined,
+        });
+    });
+
     it("has a higher term with each leader, so that commands of an earlier leader are refused", async () => {
         const first = addCandidate("a", 0);
         await run(500);
--- a/packages/store/src/leadership/leadershipTask.ts
+++ b/packages/store/src/leadership/leadershipTask.ts
@@ -11,12 +11,13 @@
 
 /**
  * Changes in the leadership of this process.
- * - `lead`: this process leads in a new term.
+ * - `lead`: this process leads in a new term. `formerTerm` is the latest earlier term that it knows of, if any.
  * - `suspend`: the lease was not renewed in time. No other process can lead yet, but this one must stop acting.
  * - `resume`: the lease was renewed after a `suspend`, and the term continues.
  * - `lost`: the term has ended.
  */
-export type LeadershipEvent = { kind: "lead"; term: number } | { kind: "suspend" | "resume" | "lost" };
+export type LeadershipEvent =
+    { kind: "lead"; term: number; formerTerm: number | undefined } | { kind: "suspend" | "resume" | "lost" };
 
 /** Messages of the leadership task. */
 export type LeadershipMessage =
@@ -55,6 +56,8 @@
     observedTerm: number;
     /** Revision of the last observed change to the leader key, which may be its removal. */
     observedRevision: number;
+    /** The latest two terms that were observed, this process's own included, in their order. */
+    knownTerms: number[];
     grant: LeadershipGrant | undefined;
     /** Start of the last successful campaign or renewal; the lease runs at least `LEASE_TTL_MS` from here. */
     renewedAt: Instant;
@@ -112,6 +115,12 @@
         notify({ kind: "lost" });
     }
 
+    function noteTerm(state: LeadershipState, term: number): void {
+        if (term > (state.knownTerms.at(-1) ?? 0)) {
+            state.knownTerms = [...state.knownTerms, term].slice(-2);
+        }
+    }
+
     function isLeaseSafelyHeld(state: LeadershipState): boolean {
         return elapsedSince(clock, state.renewedAt) < LEASE_TTL_MS - LEASE_MARGIN_MS;
     }
@@ -124,6 +133,7 @@
             phase: "idle",
             observedTerm: 0,
             observedRevision: 0,
+            knownTerms: [],
             grant: undefined,
             renewedAt: instantNow(clock),
         },
@@ -137,6 +147,7 @@
             "leader-changed"(state, { change }, context) {
                 state.observedTerm = change.value === undefined ? 0 : change.revision;
                 state.observedRevision = change.revision;
+                noteTerm(state, state.observedTerm);
                 const holdsTerm = state.phase === "leading" || state.phase === "suspended";
                 if (
                     holdsTerm &&
@@ -177,7 +188,9 @@
                 state.renewedAt = startedAt;
                 state.phase = "leading";
                 log.info("This process leads.", { term: grant.term, lease: grant.lease });
-                notify({ kind: "lead", term: grant.term });
+                noteTerm(state, grant.term);
+                const formerTerm = state.knownTerms.findLast(term => term < grant.term);
+                notify({ kind: "lead", term: grant.term, formerTerm });
                 context.post({ kind: "renew" });
                 context.after(RENEW_INTERVAL_MS, { kind: "check" });
             },
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -146,7 +146,7 @@
         }
     }
 
-    function beginTerm(termNumber: number): void {
+    function beginTerm(termNumber: number, formerTerm: number | undefined): void {
         const sessions = createSessionSet({
             term: termNumber,
             grantMs: times.grantMs,
@@ -158,6 +158,7 @@
         });
         const planner = startPlannerTask({
             term: termNumber,
+            formerTerm,
             times,
             clock,
             log: log.part("planner"),
@@ -194,7 +195,7 @@
     function handleLeadershipEvent(event: LeadershipEvent): void {
         if (event.kind === "lead") {
             endTerm();
-            beginTerm(event.term);
+            beginTerm(event.term, event.formerTerm);
         } else if (event.kind === "lost") {
             endTerm();
         } else {
