Report with the next lists that a worker has no more ends

The leader keeps runs that a full page may hide. When the page was recorded and no end was behind it, the agent did not report that, as neither its runs nor its ends had changed, so the leader learned it up to a second later. The new case of endsPage.spec.ts got no report before. The log line on absences that are not used is left out if there are none.

--- a/packages/backend/src/agent/agentReport.ts
+++ b/packages/backend/src/agent/agentReport.ts
@@ -73,9 +73,13 @@
         }
     }
     const ended = mergeEnds(state, lists.ended);
-    const hasChanged = running.size !== state.running.size || ended.length !== state.ended.length;
+    const hasMoreEnds = !listsAllEnds(lists);
+    const hasChanged =
+        running.size !== state.running.size ||
+        ended.length !== state.ended.length ||
+        hasMoreEnds !== state.hasMoreEnds;
     state.running = running;
-    state.hasMoreEnds = !listsAllEnds(lists);
+    state.hasMoreEnds = hasMoreEnds;
     state.ended = ended;
     for (const row of state.ended) {
         state.running.delete(runKey(row));
--- a/packages/backend/src/agent/endsPage.spec.ts
+++ b/packages/backend/src/agent/endsPage.spec.ts
@@ -58,6 +58,20 @@
         });
     });
 
+    // Guards against a leader that waits for ends that do not exist, until the next report for another reason.
+    it("reports with the next lists that there are no more ends", async () => {
+        worker.ended = worker.ended.slice(0, 500);
+        const { version } = await harness.report();
+        const recorded = { boot: FIRST_BOOT, number: 500 };
+        const next = harness.report({ recorded, seenVersion: version, waitMs: 60_000 });
+        await clock.advance(1_500);
+        const stillWaiting = Symbol("still waiting");
+        expect(await Promise.race([next, Promise.resolve(stillWaiting)])).to.deep.include({
+            ended: [],
+            hasMoreEnds: false,
+        });
+    });
+
     // Guards against a job that is given up for a crash, although its task had ended before.
     it("does not blame a crash on a run whose end may be behind the page", async () => {
         worker.behaviour = "refuses-connections";
--- a/packages/peer/src/planner/absenceRecording.ts
+++ b/packages/peer/src/planner/absenceRecording.ts
@@ -119,7 +119,8 @@
             const ages = adopt(owner.absences, stored);
             // Makes the first update write, so that the record is known to be of this term.
             owner.absences.writtenAt = -Infinity;
-            if (stored && !(formerTerm !== undefined && stored.revision > formerTerm)) {
+            const isOfFormerTerm = formerTerm !== undefined && owner.absences.revision > formerTerm;
+            if (ages.size > 0 && !isOfFormerTerm) {
                 // A leader of an earlier release, which keeps no record, may have granted leases since it was written.
                 log.info("The recorded absences are not of the latest term; they are not used.", { term });
                 return;
