--- a/packages/backend/src/agent/bootChange.spec.ts
+++ b/packages/backend/src/agent/bootChange.spec.ts
@@ -6,7 +6,7 @@
 const TASK = "j.0.0.0";
 const STOP = { task: TASK, run: 1, boot: FIRST_BOOT };
 
-describe("a worker that starts again under its id", () => {
+describe("a worker that starts again", () => {
     let harness: AgentHarness;
     let clock: ManualClock;
     let worker: ScriptedWorker;
--- a/packages/peer/src/session/sessionTask.spec.ts
+++ b/packages/peer/src/session/sessionTask.spec.ts
@@ -50,7 +50,7 @@
         seen.push("withheld");
     }
 
-    it("has granted leases before", async () => {
+    it("grants leases until then", async () => {
         await sendReport(1);
         expect(requests.at(-1)?.grant?.stamp.now).to.equal(1);
     });
