--- a/packages/backend/src/agent/agentTypes.ts
+++ b/packages/backend/src/agent/agentTypes.ts
@@ -78,6 +78,11 @@
     /** The worker's service; undefined if it is not known. */
     service: () => string | undefined;
     times: LeaseTimes;
+    /**
+     * Time after the acknowledgement of an evacuation, in milliseconds, after which no task may start in the zone. Absent
+     * where the deployment does not use evacuations.
+     */
+    evacuationLimitMs?: number | undefined;
     /** Identifies this start of the agent process; a grant for another incarnation is ignored. */
     incarnation: string;
     clock: Clock;
--- a/packages/decisions/src/worker/workerReport.ts
+++ b/packages/decisions/src/worker/workerReport.ts
@@ -23,6 +23,8 @@
     condition: WorkerCondition;
     /** Minimum time until a draining worker leaves. */
     remainingMs?: number | undefined;
+    /** Time for which the worker stays slow after a cold start; absent or 0 if it is warm. */
+    coldRemainingMs?: number | undefined;
     /** Whether the worker's lease has certainly expired, so that no task is running. */
     hasLapsed: boolean;
 }
@@ -63,7 +65,16 @@
 
 /** Why a worker or its agent did not execute a start. */
 export type StartRefusal =
-    "fence" | "old" | "late" | "room" | "ticket" | "invalid" | "unhealthy" | "draining" | "other-boot";
+    | "fence"
+    | "old"
+    | "late"
+    | "room"
+    | "ticket"
+    | "invalid"
+    | "unhealthy"
+    | "draining"
+    | "evacuated"
+    | "other-boot";
 
 /** How a crash of the worker has ended a run, by the time for which the run had been started. */
 export type CrashEnd = Extract<TaskEnd, "crashed" | "crashed-at-start">;
@@ -85,6 +96,16 @@
     wall: number;
 }
 
+/** What a leader knows of evacuated availability zones; an agent checks it before it starts a task. */
+export interface EvacuationNotice {
+    /** Names of the evacuated availability zones. */
+    zones: string[];
+    /** Stamp of the agent's latest report that the leader had when it sent the notice. */
+    stamp: Stamp;
+    /** Age of the leader's knowledge when it sent the notice, in milliseconds. */
+    ageMs: number;
+}
+
 /** A leader's call to an agent. */
 export interface SyncRequest {
     /** The leader's term, which is the fencing token of its orders. */
@@ -93,6 +114,8 @@
     sequence: number;
     /** Permission to renew the worker's lease until `ms` after the stamp; absent if the leader may not give it. */
     grant?: { stamp: Stamp; ms: number } | undefined;
+    /** Evacuated zones; absent if the deployment does not use evacuations, or before the first stamp. */
+    evacuation?: EvacuationNotice | undefined;
     /** Ends of this boot up to `number` are recorded, so that the worker may forget them. */
     recorded?: { boot: Boot; number: number } | undefined;
     starts: StartOrder[];
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -325,6 +325,7 @@
                 state.index = index;
                 requestPlan(state, context);
             },
+            evacuations(_state, _message, _context) {},
             report(state, { agent, report }, context) {
                 const worker = getOrAddWorker(state.cluster, agent, state.startedAt);
                 const { hasReported, description } = worker;
--- a/packages/peer/src/planner/plannerTypes.ts
+++ b/packages/peer/src/planner/plannerTypes.ts
@@ -1,4 +1,5 @@
 import type { Either } from "purify-ts/Either";
+import type { EvacuationView } from "@tanagerdeck/decisions/evacuation/evacuationTypes";
 import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
 import type { ManifestIndex } from "@tanagerdeck/decisions/manifest/access";
 import type { Decision } from "@tanagerdeck/decisions/schedule/scheduleTypes";
@@ -20,6 +21,8 @@
     | { kind: "loaded"; result: Either<Failure, Listing> }
     | { kind: "changed"; change: Change }
     | { kind: "manifest"; index: ManifestIndex }
+    /** The evacuated availability zones, as the store has them. */
+    | { kind: "evacuations"; view: EvacuationView }
     | { kind: "report"; agent: string; report: SyncReport }
     | { kind: "suspend" }
     | { kind: "resume" }
@@ -65,6 +68,8 @@
     termEnded: () => void;
     /** How many times slower tasks run far from their data or from each other. */
     farFactor: number;
+    /** Whether the deployment uses evacuations; the planner then does not plan before its first view of them. */
+    followsEvacuations?: boolean | undefined;
     /** For how long the state of an ended job is kept. */
     keepMs: number;
 }
--- a/packages/peer/src/session/sessionTask.ts
+++ b/packages/peer/src/session/sessionTask.ts
@@ -41,6 +41,11 @@
     clock: Clock;
     log: Log;
     sync: (address: string, request: SyncRequest, timeoutMs: number) => Promise<Either<Failure, SyncReply>>;
+    /**
+     * Returns the evacuated availability zones and the age of that knowledge for each call; undefined while nothing is
+     * known. Absent where the deployment does not use evacuations.
+     */
+    evacuation?: (() => { zones: string[]; ageMs: number } | undefined) | undefined;
     /** Called with each report, in the order of the agent's versions. */
     reported: (report: SyncReport) => void;
     /** Called when another leader's term is newer. */
