Add the settings of evacuations

Entries and agents have to know whether the deployment uses evacuations and which availability zones it has.

evacuationLimitMs comes from the bound evac_ms and is absent where the platform names none; zones is the platform's table of zones. Nothing uses them yet.

--- a/packages/tanagerdeck/src/platform/platformSettings.ts
+++ b/packages/tanagerdeck/src/platform/platformSettings.ts
@@ -18,6 +18,15 @@
     longestHoldMs: z.number().positive(),
     keepJobsSeconds: z.number().positive(),
     graceSeconds: z.number().positive(),
+    /**
+     * Time in milliseconds from the acknowledgement of an evacuation until no task may start in the availability zone. Absent
+     * where the deployment does not use evacuations.
+     */
+    evacuationLimitMs: z
+        .number()
+        .positive()
+        .nullish()
+        .transform(limitMs => limitMs ?? undefined),
 };
 
 /** Settings of an entry process on the users' platform. */
@@ -31,6 +40,11 @@
     cpuShare: z.number().positive().default(1),
     /** Speed of that core relative to a standard core. */
     cpuSpeed: z.number().positive().default(1),
+    /** All availability zones with their regions; an evacuation of another zone has no effect. */
+    zones: z
+        .record(z.string(), z.string())
+        .nullish()
+        .transform(zones => zones ?? undefined),
 });
 
 /** Settings of an agent process on the users' platform. */
