Let the emulated deployment evacuate availability zones

Zone evacuation needs a proof on real processes, and the emulated deployment could not request an evacuation nor detect a start that breaks its bound.

evacuate and restore write and remove op/evacuate/ZONE and report it. With followsEvacuations, entries and agents get evacuationLimitMs and entries get zones; without it all settings are as before. Workers can report a cold time. The checker's new invariant evacuated reports a start in the zone more than 5,000 ms after the acknowledgement, unless the worker executed it late.

--- a/standins/src/emulator/emulatedDeployment.ts
+++ b/standins/src/emulator/emulatedDeployment.ts
@@ -13,7 +13,7 @@
 } from "./emulatorTypes.ts";
 import { createGangBarrier, type GangBarrier } from "./gangBarrier.ts";
 import { startStoreServer } from "./storeServer.ts";
-import type { DrainEvent, WorkerEvent } from "./taskTypes.ts";
+import type { EmulatorEvent } from "./taskTypes.ts";
 import { createTaskWorker, FAR_FACTOR, type TaskWorker } from "./taskWorker.ts";
 import { startWorkerServer } from "./workerServer.ts";
 
@@ -24,6 +24,8 @@
 /** Capacity of each emulated worker if the options name no other; the memory limits no task. */
 export const CAPACITY = { cpuMillis: 64_000, memoryMb: 1_000_000, gpus: 8 };
 export const DEFAULT_ATTEMPTS = 4;
+/** Time from the acknowledgement of an evacuation until no task may start in the zone; the platform's `evac_ms`. */
+export const EVACUATION_LIMIT_MS = 5_000;
 
 const DEFAULT_ZONE = "zone-1";
 const PEER_PORT = 7000;
@@ -34,6 +36,9 @@
 const WORKER_PORT = 8529;
 const STORE_IP = "127.0.0.1";
 const MANIFEST_KEY = "op/config";
+const EVACUATION_PREFIX = "op/evacuate/";
+/** Region of all zones; no rule depends on it. */
+const REGION = "region-1";
 const LATE_CALL_DELAY_MS = 3_000;
 
 /** State shared by the functions that start the parts of a deployment. */
@@ -45,13 +50,13 @@
     storeAddress: string;
     seeds: string[];
     gangBarrier: GangBarrier;
-    report: (event: WorkerEvent | DrainEvent) => void;
+    report: (event: EmulatorEvent) => void;
 }
 
 /** Starts a deployment; `report` receives the events of all workers. */
 export async function startEmulatedDeployment(
     options: EmulatorOptions,
-    report: (event: WorkerEvent | DrainEvent) => void,
+    report: (event: EmulatorEvent) => void,
 ): Promise<EmulatedDeployment> {
     const network = `127.${1 + ((process.pid >> 8) & 0x7f)}.${process.pid & 0xff}`;
     const store = createMemoryStore(systemClock);
@@ -88,6 +93,10 @@
     for (let index = 0; index < options.workers; index++) {
         agents.push(await startAgent(context, index));
     }
+    const reportZone = (kind: "evacuated" | "restored", zone: string): void => {
+        const workers = agents.filter(agent => agent.availabilityZone === zone).map(({ name }) => name);
+        report({ kind, zone, workers, atMs: systemClock.now() });
+    };
     return {
         store,
         storeDelay,
@@ -95,6 +104,17 @@
         agents,
         accounts,
         writeManifest,
+        zones: workerZones(options),
+        evacuate(zone) {
+            store.write(`${EVACUATION_PREFIX}${zone}`, "{}");
+            reportZone("evacuated", zone);
+        },
+        restore(zone) {
+            if (store.item(`${EVACUATION_PREFIX}${zone}`)) {
+                store.remove(`${EVACUATION_PREFIX}${zone}`);
+                reportZone("restored", zone);
+            }
+        },
         output: () => [...entries, ...agents].map(process => process.output()).join(""),
         stop: () => stopAll(context, entries, agents, storeServer),
     };
@@ -105,7 +125,15 @@
     const callerAddress = `${ip}:${CALLER_PORT}`;
     const readyAddress = `${ip}:${READY_PORT}`;
     const zone = context.options.zoneSizes ? zoneName(index) : DEFAULT_ZONE;
-    const settings = { farFactor: FAR_FACTOR, callerAddress, readyAddress, availabilityZone: zone };
+    const { followsEvacuations } = context.options;
+    const zones = Object.fromEntries(workerZones(context.options).map(name => [name, REGION]));
+    const settings = {
+        farFactor: FAR_FACTOR,
+        callerAddress,
+        readyAddress,
+        availabilityZone: zone,
+        ...(followsEvacuations ? { zones } : {}),
+    };
     const process = await startProcess(context, "platform-entry", `entry-${index + 1}`, ip, settings);
     const callerProxy = await startProxyStandin(callerAddress);
     return Object.assign(process, { callerAddress, callerProxy, readyAddress });
@@ -160,6 +188,7 @@
     const agent: EmulatedAgent = Object.assign(process, {
         worker,
         server,
+        availabilityZone,
         labels: [kind, rack],
         rebootWorker() {
             worker.crash();
@@ -180,6 +209,15 @@
     return `zone-${index + 1}`;
 }
 
+/** Availability zones of the workers, in order of first use. */
+function workerZones(options: EmulatorOptions): string[] {
+    const zones = Array.from(
+        { length: options.workers },
+        (_, index) => locationOf(index, options).availabilityZone,
+    );
+    return [...new Set(zones)];
+}
+
 /** Availability zone and rack of a worker; a rack lies in one zone if `zoneSizes` is set. */
 function locationOf(
     index: number,
@@ -219,6 +257,7 @@
         longestHoldMs: options.longestHoldMs,
         keepJobsSeconds: 120,
         graceSeconds: 6,
+        ...(options.followsEvacuations ? { evacuationLimitMs: EVACUATION_LIMIT_MS } : {}),
         ...settings,
     };
     let restarting: Promise<void> | undefined;
--- a/standins/src/emulator/emulatorTypes.ts
+++ b/standins/src/emulator/emulatorTypes.ts
@@ -29,6 +29,8 @@
     /** Time after which a gang task ends as `alone` if its gang is incomplete. */
     gangTimeoutMs: number;
     heartbeatIntervalMs: number;
+    /** Whether the settings of the processes turn on the evacuation of availability zones; false if absent. */
+    followsEvacuations?: boolean;
 }
 
 /** A process of the system that a test can end and restart. */
@@ -54,6 +56,8 @@
 export interface EmulatedAgent extends EmulatedProcess {
     worker: TaskWorker;
     server: WorkerServer;
+    /** Availability zone of the worker, as its heartbeats state it. */
+    availabilityZone: string;
     /** Kind and rack of the worker. */
     labels: string[];
     /** Crashes the worker and boots it again. */
@@ -77,6 +81,12 @@
     accounts: EmulatedAccount[];
     /** Writes the manifest with the current accounts to the store and returns its version. */
     writeManifest(): number;
+    /** Availability zones of the workers. */
+    zones: string[];
+    /** Writes the operator's request to evacuate a zone to the store and reports the event. */
+    evacuate(zone: string): void;
+    /** Removes the request; does nothing if the zone is not evacuated. */
+    restore(zone: string): void;
     /** Output of all processes. */
     output(): string;
     stop(): Promise<void>;
--- a/standins/src/emulator/invariantChecker.spec.ts
+++ b/standins/src/emulator/invariantChecker.spec.ts
@@ -45,6 +45,51 @@
         });
     });
 
+    describe("for an evacuated zone", () => {
+        function noteZone(kind: "evacuated" | "restored", atMs: number): void {
+            checker.observe({ kind, zone: "zone-1", workers: ["a", "b"], atMs });
+        }
+
+        function startOn(worker: string, atMs: number, isLate = false): void {
+            checker.observe({ kind: "started", task, run: 1, worker, atMs, isLate });
+            checker.observe({ kind: "ended", task, run: 1, worker, end: "stopped", atMs });
+        }
+
+        it("reports a start on each of its workers later than the limit after the first acknowledgement", () => {
+            noteZone("evacuated", 1_000);
+            noteZone("evacuated", 3_000);
+            startOn("a", 6_001);
+            startOn("b", 9_000);
+            expect(violatedInvariants()).to.deep.equal(["evacuated", "evacuated"]);
+        });
+
+        it("allows a start within the limit, one that the worker executed late, and one in another zone", () => {
+            noteZone("evacuated", 1_000);
+            startOn("a", 6_000);
+            startOn("a", 9_000, true);
+            startOn("c", 9_000);
+            expect(violatedInvariants()).to.deep.equal([]);
+        });
+
+        it("goes on when the worker is replaced", () => {
+            noteZone("evacuated", 1_000);
+            checker.observe({ kind: "replaced", worker: "a", atMs: 5_000 });
+            startOn("a", 6_001);
+            expect(violatedInvariants()).to.deep.equal(["evacuated"]);
+        });
+
+        it("allows starts after the zone was restored, and counts from the next evacuation", () => {
+            noteZone("evacuated", 1_000);
+            noteZone("restored", 5_000);
+            startOn("a", 6_500);
+            noteZone("evacuated", 7_000);
+            startOn("a", 12_000);
+            expect(violatedInvariants()).to.deep.equal([]);
+            startOn("a", 12_001);
+            expect(violatedInvariants()).to.deep.equal(["evacuated"]);
+        });
+    });
+
     describe("for the runs of one task", () => {
         it("allows a run after a failed one", () => {
             note("started", 1);
--- a/standins/src/emulator/invariantChecker.ts
+++ b/standins/src/emulator/invariantChecker.ts
@@ -1,5 +1,5 @@
 import { parseTaskName } from "@tanagerdeck/decisions/job/taskGroups";
-import type { DrainEvent, WorkerEvent } from "./taskTypes.ts";
+import type { DrainEvent, EmulatorEvent, WorkerEvent, ZoneEvent } from "./taskTypes.ts";
 
 /** Name of an invariant that the user documentation promises, as written to the soak's JSON report. */
 export type InvariantName =
@@ -23,6 +23,11 @@
     | "cancelled"
     /** No task starts on a worker later than `MAX_START_AFTER_DRAIN_MS` after its drain notice. */
     | "drained"
+    /**
+     * No task starts on a worker in an evacuated zone later than `MAX_START_AFTER_EVACUATION_MS` after the acknowledgement of
+     * the evacuation.
+     */
+    | "evacuated"
     /** A new manifest takes effect within the time limit and is never replaced by an older one. */
     | "manifest";
 
@@ -36,7 +41,7 @@
 /** Checks the events of workers against the invariants and keeps the history of each task. */
 export interface InvariantChecker {
     /** Processes an event of a worker. */
-    observe(event: WorkerEvent | DrainEvent): void;
+    observe(event: EmulatorEvent): void;
     /** Adds a violation that the caller has detected. */
     reportViolation(promise: InvariantName, detail: string, atMs: number): void;
     /** Names of the tasks of a job that are done. */
@@ -51,6 +56,8 @@
 
 /** Longest time after the acknowledgement of a worker's drain notice in which a task may start there. */
 const MAX_START_AFTER_DRAIN_MS = 2_500;
+/** Longest time after the acknowledgement of a zone's evacuation in which a task may start there; the platform's `evac_ms`. */
+const MAX_START_AFTER_EVACUATION_MS = 5_000;
 
 interface TaskHistory {
     runningOn: Map<string, number>;
@@ -66,6 +73,8 @@
     const ends = new Map<string, number>();
     /** Time at which a worker's first drain notice was acknowledged, by worker. */
     const drainingSince = new Map<string, number>();
+    /** Time at which the evacuation of a worker's zone was acknowledged, by worker. */
+    const evacuatedSince = new Map<string, number>();
 
     function historyOf(task: string): TaskHistory {
         const history = tasks.get(task) ?? {
@@ -85,6 +94,11 @@
             const detail = `${task} starts on ${worker} ${Math.round(drainingMs)} ms after its drain notice`;
             violations.push({ promise: "drained", detail, atMs });
         }
+        const evacuatedMs = atMs - (evacuatedSince.get(worker) ?? atMs);
+        if (evacuatedMs > MAX_START_AFTER_EVACUATION_MS && !isLate) {
+            const detail = `${task} run ${run} starts on ${worker} ${Math.round(evacuatedMs)} ms after its zone was evacuated`;
+            violations.push({ promise: "evacuated", detail, atMs });
+        }
         if (!isKnown(parseTaskName(task)?.job ?? "")) {
             violations.push({
                 promise: "asked",
@@ -118,6 +132,16 @@
         }
     }
 
+    function trackEvacuation({ kind, workers, atMs }: ZoneEvent): void {
+        for (const worker of workers) {
+            if (kind === "restored") {
+                evacuatedSince.delete(worker);
+            } else if (!evacuatedSince.has(worker)) {
+                evacuatedSince.set(worker, atMs);
+            }
+        }
+    }
+
     function checkRecordedEnd({ task, run, end, atMs }: WorkerEvent): void {
         const done = historyOf(task).doneRuns.get(run);
         if (end !== "done" || !done) {
@@ -138,6 +162,10 @@
         ends,
         reportViolation: (promise, detail, atMs) => violations.push({ promise, detail, atMs }),
         observe(event) {
+            if ("zone" in event) {
+                trackEvacuation(event);
+                return;
+            }
             if (!("task" in event)) {
                 trackDraining(event);
                 return;
--- a/standins/src/emulator/taskTypes.ts
+++ b/standins/src/emulator/taskTypes.ts
@@ -55,6 +55,18 @@
     atMs: number;
 }
 
+/** The store has acknowledged the evacuation of an availability zone (`evacuated`), or its end (`restored`). */
+export interface ZoneEvent {
+    kind: "evacuated" | "restored";
+    zone: string;
+    /** Names of the workers in the zone. */
+    workers: string[];
+    atMs: number;
+}
+
+/** An event that an emulated deployment reports. */
+export type EmulatorEvent = WorkerEvent | DrainEvent | ZoneEvent;
+
 /** Encodes the scripts of a job's steps as its `spec`. */
 export function serializeScripts(scripts: TaskScript[]): string {
     return JSON.stringify(scripts);
--- a/standins/src/emulator/workerServer.ts
+++ b/standins/src/emulator/workerServer.ts
@@ -20,6 +20,8 @@
     behaviour: WorkerBehaviour;
     /** Reports the worker as draining in all further heartbeats. */
     drain(remainingMs: number): void;
+    /** Reports the worker as cold for a time, with the remaining time in each heartbeat. */
+    cool(durationMs: number): void;
     /** Replaces the worker by its next boot at the same address. */
     replace(worker: TaskWorker): void;
     close(): Promise<void>;
@@ -69,6 +71,8 @@
     let worker = options.worker;
     let sequence = 0;
     let remainingMs: number | undefined;
+    /** Time on the clock until which the worker is reported as cold. */
+    let coldUntilMs = 0;
     let stopHeartbeatTimer: TimerStop = () => {};
     let isClosed = false;
 
@@ -174,7 +178,7 @@
             slots: 8,
             state: remainingMs === undefined ? "ready" : "draining",
             ...(remainingMs === undefined ? {} : { remaining_ms: remainingMs }),
-            cold_remaining_ms: 0,
+            cold_remaining_ms: Math.max(0, Math.ceil(coldUntilMs - clock.now())),
             born: worker.bornMs,
             capacity: { cpu: capacity.cpuMillis, mem_mb: capacity.memoryMb, gpu: capacity.gpus },
             labels: [kind, rack],
@@ -207,10 +211,16 @@
             stopHeartbeatTimer();
             sendHeartbeat();
         },
+        cool(durationMs) {
+            coldUntilMs = clock.now() + durationMs;
+            stopHeartbeatTimer();
+            sendHeartbeat();
+        },
         replace(next) {
             worker = next;
             sequence = 0;
             remainingMs = undefined;
+            coldUntilMs = 0;
             stopHeartbeatTimer();
             sendHeartbeat();
         },
--- a/standins/src/keyvalue/memoryStore.ts
+++ b/standins/src/keyvalue/memoryStore.ts
@@ -28,6 +28,8 @@
     compact(): void;
     /** Writes an item as another client would; returns the new revision. */
     write(key: string, value: string): number;
+    /** Removes an item as another client would; returns the new revision. */
+    remove(key: string): number;
     item(key: string): Item | undefined;
     revision(): number;
     /** Number of calls by kind. */
@@ -164,6 +166,10 @@
             apply({ expected: [], puts: [{ key, value }], removes: [] });
             return revision;
         },
+        remove(key) {
+            apply({ expected: [], puts: [], removes: [key] });
+            return revision;
+        },
         item: key => items.get(key),
         revision: () => revision,
         get: key =>
