Evacuate zones in the soak

The soak injected no evacuations, so a task that starts in an evacuated zone under faults went unseen.

Each run evacuates zones at random and restores them, overlapping with each other and with the faults, sometimes all zones for a short time; restored workers may report a cold time. The evacuations have a random source of their own, so that the kept seeds keep their faults. The progress check counts neither the capacity of evacuated zones nor what runs there.

--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -114,10 +114,15 @@
     }));
 }
 
-function printResult({ output: _output, faults, starved, ...result }: SoakResult): void {
+function printResult({ output: _output, faults, evacuations, starved, ...result }: SoakResult): void {
     const shown =
         result.broken.length > 0
-            ? { ...result, faults, starved }
-            : { ...result, faults: faults.length, starved: starved.length };
+            ? { ...result, faults, evacuations, starved }
+            : {
+                  ...result,
+                  faults: faults.length,
+                  evacuations: evacuations.length,
+                  starved: starved.length,
+              };
     process.stdout.write(`${JSON.stringify(shown)}\n`);
 }
--- a/scripts/soak/soakProgressCheck.spec.ts
+++ b/scripts/soak/soakProgressCheck.spec.ts
@@ -144,6 +144,44 @@
         });
     });
 
+    describe("for evacuated zones", () => {
+        function noteZone(kind: "evacuated" | "restored", ...workers: string[]): void {
+            check.observe({ kind, zone: "zone-1", workers, atMs: 0 });
+        }
+
+        it("does not count their room, and reports a wait of 3 s after the zone was restored", () => {
+            accept({ requiredLabel: "a" });
+            noteZone("evacuated", "w1");
+            pass(0, 9_000);
+            expect(violations).to.deep.equal([]);
+            noteZone("restored", "w1");
+            pass(9_100, 12_000);
+            expect(violations).to.deep.equal([]);
+            pass(12_100, 12_100);
+            expect(violations).to.deep.equal(["progress"]);
+        });
+
+        it("reports a wait with room in other zones", () => {
+            accept();
+            noteZone("evacuated", "w1");
+            pass(0, 3_000);
+            expect(violations).to.deep.equal(["progress"]);
+        });
+
+        it("counts neither their capacity nor what runs there towards the half in use", () => {
+            accept();
+            useGpus(8, "w1");
+            useGpus(8, "w2");
+            noteZone("evacuated", "w3");
+            pass(0, 9_000);
+            expect(violations).to.deep.equal([]);
+            noteZone("evacuated", "w1", "w2");
+            noteZone("restored", "w3");
+            pass(9_100, 12_100);
+            expect(violations).to.deep.equal(["progress"]);
+        });
+    });
+
     describe("for steps and due times", () => {
         function acceptTwoSteps(): void {
             const { job } = accept();
--- a/scripts/soak/soakProgressCheck.ts
+++ b/scripts/soak/soakProgressCheck.ts
@@ -3,7 +3,7 @@
 import type { InvariantName } from "@tanagerdeck/standins/emulator/invariantChecker";
 import type { CallerJob } from "@tanagerdeck/standins/emulator/emulatedCaller";
 import { stepsOf } from "@tanagerdeck/standins/emulator/jobBody";
-import type { DrainEvent, TaskScript, WorkerEvent } from "@tanagerdeck/standins/emulator/taskTypes";
+import type { EmulatorEvent, TaskScript, WorkerEvent } from "@tanagerdeck/standins/emulator/taskTypes";
 import type { SoakJob } from "./soakCallers.ts";
 
 /** Name, labels and capacity of a worker. */
@@ -36,7 +36,7 @@
 /** Checks the placement of tasks and the shown states of jobs against the events of the workers. */
 export interface ProgressCheck {
     /** Applies an event of a worker and checks starts. */
-    observe(event: WorkerEvent | DrainEvent): void;
+    observe(event: EmulatorEvent): void;
     /** Checks that tasks that may run are placed in time. Called at least every 100 ms; events are checked, too. */
     check(nowMs: number, periods: CheckedPeriods): void;
     /** Checks a shown state. */
@@ -98,6 +98,8 @@
     const { jobs, workers, attemptsOf, clockOriginMs, reportViolation } = options;
     const records = new Map<string, JobRecord>();
     const used = new Map<string, Resources>();
+    /** Workers in evacuated zones; their capacity is no room. */
+    const evacuated = new Set<string>();
     const checkedMs = { enabled: 0, waitingJob: 0, longRunning: 0 };
     let periods: CheckedPeriods = { calmSince: undefined, recoveredSince: undefined };
     let checkedAt = 0;
@@ -112,7 +114,12 @@
         return record;
     }
 
-    function observe(event: WorkerEvent | DrainEvent): void {
+    function observe(event: EmulatorEvent): void {
+        if ("zone" in event) {
+            for (const worker of event.workers) {
+                evacuated[event.kind === "evacuated" ? "add" : "delete"](worker);
+            }
+        }
         if (!("task" in event)) {
             return;
         }
@@ -198,7 +205,8 @@
         const need = resourcesOf(script);
         let room = 0;
         for (const { name, labels, capacity } of workers) {
-            if (script.requiredLabel !== undefined && !labels.includes(script.requiredLabel)) {
+            const isLabelled = script.requiredLabel === undefined || labels.includes(script.requiredLabel);
+            if (!isLabelled || evacuated.has(name)) {
                 continue;
             }
             const free = subtractResources(capacity, used.get(name) ?? NOTHING);
@@ -209,8 +217,12 @@
     }
 
     function isUnderHalfUsed(): boolean {
-        const totalCapacity = workers.reduce((sum, { capacity }) => addResources(sum, capacity), NOTHING);
-        const inUse = [...used.values()].reduce(addResources, NOTHING);
+        let totalCapacity = NOTHING;
+        let inUse = NOTHING;
+        for (const { name, capacity } of workers.filter(worker => !evacuated.has(worker.name))) {
+            totalCapacity = addResources(totalCapacity, capacity);
+            inUse = addResources(inUse, used.get(name) ?? NOTHING);
+        }
         return timesIn(totalCapacity, inUse) > 2;
     }
 
--- a/scripts/soak/soakRun.spec.ts
+++ b/scripts/soak/soakRun.spec.ts
@@ -36,6 +36,7 @@
             expect(result.broken, result.output).to.deep.equal([]);
             expect(result.accepted).to.be.greaterThan(0);
             expect(result.faults.length).to.be.greaterThan(0);
+            expect(result.evacuations.length).to.be.greaterThan(0);
         });
     }
 });
--- a/scripts/soak/soakRun.ts
+++ b/scripts/soak/soakRun.ts
@@ -13,6 +13,7 @@
 } from "@tanagerdeck/standins/emulator/invariantChecker";
 import { createSoakCallers, type SoakCallers, type SoakJob } from "./soakCallers.ts";
 import { runClosing } from "./soakClosing.ts";
+import { runEvacuations } from "./soakEvacuations.ts";
 import { createFaultRunner, type FaultRunner } from "./soakFaultRunner.ts";
 import { createProgressCheck, type CheckedWorker, type ProgressCheck } from "./soakProgressCheck.ts";
 import { createSoakRandom, type SoakRandom } from "./soakRandom.ts";
@@ -48,12 +49,16 @@
     starved: Starvation[];
     /** Faults in order of injection, each with its time since the start in seconds. */
     faults: string[];
+    /** Evacuations in order of request, each with its time since the start in seconds. */
+    evacuations: string[];
     broken: InvariantViolation[];
     output: string;
 }
 
 /** Added to the seed of the faults to get the seed of the callers. */
 const CALLER_SEED_OFFSET = 1_000_003;
+/** Added to the seed of the faults to get the seed of the evacuations. */
+const EVACUATION_SEED_OFFSET = 2_000_003;
 const QUERY_INTERVAL_MS = 100;
 const MAX_MANIFEST_INTERVAL_MS = 3_000;
 /** Time within which every accepted job must end, counted from the end of the loops, when all faults are undone. */
@@ -80,6 +85,7 @@
     callers: SoakCallers;
     callerRandom: SoakRandom;
     faultRunner: FaultRunner;
+    evacuations: string[];
     /** Time at which the recovery from the last fault had to be complete. */
     recoveredSince: number | undefined;
     areLoopsEnding: boolean;
@@ -113,6 +119,7 @@
             stopDurationMs: 200,
             gangTimeoutMs: 3_000,
             heartbeatIntervalMs: 500,
+            followsEvacuations: true,
             ...workload.deployment,
         },
         event => {
@@ -139,6 +146,7 @@
         callers,
         callerRandom,
         faultRunner,
+        evacuations: [],
         recoveredSince: undefined,
         areLoopsEnding: false,
     };
@@ -148,7 +156,7 @@
         ...[...deployment.entries, ...deployment.agents].map(({ name, child }) => ({ name, pid: child.pid })),
     ]);
     const checkTimer = setInterval(() => checkPlacements(soak), CHECK_INTERVAL_MS);
-    const loops = [submitLoop(soak), queryLoop(soak), manifestLoop(soak)];
+    const loops = [submitLoop(soak), queryLoop(soak), manifestLoop(soak), evacuationLoop(soak, options)];
     const phases = workload.calmMs > 0 ? 2 : 1;
     await faultRunner.runRandomFaults((options.seconds * 1_000) / phases);
     if (workload.calmMs > 0) {
@@ -242,6 +250,18 @@
     }
 }
 
+function evacuationLoop(soak: Soak, { seed, progress }: SoakOptions): Promise<void> {
+    return runEvacuations({
+        deployment: soak.deployment,
+        random: createSoakRandom(seed + EVACUATION_SEED_OFFSET),
+        isEnding: () => soak.areLoopsEnding,
+        note(line) {
+            soak.evacuations.push(line);
+            progress?.(line);
+        },
+    });
+}
+
 function isFaultFreeSince({ faultRunner }: Soak, sinceMs: number): boolean {
     const calmSince = faultRunner.calmSince();
     return calmSince !== undefined && calmSince <= sinceMs;
@@ -314,7 +334,7 @@
 }
 
 function resultOf(
-    { callers, checker, progressCheck, deployment, faultRunner }: Soak,
+    { callers, checker, progressCheck, deployment, faultRunner, evacuations }: Soak,
     seed: number,
     starved: Starvation[],
 ): SoakResult {
@@ -335,6 +355,7 @@
         checkedMs: progressCheck.checkedMs,
         starved,
         faults: faultRunner.faults,
+        evacuations,
         broken: checker.violations,
         output: deployment.output(),
     };
