Send the agents what the leader knows of evacuated zones

An agent has to know before it starts a task whether its worker's availability zone is evacuated, and how old that knowledge is.

Each sync of a session carries the zones and their age at the time of the call, with the stamp of the agent's latest report, if the session has the option and a stamp. Without either the call is as before.

Measured: sessionTask.spec.ts, 10 passed. With sessionTask.ts of the parent commit, 4 of the 5 new cases fail; the fifth (a deployment without evacuations) passes, as it guards against a change.

--- a/packages/peer/src/session/sessionTask.spec.ts
+++ b/packages/peer/src/session/sessionTask.spec.ts
@@ -8,6 +8,101 @@
 import { descriptionOf, reportOf } from "@tanagerdeck/standins/plan/planFixture";
 import { startSessionTask, type SessionMessage } from "./sessionTask.ts";
 
+/** What the leader knows of evacuations when the session makes a call. */
+type KnownEvacuation = { zones: string[]; ageMs: number } | undefined;
+
+describe("a session in a deployment that uses evacuations", () => {
+    let clock: ManualClock;
+    let session: Task<SessionMessage>;
+    let requests: SyncRequest[];
+    let answer: ((reply: Either<Failure, SyncReply>) => void) | undefined;
+
+    beforeEach(() => {
+        clock = createManualClock();
+        requests = [];
+    });
+
+    afterEach(() => session.stop());
+
+    async function open(evacuation: (() => KnownEvacuation) | undefined): Promise<void> {
+        session = startSessionTask({
+            agent: "a",
+            address: "h:1",
+            term: 7,
+            grantMs: 10_000,
+            clock,
+            log: noopLog,
+            sync(_address, request) {
+                requests.push(request);
+                return new Promise(resolve => (answer = resolve));
+            },
+            evacuation,
+            reported() {},
+            outdated() {},
+        });
+        await clock.settle();
+    }
+
+    async function sendReport(incarnation: string, now: number): Promise<void> {
+        const stamp = { incarnation, now, wall: now + 5 };
+        answer!(Right({ kind: "report", report: { ...reportOf(descriptionOf("a")), stamp, version: now } }));
+        await clock.settle();
+    }
+
+    // Guards against an age that is counted from a time after the leader has read its view.
+    it("sends the zones and their age at the time of each call, with the stamp of the latest report", async () => {
+        const known = { zones: ["b"], ageMs: 40 };
+        await open(() => known);
+        await sendReport("first", 1);
+        expect(requests.at(-1)?.evacuation).to.deep.equal({
+            zones: ["b"],
+            ageMs: 40,
+            stamp: { incarnation: "first", now: 1, wall: 6 },
+        });
+        Object.assign(known, { zones: [], ageMs: 700 });
+        session.send({ kind: "order", orders: { starts: [], stops: [], recorded: undefined } });
+        await clock.settle();
+        expect(requests.at(-1)?.evacuation).to.deep.include({ zones: [], ageMs: 700 });
+    });
+
+    it("sends none before the agent's first report, as its age could not be told", async () => {
+        const calls: string[] = [];
+        await open(() => {
+            calls.push("read");
+            return { zones: ["b"], ageMs: 40 };
+        });
+        expect(requests).to.have.length(1);
+        expect(requests[0]?.evacuation).to.equal(undefined);
+        await sendReport("first", 1);
+        expect(requests[1]?.evacuation?.zones).to.deep.equal(["b"]);
+        expect(calls).to.have.length(1);
+    });
+
+    it("sends the stamp of the new incarnation after the agent's restart", async () => {
+        await open(() => ({ zones: ["b"], ageMs: 40 }));
+        await sendReport("first", 900);
+        await sendReport("second", 3);
+        expect(requests.at(-1)?.evacuation?.stamp).to.include({ incarnation: "second", now: 3 });
+    });
+
+    it("sends none while the leader knows nothing, and one as soon as it does", async () => {
+        const known: KnownEvacuation[] = [];
+        await open(() => known.at(-1));
+        await sendReport("first", 1);
+        expect(requests.at(-1)?.evacuation).to.equal(undefined);
+        known.push({ zones: [], ageMs: 3 });
+        await sendReport("first", 2);
+        expect(requests.at(-1)?.evacuation).to.deep.include({ zones: [], ageMs: 3 });
+    });
+
+    it("sends none in a deployment without evacuations", async () => {
+        await open(undefined);
+        await sendReport("first", 1);
+        expect(requests.at(-1)?.grant).to.not.equal(undefined);
+        expect(requests.at(-1)?.evacuation).to.equal(undefined);
+    });
+});
+
 describe("a session whose grants are withheld", () => {
     let clock: ManualClock;
     let session: Task<SessionMessage>;
--- a/packages/peer/src/session/sessionTask.ts
+++ b/packages/peer/src/session/sessionTask.ts
@@ -1,5 +1,6 @@
 import type { Either } from "purify-ts/Either";
 import type {
+    EvacuationNotice,
     Stamp,
     StartOrder,
     StopOrder,
@@ -74,7 +75,12 @@
 
 /** Starts the task that sends the leader's orders to one agent and receives its reports. */
 export function startSessionTask(options: SessionOptions): Task<SessionMessage> {
-    const { agent, term, grantMs, clock, log, sync, reported, outdated } = options;
+    const { agent, term, grantMs, clock, log, sync, evacuation, reported, outdated } = options;
+
+    function evacuationNotice(stamp: Stamp | undefined): EvacuationNotice | undefined {
+        const known = stamp && evacuation?.();
+        return known && { zones: known.zones, stamp, ageMs: known.ageMs };
+    }
 
     function call(state: SessionState, context: TaskContext<SessionMessage>): void {
         const { orders, address, stamp } = state;
@@ -85,6 +91,7 @@
             term,
             sequence,
             grant: state.mayGrant && !state.isWithheld && stamp ? { stamp, ms: grantMs } : undefined,
+            evacuation: evacuationNotice(stamp),
             recorded: orders.recorded,
             starts: orders.starts,
             stops: orders.stops,
