--- a/packages/runtime/src/metrics/schedulerMetrics.ts
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -43,6 +43,8 @@
     manifestConfirmed(): void;
     fleet(load: FleetCounts): void;
     workerCalled(call: "hold" | "start" | "stop", result: RemoteCallResult | "refused"): void;
+    /** Counts a start that the worker or its agent refused. */
+    startRefused(reason: string): void;
 }
 
 /** Metrics that record nothing, for tests. */
@@ -63,6 +65,7 @@
     manifestConfirmed() {},
     fleet() {},
     workerCalled() {},
+    startRefused() {},
 };
 
 const CALL_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
@@ -190,6 +193,12 @@
         labelNames: ["call", "result"],
         registers,
     });
+    const refusedStarts = new Counter({
+        name: "tanagerdeck_starts_refused_total",
+        help: "Starts refused by the worker or its agent, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
     new Gauge({
         name: "tanagerdeck_log_lines_dropped",
         help: "Log lines dropped because of the budget or a stopped reader.",
@@ -228,5 +237,6 @@
             groups.set({ phase: "placed" }, load.placedGroups);
         },
         workerCalled: (call, result) => workerCalls.inc({ call, result }),
+        startRefused: reason => refusedStarts.inc({ reason }),
     };
 }
