Start no task in an evacuated zone

The agent has the last word on a start, and did not know of evacuations. A leader that is cut off or suspended, or a call that is held up, could start a task in an evacuated zone later than the deployment's limit.

With evacuationLimitMs the agent sends a start only under a notice for this incarnation that is younger than the limit less 1,000 ms, counted from the stamp that the leader returns, and that does not name the worker's zone. Without one a start waits. If the zone is evacuated, a start that was not sent or got no answer is refused, at once when the notice arrives; a confirmed or listed run goes on. Each call that is not stale replaces the notice. A start carries at most the time left until the limit as its deadline, so a call that the network holds up for longer is not executed.

--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -4,6 +4,7 @@
 import {
     runKey,
     type EndedTask,
+    type EvacuationNotice,
     type RunningTask,
     type Stamp,
     type StartOrder,
@@ -63,6 +64,8 @@
     sequence: number;
     /** The leader's permission to renew the worker's lease for `ms` from `stamp`. */
     grant: { stamp: Stamp; ms: number } | undefined;
+    /** Evacuated zones in that call; undefined if it named none. */
+    evacuation: EvacuationNotice | undefined;
     worker: KnownWorker | undefined;
     /** Latest heartbeats of boots that the worker has not confirmed, by boot, oldest first. */
     claims: Map<string, WorkerHeartbeat>;
@@ -115,6 +118,7 @@
         term: 0,
         sequence: 0,
         grant: undefined,
+        evacuation: undefined,
         worker: undefined,
         claims: new Map(),
         bornMs: 0,
--- a/packages/backend/src/agent/agentTask.ts
+++ b/packages/backend/src/agent/agentTask.ts
@@ -18,7 +18,7 @@
 } from "./agentState.ts";
 import type { AgentMessage, AgentOptions } from "./agentTypes.ts";
 import { createBootHandlers } from "./bootHandlers.ts";
-import { createOrderHandlers, sendStops, stopStrayRuns } from "./orderHandlers.ts";
+import { createOrderHandlers, refuseEvacuatedStarts, sendStops, stopStrayRuns } from "./orderHandlers.ts";
 import { callResult } from "./callResult.ts";
 
 /**
@@ -38,7 +38,7 @@
  * within the leader's grant, executes listed orders, and reports running and ended tasks.
  */
 export function startAgentTask(options: AgentOptions): Task<AgentMessage> {
-    const { port, service, times, incarnation, clock, log, metrics } = options;
+    const { port, service, times, evacuationLimitMs, incarnation, clock, log, metrics } = options;
 
     function publishChange(state: AgentState): void {
         state.version += 1;
@@ -138,7 +138,7 @@
         state: createAgentState(incarnation, clock.now()),
         handlers: {
             ...bootHandlers,
-            ...createOrderHandlers({ port, times, clock, log, metrics, publishChange }),
+            ...createOrderHandlers({ port, times, evacuationLimitMs, clock, log, metrics, publishChange }),
             sync(state, { request, reply }, context) {
                 const isStale =
                     request.term < state.term ||
@@ -154,6 +154,7 @@
                 const isFirstSync = state.term === 0;
                 state.term = request.term;
                 state.sequence = request.sequence;
+                state.evacuation = request.evacuation;
                 if (request.grant?.stamp.incarnation === state.incarnation) {
                     const wasGranted = isRenewalGranted(state, clock);
                     state.grant = request.grant;
@@ -174,6 +175,7 @@
                     scheduleHold(state, 0, context);
                 }
                 applyOrders(state, request, context);
+                refuseEvacuatedStarts(state, evacuationLimitMs, context);
                 if (isFirstSync) {
                     scheduleHold(state, 0, context);
                     for (const key of state.claims.keys()) {
--- a/packages/backend/src/agent/orderHandlers.ts
+++ b/packages/backend/src/agent/orderHandlers.ts
@@ -1,6 +1,6 @@
 import { sameBoot } from "@tanagerdeck/decisions/job/progressTypes";
 import type { LeaseTimes } from "@tanagerdeck/decisions/lease/leaseTimes";
-import type { RunId } from "@tanagerdeck/decisions/worker/workerReport";
+import type { RunId, StartRefusal } from "@tanagerdeck/decisions/worker/workerReport";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import type { Log } from "@tanagerdeck/runtime/log/log";
 import type { SchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
@@ -14,6 +14,7 @@
     type StartAttempt,
 } from "./agentState.ts";
 import type { AgentMessage } from "./agentTypes.ts";
+import { startLimitMs, startPermission } from "./evacuationCheck.ts";
 import { addStrayStart, openStrayStarts } from "./strayStarts.ts";
 import { callResult } from "./callResult.ts";
 import { noteStart } from "./workerCrash.ts";
@@ -28,6 +29,7 @@
 export interface OrderHandlerOptions {
     port: WorkerPort;
     times: LeaseTimes;
+    evacuationLimitMs: number | undefined;
     clock: Clock;
     log: Log;
     metrics: SchedulerMetrics;
@@ -42,7 +44,7 @@
 
 /** Creates the handlers of starts and stops. */
 export function createOrderHandlers(options: OrderHandlerOptions): OrderHandlers {
-    const { port, times, clock, log, metrics, publishChange } = options;
+    const { port, times, evacuationLimitMs, clock, log, metrics, publishChange } = options;
 
     function sendStart(state: AgentState, key: string, attempt: StartAttempt, context: Context): void {
         const { order } = attempt;
@@ -60,8 +62,14 @@
             handleRefusal(state, attempt, "draining");
             return;
         }
+        const permission = startPermission(state, evacuationLimitMs, clock);
+        if (permission === "evacuated") {
+            handleRefusal(state, attempt, "evacuated");
+            return;
+        }
         const isOrderStale = clock.now() - attempt.listedAt > times.startMs;
-        if (workerClock === undefined || isOrderStale || !isRenewalGranted(state, clock)) {
+        const mustWait = permission === "wait" || isOrderStale || !isRenewalGranted(state, clock);
+        if (workerClock === undefined || mustWait) {
             context.after(CALL_RETRY_MS, { kind: "call-start", key });
             return;
         }
@@ -69,7 +77,9 @@
         state.renewalSentAt = clock.now();
         const { bornMs } = state;
         const { task, run, spec, saved } = order;
-        const deadlineMs = Math.floor(workerClock + times.startMs);
+        const deadlineMs = Math.floor(
+            workerClock + Math.min(times.startMs, startLimitMs(state, evacuationLimitMs, clock)),
+        );
         context.start(
             () => port.start({ id: order.boot.id, fence: state.term, task, run, spec, saved, deadlineMs }),
             result => ({ kind: "start-answered", key, bornMs, result }),
@@ -80,9 +90,10 @@
         return ended.some(row => row.task === task && row.run === run);
     }
 
-    function handleRefusal(state: AgentState, attempt: StartAttempt, reason: StartAttempt["reason"]): void {
+    function handleRefusal(state: AgentState, attempt: StartAttempt, reason: StartRefusal): void {
         attempt.state = "refused";
         attempt.reason = reason;
+        metrics.startRefused(reason);
         log.info("A start was refused.", { task: attempt.order.task, run: attempt.order.run, reason });
         publishChange(state);
     }
@@ -200,6 +211,22 @@
     };
 }
 
+/** Refuses the starts that wait to be sent, if the call just received says that the worker's zone is evacuated. */
+export function refuseEvacuatedStarts(
+    state: AgentState,
+    evacuationLimitMs: number | undefined,
+    context: Context,
+): void {
+    if (startPermission(state, evacuationLimitMs, context.clock) !== "evacuated") {
+        return;
+    }
+    for (const [key, attempt] of state.starts) {
+        if (attempt.state === "idle") {
+            context.post({ kind: "call-start", key });
+        }
+    }
+}
+
 /** Sends the listed stops that the present boot has not been told of. */
 export function sendStops(state: AgentState, context: Context): void {
     for (const [key, attempt] of state.stops) {
--- a/packages/backend/src/agent/testing/agentHarness.ts
+++ b/packages/backend/src/agent/testing/agentHarness.ts
@@ -11,7 +11,7 @@
 import type { Reply, Task } from "@tanagerdeck/runtime/task/task";
 import { createScriptedWorker, type ScriptedWorker } from "@tanagerdeck/standins/agent/scriptedWorker";
 import { startAgentTask } from "../agentTask.ts";
-import type { AgentMessage } from "../agentTypes.ts";
+import type { AgentMessage, AgentOptions } from "../agentTypes.ts";
 import type { WorkerHeartbeat } from "../workerPort.ts";
 
 /** The boot that the scripted worker has at first. */
@@ -25,8 +25,8 @@
     /** The running agent task; another one after a restart. */
     agent(): Task<AgentMessage>;
     stop(): Promise<void>;
-    /** Starts another agent task, which knows nothing of the one before. */
-    start(): void;
+    /** Starts another agent task, which knows nothing of the one before; it is the incarnation `first` if none is given. */
+    start(incarnation?: string): void;
     sendHeartbeat(changes?: Partial<WorkerHeartbeat>): Promise<void>;
     /** The worker starts again as another boot and says so. */
     restartWorker(boot: { id: string; bornMs: number }): Promise<void>;
@@ -40,8 +40,8 @@
     lastSequence(): number;
 }
 
-/** Starts an agent task beside a scripted worker. */
-export function startAgentHarness(): AgentHarness {
+/** Starts an agent task beside a scripted worker; `changes` replace its usual options. */
+export function startAgentHarness(changes: Partial<AgentOptions> = {}): AgentHarness {
     const times = leaseTimes(6_000);
     const clock = createManualClock();
     const worker = createScriptedWorker(clock);
@@ -55,16 +55,17 @@
         times,
         agent: () => agent,
         stop: () => agent.stop(),
-        start() {
+        start(incarnation = "first") {
             calls = 0;
             agent = startAgentTask({
                 port: worker,
                 service: () => "desk",
                 times,
-                incarnation: "first",
+                incarnation,
                 clock,
                 log: noopLog,
                 metrics: noopSchedulerMetrics,
+                ...changes,
             });
         },
         sendHeartbeat(changes = {}) {
