Pass the limit of evacuations to the platform's agent

The agent checks evacuations only if it is given the limit, and nobody gave it.

The setting evacuationLimitMs, which is absent where the platform names no bound evac_ms, is passed on as it is.

Measured: types pass; no spec starts a platform agent with the setting yet.

--- a/packages/tanagerdeck/src/platform/platformAgent.ts
+++ b/packages/tanagerdeck/src/platform/platformAgent.ts
@@ -52,6 +52,7 @@
         port: worker,
         service: () => settings.workerService,
         times: leaseTimes(settings.longestHoldMs),
+        evacuationLimitMs: settings.evacuationLimitMs,
         incarnation,
         clock,
         log: log.part("agent"),
