Report for how long a worker stays slow after a cold start

The plan is to prefer warm workers after an evacuation, and the agent dropped cold_remaining_ms of the heartbeats.

The heartbeat's value, less the time on the worker's clock since it was sent, is part of the worker's description, and absent once the worker is warm. A value that cannot be read counts as absent instead of hiding the heartbeat, unlike those of the other fields: the time only orders workers, and such heartbeats have been accepted so far.

--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -203,10 +203,18 @@
         machine: heartbeat.machine,
         condition: workerCondition(state),
         remainingMs: heartbeat.remainingMs,
+        coldRemainingMs: coldRemainingMs(heartbeat, workerNow(state, clock)),
         hasLapsed: hasLapsed(state, clock, times),
     };
 }
 
+/** Time for which the worker stays slow when its clock shows `clockMs`; undefined if it is warm. */
+function coldRemainingMs(heartbeat: WorkerHeartbeat, clockMs = heartbeat.clockMs): number | undefined {
+    const sinceHeartbeatMs = Math.max(0, clockMs - heartbeat.clockMs);
+    const leftMs = (heartbeat.coldRemainingMs ?? 0) - sinceHeartbeatMs;
+    return leftMs > 0 ? leftMs : undefined;
+}
+
 /** Applies a heartbeat of the known boot unless a newer one is known or the boot has left. */
 export function applyHeartbeat(worker: KnownWorker, heartbeat: WorkerHeartbeat): void {
     if (!worker.hasLeft && heartbeat.sequence > worker.heartbeat.sequence) {
--- a/packages/backend/src/agent/workerPort.ts
+++ b/packages/backend/src/agent/workerPort.ts
@@ -74,6 +74,8 @@
     availabilityZone: string;
     isDraining: boolean;
     remainingMs?: number | undefined;
+    /** Time from `clockMs` for which the worker stays slow after a cold start; absent or 0 if it is warm. */
+    coldRemainingMs?: number | undefined;
     rack?: string | undefined;
     labels: string[];
     capacity: { cpuMillis: number; memoryMb: number; gpus: number };
--- a/packages/tanagerdeck/src/platform/oddHeartbeat.spec.ts
+++ b/packages/tanagerdeck/src/platform/oddHeartbeat.spec.ts
@@ -53,6 +53,23 @@
         expect(received).to.have.length(1);
     });
 
+    it("passes on for how long the worker stays slow", async () => {
+        expect(await send(JSON.stringify({ ...heartbeat, cold_remaining_ms: 1_500.5 }))).to.equal(200);
+        expect(received[0]?.coldRemainingMs).to.equal(1_500.5);
+    });
+
+    // Guards against a worker that is lost to the scheduler because of a value that only orders workers.
+    it("takes a time of slowness that cannot be read as absent", async () => {
+        for (const odd of ["-1", '"soon"', "null", "{}", "1e300", "1e400"]) {
+            received = [];
+            const body = JSON.stringify({ ...heartbeat, cold_remaining_ms: "@" }).replace('"@"', odd);
+            expect(await send(body)).to.equal(200);
+            expect(received).to.have.length(1);
+            expect(received[0]).to.include({ id: "i-1", sequence: 4, coldRemainingMs: undefined });
+            expect(received[0]).to.have.property("coldRemainingMs");
+        }
+    });
+
     it("passes on which boot of the worker leaves", async () => {
         expect(await send("", "Leave")).to.equal(200);
         expect(await send(JSON.stringify({ born: WALL_MS }), "Leave")).to.equal(200);
