Plan nothing in evacuated zones, and cold workers last among equals

Work must not start in an evacuated availability zone, and its capacity misleads whatever counts it.

Workers there are not schedulable, so they get no starts, planned places, probes or preemptions. Their capacity counts neither for the idleness rule nor for the value of a job, and what runs there does not count as used. Workers with cold_remaining_ms above 0 come after warm ones with as many recent faults. The reference searches of the property test order workers in the same way, and the property now draws cold workers, too.

Measured: plan, schedule and standins/plan specs, 139 passed.

--- a/packages/decisions/src/plan/clusterState.ts
+++ b/packages/decisions/src/plan/clusterState.ts
@@ -96,11 +96,19 @@
     placements: Map<string, Map<string, PlacedTasks>>;
     /** Ids of jobs whose cancellation was read before their definition. */
     cancelledBeforeAdded: Set<string>;
+    /** Names of the evacuated availability zones, in which nothing may start. */
+    evacuatedZones: ReadonlySet<string>;
 }
 
 /** Creates an empty cluster state. */
 export function createClusterState(): ClusterState {
-    return { jobs: new Map(), workers: new Map(), placements: new Map(), cancelledBeforeAdded: new Set() };
+    return {
+        jobs: new Map(),
+        workers: new Map(),
+        placements: new Map(),
+        cancelledBeforeAdded: new Set(),
+        evacuatedZones: new Set(),
+    };
 }
 
 /** Progress of a job as it is stored. */
--- a/packages/decisions/src/plan/idleness.ts
+++ b/packages/decisions/src/plan/idleness.ts
@@ -1,22 +1,29 @@
 import { addResources, NO_RESOURCES, type Resources } from "../job/jobTypes.ts";
 import { openPlacements, type ClusterState, type JobEntry } from "./clusterState.ts";
+import { isEvacuated } from "./evacuatedWorkers.ts";
 
 /** Largest fraction of a service's capacity in use with which the service counts as idle. */
 export const IDLE_FRACTION = 0.5;
 
-/** Services of which less than a fraction of each resource is in use. */
+/**
+ * Services of which less than a fraction of each resource is in use. Evacuated workers and what runs there do not count, as
+ * no job can use them.
+ */
 export function idleServices(cluster: ClusterState): Set<string> {
     const capacity = new Map<string, Resources>();
     const used = new Map<string, Resources>();
     const add = (sums: Map<string, Resources>, service: string, amount: Resources) =>
         sums.set(service, addResources(sums.get(service) ?? NO_RESOURCES, amount));
-    for (const { description } of cluster.workers.values()) {
-        if (description) {
+    for (const worker of cluster.workers.values()) {
+        const { description } = worker;
+        if (description && !isEvacuated(cluster, worker)) {
             add(capacity, description.service, description.capacity);
         }
     }
-    for (const { entry, group } of openPlacements(cluster)) {
-        add(used, entry.job.service, group.step.resources);
+    for (const { entry, group, placement } of openPlacements(cluster)) {
+        if (!isEvacuated(cluster, cluster.workers.get(placement.worker))) {
+            add(used, entry.job.service, group.step.resources);
+        }
     }
     const idle = new Set<string>();
     for (const [service, total] of capacity) {
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -22,6 +22,7 @@
     type OpenRunState,
     type WorkerEntry,
 } from "./clusterState.ts";
+import { isEvacuated } from "./evacuatedWorkers.ts";
 import { idleServices, isIdleForLong, noteIdleTime } from "./idleness.ts";
 import { readyGroups, type ReadyContext } from "./readyGroups.ts";
 import { isSeparated, workersOfStartingSuspects } from "./suspectGroups.ts";
@@ -118,7 +119,7 @@
 
 /**
  * Returns a function that computes the value of each occurrence of a job once, from the mean work of the queue's jobs
- * and the total capacity of the service.
+ * and the total capacity of the service outside of evacuated zones.
  */
 function createValueLookup(cluster: ClusterState, context: RoundContext): ValueLookup {
     const sums = new Map<string, { work: number; count: number }>();
@@ -129,8 +130,9 @@
         sums.set(job.queue, sum);
     }
     const capacityByService = new Map<string, Resources>();
-    for (const { description } of cluster.workers.values()) {
-        if (description) {
+    for (const worker of cluster.workers.values()) {
+        const { description } = worker;
+        if (description && !isEvacuated(cluster, worker)) {
             const serviceCapacity = capacityByService.get(description.service) ?? NO_RESOURCES;
             capacityByService.set(description.service, addResources(serviceCapacity, description.capacity));
         }
@@ -195,9 +197,10 @@
             capacity: description.capacity,
             free: subtractResources(description.capacity, taken),
             closing,
-            isSchedulable: isSchedulable(worker, now),
+            isSchedulable: isSchedulable(worker, now) && !isEvacuated(cluster, worker),
             isQuarantined: quarantined.has(worker.name),
             recentFaults: countRecentFaults(worker.faults, now),
+            isCold: (description.coldRemainingMs ?? 0) > 0,
             tasksByStep: usage?.steps ?? new Map(),
         });
     }
--- a/packages/decisions/src/schedule/placementSearch.ts
+++ b/packages/decisions/src/schedule/placementSearch.ts
@@ -196,10 +196,14 @@
     return candidates.sort(compareCandidates);
 }
 
-/** Orders by fewest recent faults, then by tightest fit, so that whole workers stay free for large tasks. */
+/**
+ * Orders by fewest recent faults, then warm before cold, then by tightest fit, so that whole workers stay free for large
+ * tasks.
+ */
 function compareCandidates(left: Candidate, right: Candidate): number {
     return (
         left.worker.recentFaults - right.worker.recentFaults ||
+        Number(left.worker.isCold ?? false) - Number(right.worker.isCold ?? false) ||
         left.leftover - right.leftover ||
         right.slots - left.slots ||
         (left.worker.name < right.worker.name ? -1 : 1)
@@ -223,7 +227,10 @@
     return whole > 0 ? part / whole : 0;
 }
 
-/** Assigns all tasks to one rack: the one with the fewest recent faults on the used workers, then the fewest slots. */
+/**
+ * Assigns all tasks to one rack: the one with the fewest recent faults on the used workers, then the fewest cold ones among
+ * them, then the fewest slots.
+ */
 function assignWithinRack(
     fleet: FleetTable,
     candidates: Candidate[],
@@ -239,7 +246,7 @@
             membersByRack.set(rack, [candidate]);
         }
     }
-    let best: { places: TaskPlace[]; recentFaults: number; slots: number } | undefined;
+    let best: { places: TaskPlace[]; rank: number[] } | undefined;
     for (const members of membersByRack.values()) {
         const places = assignTasks(members, indexes);
         if (!places) {
@@ -247,22 +254,33 @@
         }
         const used = new Set(places.map(place => place.worker));
         let recentFaults = 0;
+        let coldWorkers = 0;
         let slots = 0;
         for (const { worker, slots: workerSlots } of members) {
-            recentFaults += used.has(worker.name) ? worker.recentFaults : 0;
+            if (used.has(worker.name)) {
+                recentFaults += worker.recentFaults;
+                coldWorkers += worker.isCold ? 1 : 0;
+            }
             slots += workerSlots;
         }
-        const isBetter =
-            !best ||
-            recentFaults < best.recentFaults ||
-            (recentFaults === best.recentFaults && slots < best.slots);
-        if (isBetter) {
-            best = { places, recentFaults, slots };
+        const rank = [recentFaults, coldWorkers, slots];
+        if (!best || compareRanks(rank, best.rank) < 0) {
+            best = { places, rank };
         }
     }
     return best?.places;
 }
 
+/** Compares ranks by their first numbers, and those with equal ones by the next. */
+function compareRanks(left: number[], right: number[]): number {
+    for (const [position, number] of left.entries()) {
+        if (number !== right[position]) {
+            return number - right[position]!;
+        }
+    }
+    return 0;
+}
+
 /** Assigns the tasks to the candidates in order; undefined if not all fit. */
 function assignTasks(candidates: Candidate[], indexes: number[]): TaskPlace[] | undefined {
     const places: TaskPlace[] = [];
--- a/packages/decisions/src/schedule/scheduleTypes.ts
+++ b/packages/decisions/src/schedule/scheduleTypes.ts
@@ -20,6 +20,8 @@
     isQuarantined: boolean;
     /** Number of recent faults; workers with fewer are preferred. */
     recentFaults: number;
+    /** Whether the worker is slow after a cold start; among those with as many faults, warm ones are preferred. */
+    isCold?: boolean | undefined;
     /** Number of open tasks by step, keyed `job.occurrence.step`. */
     tasksByStep: Map<string, number>;
 }
--- a/packages/decisions/src/schedule/schedulingRound.property.spec.ts
+++ b/packages/decisions/src/schedule/schedulingRound.property.spec.ts
@@ -43,6 +43,7 @@
     isSchedulable: fc.constantFrom(true, true, true, false),
     isQuarantined: fc.constantFrom(false, false, false, true),
     recentFaults: fc.constantFrom(0, 0, 0, 2),
+    isCold: fc.constantFrom(false, false, true),
     hasRack: fc.constantFrom(true, true, true, false),
 });
 
--- a/standins/src/plan/plain/plainPlacementSearch.ts
+++ b/standins/src/plan/plain/plainPlacementSearch.ts
@@ -108,10 +108,14 @@
     return candidates.sort(compareCandidates);
 }
 
-/** Orders by fewest recent faults, then by tightest fit, so that whole workers stay free for large tasks. */
+/**
+ * Orders by fewest recent faults, then warm before cold, then by tightest fit, so that whole workers stay free for large
+ * tasks.
+ */
 function compareCandidates(left: Candidate, right: Candidate): number {
     return (
         left.worker.recentFaults - right.worker.recentFaults ||
+        Number(left.worker.isCold ?? false) - Number(right.worker.isCold ?? false) ||
         left.leftover - right.leftover ||
         right.slots - left.slots ||
         (left.worker.name < right.worker.name ? -1 : 1)
@@ -143,14 +147,17 @@
     return whole > 0 ? part / whole : 0;
 }
 
-/** Assigns all tasks to one rack: the one with the fewest recent faults on the used workers, then the fewest slots. */
+/**
+ * Assigns all tasks to one rack: the one with the fewest recent faults on the used workers, then the fewest cold ones among
+ * them, then the fewest slots.
+ */
 function assignWithinRack(candidates: Candidate[], indexes: number[]): TaskPlace[] | undefined {
     const racks = new Map<string, Candidate[]>();
     for (const candidate of candidates) {
         const rack = candidate.worker.rack ?? candidate.worker.name;
         racks.set(rack, [...(racks.get(rack) ?? []), candidate]);
     }
-    let best: { places: TaskPlace[]; recentFaults: number; slots: number } | undefined;
+    let best: { places: TaskPlace[]; recentFaults: number; cold: number; slots: number } | undefined;
     for (const members of racks.values()) {
         const places = assignTasks(members, indexes);
         if (!places) {
@@ -163,12 +170,14 @@
             recentFaults += used.has(worker.name) ? worker.recentFaults : 0;
             slots += workerSlots;
         }
+        const cold = members.filter(({ worker }) => worker.isCold && used.has(worker.name)).length;
         const isBetter =
             !best ||
             recentFaults < best.recentFaults ||
-            (recentFaults === best.recentFaults && slots < best.slots);
+            (recentFaults === best.recentFaults && cold < best.cold) ||
+            (recentFaults === best.recentFaults && cold === best.cold && slots < best.slots);
         if (isBetter) {
-            best = { places, recentFaults: recentFaults, slots };
+            best = { places, recentFaults, cold, slots };
         }
     }
     return best?.places;
