--- a/packages/store/src/keyvalue/listing.ts
+++ b/packages/store/src/keyvalue/listing.ts
@@ -1,5 +1,5 @@
 import { Either, Left, Right } from "purify-ts/Either";
-import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
+import { failure, type Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Item, KeyValueStore } from "./keyValueTypes.ts";
 
 /** All items below a prefix, with the revision from which a watch misses no change. */
@@ -23,8 +23,12 @@
         items.push(...page.items);
         revision ??= page.revision;
         after = page.items.at(-1)?.key;
-        if (!page.hasMore || after === undefined) {
+        if (!page.hasMore) {
             return Right({ items, revision });
         }
+        if (after === undefined) {
+            // Nothing tells where the next page begins, and a partial listing must not pass for a complete one.
+            return Left(failure("not-run", "platform-unavailable", "an empty page is not the last"));
+        }
     }
 }
