Follow evacuations with the listing and watch of the manifest

Entries have to know which availability zones are evacuated, without further calls to the store, which are priced and limited.

With the option evacuation the manifest task lists and watches the prefix op/ instead of its one key. Each reply confirms the view as of the time at which its call was sent, since a reply may be held up on its way. Requests for unknown zones have no effect and are logged once. Features that the operator asks for and that do not exist (advice, spare, waves) are logged once for each set. The watch continues from the revision of the listing's first page, no longer from that of the manifest's item.

manifestTask.spec.ts sends the time of the call with its late message, as the message now has it; its checks are the same.

--- a/packages/decisions/src/manifest/manifestTypes.ts
+++ b/packages/decisions/src/manifest/manifestTypes.ts
@@ -39,4 +39,12 @@
     services: Service[];
     clientAccounts: ClientAccount[];
     bodyLimitBytes: number;
+    /** Features that the manifest asks for and that do not exist. */
+    unsupported?: string[] | undefined;
 }
+
+/** What an operator's key beside the manifest asks for. */
+export type OperatorKey =
+    | { kind: "evacuation"; zone: string }
+    /** A request for a feature that does not exist. */
+    | { kind: "unsupported"; feature: string };
--- a/packages/store/src/manifest/manifestTask.spec.ts
+++ b/packages/store/src/manifest/manifestTask.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { Left, Right } from "purify-ts/Either";
 import type { Manifest } from "@tanagerdeck/decisions/manifest/manifestTypes";
+import { instantNow } from "@tanagerdeck/runtime/clock/instant";
 import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
 import { noopLog } from "@tanagerdeck/runtime/log/log";
 import type { Task } from "@tanagerdeck/runtime/task/task";
@@ -102,6 +103,7 @@
             await clock.advance(100);
             task.send({
                 kind: "watched",
+                sentAt: instantNow(clock),
                 result: Right({
                     kind: "changes",
                     changes: [{ key: "manifest", revision: 1, value: "version 0" }],
--- a/packages/store/src/manifest/manifestTask.ts
+++ b/packages/store/src/manifest/manifestTask.ts
@@ -2,15 +2,20 @@
 import type { Manifest } from "@tanagerdeck/decisions/manifest/manifestTypes";
 import type { Failure } from "@tanagerdeck/decisions/verdict/verdictTypes";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import { instantNow, type Instant } from "@tanagerdeck/runtime/clock/instant";
 import type { Log } from "@tanagerdeck/runtime/log/log";
 import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
-import type { Item, KeyValueStore, Page, WatchReply } from "../keyvalue/keyValueTypes.ts";
+import type { Item, KeyValueStore, WatchReply } from "../keyvalue/keyValueTypes.ts";
+import { listAll, type Listing } from "../keyvalue/listing.ts";
+import { createEvacuationFollower, type EvacuationOptions } from "./evacuationFollower.ts";
+import { createFeatureNotice } from "./featureNotice.ts";
 
 /** Messages of the manifest task. */
 export type ManifestMessage =
     | { kind: "read" }
-    | { kind: "read-done"; result: Either<Failure, Page> }
-    | { kind: "watched"; result: Either<Failure, WatchReply> }
+    /** `sentAt`: time at which the call was sent. */
+    | { kind: "read-done"; result: Either<Failure, Listing>; sentAt: Instant }
+    | { kind: "watched"; result: Either<Failure, WatchReply>; sentAt: Instant }
     | { kind: "get"; reply: Reply<Manifest | undefined> };
 
 /** Dependencies of the manifest task. */
@@ -26,6 +31,8 @@
     onApplied: (manifest: Manifest) => void;
     /** Called when a reply shows that the manifest in effect is the newest in the store. */
     onConfirmed: () => void;
+    /** Has the same calls cover all operators' keys. Absent where the deployment does not use evacuations. */
+    evacuation?: EvacuationOptions | undefined;
 }
 
 interface ManifestState {
@@ -44,10 +51,12 @@
 
 /** Starts the task that follows the manifest in the store; an older revision never replaces a newer one. */
 export function startManifestTask(options: ManifestOptions): Task<ManifestMessage> {
-    const { store, key, decode, clock, log, onApplied, onConfirmed } = options;
+    const { store, key, decode, clock, log, onApplied, onConfirmed, evacuation } = options;
+    const follower = evacuation && createEvacuationFollower(evacuation, log);
+    const prefix = evacuation?.prefix ?? key;
+    const noteFeatures = createFeatureNotice(log);
 
     function apply(state: ManifestState, item: Item): void {
-        state.revision = Math.max(state.revision, item.revision);
         if (state.manifest && item.revision <= state.manifest.revision) {
             return;
         }
@@ -88,17 +97,23 @@
         onConfirmed();
     }
 
+    function noteUnsupported({ manifest }: ManifestState): void {
+        noteFeatures([...(manifest?.unsupported ?? []), ...(follower?.unsupported() ?? [])]);
+    }
+
     function read(context: TaskContext<ManifestMessage>): void {
-        context.start(
-            () => store.page(key, undefined, false),
-            result => ({ kind: "read-done", result }),
+        const sentAt = instantNow(clock);
+        context.start<Either<Failure, Listing>>(
+            () => (follower ? listAll(store, prefix) : store.page(key, undefined, false)),
+            result => ({ kind: "read-done", result, sentAt }),
         );
     }
 
     function watch(state: ManifestState, context: TaskContext<ManifestMessage>): void {
+        const sentAt = instantNow(clock);
         context.start(
-            () => store.watch(key, state.revision, WATCH_WAIT_MS),
-            result => ({ kind: "watched", result }),
+            () => store.watch(prefix, state.revision, WATCH_WAIT_MS),
+            result => ({ kind: "watched", result, sentAt }),
         );
     }
 
@@ -109,27 +124,30 @@
         state: { manifest: undefined, revision: 0, confirmedAtMs: clock.now(), isFailing: false },
         handlers: {
             read: (_state, _message, context) => read(context),
-            "read-done"(state, { result }, context) {
+            "read-done"(state, { result, sentAt }, context) {
                 result.caseOf({
                     Left({ detail }) {
                         noteFailure(state, detail);
                         context.after(RETRY_MS, { kind: "read" });
                     },
-                    Right(page) {
-                        const item = page.items.find(candidate => candidate.key === key);
+                    Right(listing) {
+                        follower?.listed(listing, sentAt);
+                        const item = listing.items.find(candidate => candidate.key === key);
                         if (!item) {
+                            noteUnsupported(state);
                             noteFailure(state, "no manifest is stored");
                             context.after(RETRY_MS, { kind: "read" });
                             return;
                         }
                         apply(state, item);
+                        noteUnsupported(state);
                         noteSuccess(state);
-                        state.revision = Math.max(state.revision, page.revision);
+                        state.revision = Math.max(state.revision, listing.revision);
                         watch(state, context);
                     },
                 });
             },
-            watched(state, { result }, context) {
+            watched(state, { result, sentAt }, context) {
                 result.caseOf({
                     Left({ detail }) {
                         noteFailure(state, detail);
@@ -140,11 +158,13 @@
                             context.post({ kind: "read" });
                             return;
                         }
+                        follower?.changed(reply.changes, sentAt);
                         for (const { key: changedKey, revision, value } of reply.changes) {
                             if (changedKey === key && value !== undefined) {
                                 apply(state, { key, revision, value });
                             }
                         }
+                        noteUnsupported(state);
                         noteSuccess(state);
                         state.revision = Math.max(state.revision, reply.revision);
                         watch(state, context);
