Add metrics of evacuated zones and refused starts

Operators need to see which availability zones are evacuated, what still runs there, and why starts are refused.

tanagerdeck_zone_evacuated, tanagerdeck_tasks_in_evacuated_zones and tanagerdeck_starts_refused_total are registered; nothing sets them yet.

Measured: types and linter pass; no run, as nothing uses them.

--- a/packages/runtime/src/metrics/schedulerMetrics.ts
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -41,6 +41,12 @@
     manifestRevision(revision: number): void;
     /** Records that the manifest in force was confirmed to be the store's newest. */
     manifestConfirmed(): void;
+    /** Sets the evacuated availability zones with the store revisions of their requests. */
+    zonesEvacuated(revisions: ReadonlyMap<string, number>): void;
+    /** Sets the number of tasks that still run in evacuated zones; 0 if this process does not lead. */
+    tasksInEvacuatedZones(count: number): void;
+    /** Counts a start that the agent or its worker refused. */
+    startRefused(reason: string): void;
     fleet(load: FleetCounts): void;
     workerCalled(call: "hold" | "start" | "stop", result: RemoteCallResult | "refused"): void;
 }
@@ -61,6 +67,9 @@
     storeCalled() {},
     manifestRevision() {},
     manifestConfirmed() {},
+    zonesEvacuated() {},
+    tasksInEvacuatedZones() {},
+    startRefused() {},
     fleet() {},
     workerCalled() {},
 };
@@ -172,6 +181,23 @@
         help: "Store revision of the manifest in force; 0 before the first.",
         registers,
     });
+    const zones = new Gauge({
+        name: "tanagerdeck_zone_evacuated",
+        help: "Evacuated availability zones; the value is the store revision of the request.",
+        labelNames: ["zone"],
+        registers,
+    });
+    const evacuatedTasks = new Gauge({
+        name: "tanagerdeck_tasks_in_evacuated_zones",
+        help: "Tasks known to the leader that still run in evacuated availability zones.",
+        registers,
+    });
+    const refusedStarts = new Counter({
+        name: "tanagerdeck_starts_refused_total",
+        help: "Starts that an agent or its worker refused, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
     const workers = new Gauge({
         name: "tanagerdeck_workers",
         help: "Workers known to the leader, by condition.",
@@ -219,6 +245,14 @@
         manifestConfirmed() {
             manifestConfirmedAtMs = clock.now();
         },
+        zonesEvacuated(revisions) {
+            zones.reset();
+            for (const [zone, requestRevision] of revisions) {
+                zones.set({ zone }, requestRevision);
+            }
+        },
+        tasksInEvacuatedZones: count => evacuatedTasks.set(count),
+        startRefused: reason => refusedStarts.inc({ reason }),
         fleet(load) {
             workers.reset();
             for (const [condition, count] of Object.entries(load.workers)) {
