--- a/packages/runtime/src/metrics/schedulerMetrics.ts
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -45,8 +45,6 @@
     zonesEvacuated(revisions: ReadonlyMap<string, number>): void;
     /** Sets the number of tasks that still run in evacuated zones; 0 if this process does not lead. */
     tasksInEvacuatedZones(count: number): void;
-    /** Counts a start that the agent or its worker refused. */
-    startRefused(reason: string): void;
     fleet(load: FleetCounts): void;
     workerCalled(call: "hold" | "start" | "stop", result: RemoteCallResult | "refused"): void;
     /** Counts a start that the worker or its agent refused. */
@@ -71,7 +69,6 @@
     manifestConfirmed() {},
     zonesEvacuated() {},
     tasksInEvacuatedZones() {},
-    startRefused() {},
     fleet() {},
     workerCalled() {},
     startRefused() {},
@@ -195,12 +192,6 @@
         help: "Tasks known to the leader that still run in evacuated availability zones.",
         registers,
     });
-    const refusedStarts = new Counter({
-        name: "tanagerdeck_starts_refused_total",
-        help: "Starts that an agent or its worker refused, by reason.",
-        labelNames: ["reason"],
-        registers,
-    });
     const workers = new Gauge({
         name: "tanagerdeck_workers",
         help: "Workers known to the leader, by condition.",
@@ -261,7 +252,6 @@
             }
         },
         tasksInEvacuatedZones: count => evacuatedTasks.set(count),
-        startRefused: reason => refusedStarts.inc({ reason }),
         fleet(load) {
             workers.reset();
             for (const [condition, count] of Object.entries(load.workers)) {
