Connect the entry's parts for evacuations

An entry has to pass what it reads of evacuated availability zones to its planner and, with its age, to its sessions with the agents.

evacuationState.ts keeps the view and the time of its confirmation; its age is the larger one by both clocks. It exists only where the settings have evacuationLimitMs. Changes of the setting zones take effect on a reload. A reply with an older revision than another one no longer confirms the view.

--- a/packages/store/src/manifest/evacuationFollower.ts
+++ b/packages/store/src/manifest/evacuationFollower.ts
@@ -32,7 +32,7 @@
     /** Applies a complete listing. */
     listed(listing: Listing, sentAt: Instant): void;
     /** Applies the changes of a watch, and confirms the view if there are none. */
-    changed(changes: Change[], sentAt: Instant): void;
+    changed(reply: { changes: Change[]; revision: number }, sentAt: Instant): void;
     /** Features that keys ask for and that do not exist. */
     unsupported(): string[];
 }
@@ -42,6 +42,8 @@
     const { decodeKey, isKnownZone, onView } = options;
     let history = createEvacuationHistory();
     let view = history.view;
+    /** Revision of the newest reply, and the time at which its call was sent. */
+    let newest: { revision: number; sentAt: Instant } | undefined;
     const loggedZones = new Set<string>();
     const unsupportedKeys = new Map<string, string>();
 
@@ -73,14 +75,16 @@
         return isSame ? view : { revisions };
     }
 
-    function publish(sentAt: Instant): void {
+    /** An older reply may tell of a change, but does not confirm that nothing else has changed since. */
+    function publish(revision: number, sentAt: Instant): void {
+        newest = newest && newest.revision > revision ? newest : { revision, sentAt };
         const next = viewOfKnownZones();
         for (const { zone, revision, isEvacuated } of changesBetween(view, next)) {
             const message = isEvacuated ? "A zone is evacuated." : "The evacuation of a zone has ended.";
             log.info(message, { zone, revision });
         }
         view = next;
-        onView(view, sentAt);
+        onView(view, newest.sentAt);
     }
 
     return {
@@ -95,18 +99,18 @@
                 }
             }
             history = applyListing(history, requests, revision);
-            publish(sentAt);
+            publish(revision, sentAt);
         },
-        changed(changes, sentAt) {
-            for (const { key, revision, value } of changes) {
+        changed({ changes, revision }, sentAt) {
+            for (const { key, revision: changedAt, value } of changes) {
                 const decoded = decodeKey(key);
                 noteUnsupported(key, decoded, value !== undefined);
                 if (decoded?.kind === "evacuation") {
                     const apply = value === undefined ? applyRemoval : applyRequest;
-                    history = apply(history, decoded.zone, revision);
+                    history = apply(history, decoded.zone, changedAt);
                 }
             }
-            publish(sentAt);
+            publish(revision, sentAt);
         },
         unsupported: () => [...unsupportedKeys.values()],
     };
--- a/packages/store/src/manifest/manifestEvacuation.spec.ts
+++ b/packages/store/src/manifest/manifestEvacuation.spec.ts
@@ -245,6 +245,27 @@
         expect(confirmedAt!.wall - clock.wall()).to.be.closeTo(confirmedAt!.now - clock.now(), 1);
     });
 
+    // Guards against a reply of a store member that lags behind and seems to confirm that nothing has changed.
+    it("are not confirmed by a reply that is older than another one", async () => {
+        const { revision } = (await memory.page("op/", undefined, false)).unsafeCoerce();
+        let lags = false;
+        store = {
+            ...memory,
+            watch: async (prefix, after, waitMs) =>
+                (await memory.watch(prefix, after, waitMs)).map(reply =>
+                    lags && reply.kind === "changes" ? { ...reply, changes: [], revision } : reply,
+                ),
+        };
+        await start();
+        memory.write("op/evacuate/a", "{}");
+        await clock.advance(1_100);
+        const { now } = confirmedAt!;
+        lags = true;
+        await clock.advance(2_000);
+        expect(confirmedAt!.now).to.be.at.most(now + 1_000);
+        expect(evacuated()).to.deep.equal(["a"]);
+    });
+
     describe("of a zone that does not exist", () => {
         it("have no effect and are logged once", async () => {
             await start();
--- a/packages/store/src/manifest/manifestTask.ts
+++ b/packages/store/src/manifest/manifestTask.ts
@@ -158,7 +158,7 @@
                             context.post({ kind: "read" });
                             return;
                         }
-                        follower?.changed(reply.changes, sentAt);
+                        follower?.changed(reply, sentAt);
                         for (const { key: changedKey, revision, value } of reply.changes) {
                             if (changedKey === key && value !== undefined) {
                                 apply(state, { key, revision, value });
--- /dev/null
+++ b/packages/tanagerdeck/src/platform/evacuationState.ts
@@ -0,0 +1,52 @@
+import type { EvacuationView } from "@tanagerdeck/decisions/evacuation/evacuationTypes";
+import { decodeOperatorKey, OPERATOR_PREFIX } from "@tanagerdeck/platform/manifest/operatorKeys";
+import type { Clock } from "@tanagerdeck/runtime/clock/clock";
+import { elapsedSince, type Instant } from "@tanagerdeck/runtime/clock/instant";
+import type { EvacuationOptions } from "@tanagerdeck/store/manifest/evacuationFollower";
+
+/** What an entry knows of evacuated availability zones. */
+export interface EvacuationState {
+    /** Options of the manifest's task, which supplies the knowledge. */
+    following: EvacuationOptions;
+    /** The latest view; undefined before the first. */
+    view(): EvacuationView | undefined;
+    /** The evacuated zones and the age of that knowledge at present; undefined while nothing is known. */
+    notice(): { zones: string[]; ageMs: number } | undefined;
+}
+
+/** Dependencies of the state. */
+export interface EvacuationStateOptions {
+    clock: Clock;
+    /** The availability zones of the settings in force; undefined if they name none, so that every zone counts. */
+    zones: () => Record<string, string> | undefined;
+    /** Called with the first view and with each that differs from the one before. */
+    changed: (view: EvacuationView) => void;
+}
+
+/** Creates the state of an entry that has not heard from the store. */
+export function createEvacuationState({ clock, zones, changed }: EvacuationStateOptions): EvacuationState {
+    let known: { view: EvacuationView; confirmedAt: Instant } | undefined;
+    return {
+        following: {
+            prefix: OPERATOR_PREFIX,
+            decodeKey: decodeOperatorKey,
+            isKnownZone(zone) {
+                const table = zones();
+                return table === undefined || Object.hasOwn(table, zone);
+            },
+            onView(view, confirmedAt) {
+                const isChanged = known?.view !== view;
+                known = { view, confirmedAt };
+                if (isChanged) {
+                    changed(view);
+                }
+            },
+        },
+        view: () => known?.view,
+        notice: () =>
+            known && {
+                zones: [...known.view.revisions.keys()],
+                ageMs: elapsedSince(clock, known.confirmedAt),
+            },
+    };
+}
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -33,6 +33,7 @@
 import { startReplicaTask } from "@tanagerdeck/store/replica/replicaTask";
 import { entryKey, parseStoreKey, ROOT_PREFIX } from "@tanagerdeck/store/replica/storeKeys";
 import { createExposition } from "@tanagerdeck/runtime/metrics/exposition";
+import { createEvacuationState } from "./evacuationState.ts";
 import { PLATFORM_PEER_TOKEN } from "./peerToken.ts";
 import type { PlatformEntrySettings } from "./platformSettings.ts";
 import { createSessionSet, type SessionSet } from "./sessionSet.ts";
@@ -98,6 +99,17 @@
         metrics,
     });
     const { store } = storeAccess;
+    const evacuations =
+        settings.evacuationLimitMs === undefined
+            ? undefined
+            : createEvacuationState({
+                  clock,
+                  zones: () => settings.zones,
+                  changed(view) {
+                      metrics.zonesEvacuated(view.revisions);
+                      planning?.planner.send({ kind: "evacuations", view });
+                  },
+              });
 
     const jobApiTask = startJobApiTask({
         store,
@@ -153,6 +165,7 @@
             clock,
             log: log.part("session"),
             sync: clients.sync,
+            evacuation: evacuations?.notice,
             reported: (agent, report) => planner.send({ kind: "report", agent, report }),
             outdated: newer => log.warn("An agent knows a newer leader.", { term: termNumber, newer }),
         });
@@ -170,12 +183,17 @@
             sessions,
             schedule: scheduleRound,
             farFactor: settings.farFactor,
+            followsEvacuations: evacuations !== undefined,
             termEnded: () => log.warn("The store shows that the term has ended.", { term: termNumber }),
             keepMs: settings.keepJobsSeconds * 1_000 + JOB_RETENTION_MARGIN_MS,
         });
         if (manifestIndex) {
             planner.send({ kind: "manifest", index: manifestIndex });
         }
+        const view = evacuations?.view();
+        if (view) {
+            planner.send({ kind: "evacuations", view });
+        }
         planning = { planner, sessions };
         metrics.leaderTerm(termNumber);
         log.info("Planning begins.", { term: termNumber, closedAfterMs: closedAfterMs(times) });
@@ -185,6 +203,7 @@
         const endedPlanning = planning;
         planning = undefined;
         metrics.leaderTerm(undefined);
+        metrics.tasksInEvacuatedZones(0);
         if (endedPlanning) {
             void endedPlanning.planner.ask((reply: Reply<void>) => ({ kind: "halt", reply }));
             void endedPlanning.planner.stop();
@@ -242,6 +261,7 @@
             planning?.planner.send({ kind: "manifest", index: manifestIndex });
         },
         onConfirmed: metrics.manifestConfirmed,
+        evacuation: evacuations?.following,
     });
 
     const peerListener = await startPeerListener(
