Show evacuations in the trace of a job

A job that waits because its availability zone is evacuated has no line that says so, if it was logged by the entry that reads the store.

The lines of the beginning and the end of an evacuation are shown beside a job's own.

Measured: jobTrace.spec.ts, 5 passed.

--- a/packages/operator/src/jobTrace/jobTrace.spec.ts
+++ b/packages/operator/src/jobTrace/jobTrace.spec.ts
@@ -32,6 +32,30 @@
         expect(sentences.filter(sentence => /^(store|replica):/.test(sentence))).to.have.length(2);
     });
 
+    // Guards against a wait whose cause, an evacuation, no line of the job names.
+    it("includes the beginnings and ends of evacuations", () => {
+        const evacuations = [
+            line(2, "entry-1", "manifest: A zone is evacuated.", { zone: "z", revision: 7 }),
+            line(3, "entry-1", "manifest: The evacuation of a zone has ended.", { zone: "z" }),
+            line(3, "entry-1", "manifest: A manifest was applied."),
+        ];
+        const traced = traceJob("aa", `${logs}\n${evacuations.join("\n")}`);
+        expect(traced.filter(({ sentence }) => sentence.startsWith("manifest:"))).to.deep.equal([
+            {
+                time: "2026-12-04T10:00:02.000Z",
+                process: "entry-1",
+                sentence: "manifest: A zone is evacuated.",
+                fields: { zone: "z", revision: 7 },
+            },
+            {
+                time: "2026-12-04T10:00:03.000Z",
+                process: "entry-1",
+                sentence: "manifest: The evacuation of a zone has ended.",
+                fields: { zone: "z" },
+            },
+        ]);
+    });
+
     it("keeps a line's own fields and drops those of the log format", () => {
         expect(traceJob("aa", logs).at(-1)?.fields).to.deep.equal({ task: "aa.0.0.0", detail: "done" });
     });
--- a/packages/operator/src/jobTrace/jobTrace.ts
+++ b/packages/operator/src/jobTrace/jobTrace.ts
@@ -18,8 +18,14 @@
 const WARNING_LEVEL = 40;
 /** Parts whose warnings affect every job at that time. */
 const SHARED_PARTS = ["leadership", "store", "replica", "manifest", "session"];
-/** Sentences that are not warnings but show a change of the leader or the start of planning. */
-const SHARED_SENTENCES = ["This process leads.", "This process resigns.", "Planning begins."];
+/** Sentences that are not warnings but show a change of the leader, the start of planning or an evacuation. */
+const SHARED_SENTENCES = [
+    "This process leads.",
+    "This process resigns.",
+    "Planning begins.",
+    "A zone is evacuated.",
+    "The evacuation of a zone has ended.",
+];
 
 /** Shared events are shown from this long before a job's first line, as an outage of the store may be its cause. */
 const CONTEXT_MS = 10_000;
