Log the fields of a job that are not supported

Steps may have target_ms, fills or may_miss, which have no effect, and the submitter was not told.

The line of the acceptance has the field unsupported. The fields are no part of the job, so neither the stored definition nor the comparison of a repeated submission changes.

--- a/packages/caller/src/jobApi/jobApiTask.spec.ts
+++ b/packages/caller/src/jobApi/jobApiTask.spec.ts
@@ -3,7 +3,7 @@
 import { emptyProgress } from "@tanagerdeck/decisions/job/progressTypes";
 import { stepOf } from "@tanagerdeck/standins/plan/planFixture";
 import { createManualClock, type ManualClock } from "@tanagerdeck/runtime/clock/manualClock";
-import { noopLog } from "@tanagerdeck/runtime/log/log";
+import { noopLog, type Log } from "@tanagerdeck/runtime/log/log";
 import { noopSchedulerMetrics } from "@tanagerdeck/runtime/metrics/schedulerMetrics";
 import type { Task } from "@tanagerdeck/runtime/task/task";
 import { encodeContent } from "@tanagerdeck/store/replica/storedValueCodec";
@@ -31,17 +31,27 @@
     let jobApi: JobApi;
     let isStoreFailing: boolean;
     let announced: string[];
+    let accepted: Record<string, unknown>[];
 
     beforeEach(() => {
         clock = createManualClock();
         store = createMemoryStore(clock);
         isStoreFailing = false;
         announced = [];
+        accepted = [];
+        const log: Log = {
+            ...noopLog,
+            info(message, fields = {}) {
+                if (message === "A job was accepted.") {
+                    accepted.push(fields);
+                }
+            },
+        };
         let writes = 0;
         task = startJobApiTask({
             store,
             clock,
-            log: noopLog,
+            log,
             newWriteId: () => `w${++writes}`,
             announce: item => announced.push(item.key),
             announceUncertainWrite: id => task.send({ kind: "doubt", id }),
@@ -72,6 +82,17 @@
             expect(announced).to.deep.equal([jobKey(request.id, "definition")]);
         });
 
+        // Guards against a field that makes a repeated submission another job, or that a later release takes for its own.
+        it("logs the fields that are not supported, and stores the job without them", async () => {
+            const asking = { ...request, unsupported: ["fills", "target_ms"] };
+            await advanceUntilSettled(jobApi.submit(call, asking, 3_000));
+            expect((await advanceUntilSettled(jobApi.submit(call, request, 3_000))).kind).to.equal(
+                "accepted",
+            );
+            expect(accepted.map(({ unsupported }) => unsupported)).to.deep.equal(["fills target_ms"]);
+            expect(store.item(jobKey(request.id, "definition"))!.value).to.not.include("unsupported");
+        });
+
         it("accepts a repeated submission without writing it again", async () => {
             await advanceUntilSettled(jobApi.submit(call, request, 3_000));
             const revision = store.revision();
--- a/packages/caller/src/jobApi/jobApiTask.ts
+++ b/packages/caller/src/jobApi/jobApiTask.ts
@@ -153,6 +153,7 @@
                         revision: result.revision,
                         priority: queue.terms.priority,
                         shape: describeSteps(request),
+                        unsupported: request.unsupported?.join(" "),
                     });
                     return { kind: "accepted" };
                 }
@@ -362,8 +363,12 @@
 }
 
 function createAcceptedJob({ queue, clientAccount }: QueueCall, request: JobRequest, wallMs: number): Job {
+    const { id, spec, steps, schedule } = request;
     return {
-        ...request,
+        id,
+        spec,
+        steps,
+        schedule,
         queue: queue.name,
         service: queue.service,
         clientAccount,
--- a/packages/decisions/src/job/jobTypes.ts
+++ b/packages/decisions/src/job/jobTypes.ts
@@ -57,10 +57,12 @@
     spec: string;
     steps: Step[];
     schedule?: Schedule | undefined;
+    /** Fields that ask for what does not exist. They are logged and are no part of the job. */
+    unsupported?: string[] | undefined;
 }
 
 /** An accepted job. Immutable. */
-export interface Job extends JobRequest {
+export interface Job extends Omit<JobRequest, "unsupported"> {
     queue: string;
     service: string;
     /** The client account that is charged; absent on public queues. */
