Take no worker for faulty while agents hold starts back

When the knowledge of evacuated zones is too old, agents hold starts back. After 2.2 s the leader took these starts for stuck and counted a fault of each worker, two of which quarantine it, although only the store was slow.

The planner closes no start as stuck while its view is so old that notices are too old, nor within 2.2 s after it.

Without the grace the new case of evacuationPlanning.spec.ts fails.

--- a/packages/peer/src/planner/evacuationPlanning.spec.ts
+++ b/packages/peer/src/planner/evacuationPlanning.spec.ts
@@ -25,6 +25,7 @@
     let orders: Map<string, AgentOrders>;
     let lines: { message: string; fields: Record<string, unknown> }[];
     let evacuatedTasks: number;
+    let areStartsHeld: boolean;
 
     beforeEach(() => {
         clock = createManualClock();
@@ -32,6 +33,7 @@
         orders = new Map();
         lines = [];
         evacuatedTasks = -1;
+        areStartsHeld = false;
         for (const name of Object.keys(ZONES)) {
             const address = { name, address: "h:1", availabilityZone: ZONES[name]!, incarnation: "n" };
             store.write(agentKey(name), encodeContent("registration", address, `w-${name}`));
@@ -77,6 +79,7 @@
             termEnded() {},
             farFactor: 3,
             followsEvacuations,
+            areStartsHeld: () => areStartsHeld,
             keepMs: 60_000,
         });
         await clock.advance(50);
@@ -200,6 +203,29 @@
         expect(evacuatedTasks).to.equal(0);
     });
 
+    describe("while agents hold starts back, as the view is too old", () => {
+        async function pass(ms: number): Promise<void> {
+            for (const endsAt = clock.now() + ms; clock.now() < endsAt;) {
+                await report();
+            }
+        }
+
+        // Guards against sound workers that are quarantined because the store has not answered for some seconds.
+        it("takes no worker for faulty, until a start is late after the view has been confirmed", async () => {
+            accept("job");
+            await lead();
+            await evacuate("zb");
+            areStartsHeld = true;
+            await pass(6_000);
+            expect(startsAt("a")[0]).to.include({ task: "job.0.0.0", run: 1 });
+            areStartsHeld = false;
+            await pass(1_600);
+            expect(startsAt("a")[0]).to.include({ run: 1 });
+            await pass(1_200);
+            expect(orders.get("a")!.stops).to.have.length(1);
+        });
+    });
+
     describe("while groups wait", () => {
         it("logs each job once for each set of evacuated zones", async () => {
             accept("one");
--- a/packages/peer/src/planner/evacuationPlanning.ts
+++ b/packages/peer/src/planner/evacuationPlanning.ts
@@ -8,20 +8,37 @@
 export interface EvacuationPlanning {
     /** Whether the zones are known, or the deployment does not use evacuations. */
     isReady(): boolean;
+    /**
+     * Whether starts may be late because agents hold them back, or have done so until just now. To be called often, as it
+     * notes the time.
+     */
+    mayStartLate(): boolean;
     /** Has the following rounds use the view. */
     apply(cluster: ClusterState, view: EvacuationView): void;
     /** Reports the outcome of a round. Must be called before its decisions are applied. */
     round(cluster: ClusterState, waiting: WaitingGroup[], decisions: Decision[]): void;
 }
 
+/** Time for starts that were held back to be carried out. It equals that after which a start counts as stuck. */
+const HELD_START_GRACE_MS = 2_200;
+
+/** Options of a planner that concern evacuations. */
+type EvacuationPlanningOptions = Pick<
+    PlannerOptions,
+    "term" | "clock" | "log" | "metrics" | "followsEvacuations" | "areStartsHeld"
+>;
+
 /** Creates the handling of evacuations for one leader term. */
 export function createEvacuationPlanning({
     term,
+    clock,
     log,
     metrics,
     followsEvacuations = false,
-}: Pick<PlannerOptions, "term" | "log" | "metrics" | "followsEvacuations">): EvacuationPlanning {
+    areStartsHeld = () => false,
+}: EvacuationPlanningOptions): EvacuationPlanning {
     let isKnown = !followsEvacuations;
+    let heldAt = -Infinity;
     /** Sets of evacuated zones with which a group of the job was logged as waiting, by job. */
     const logged = new Map<string, Set<string>>();
 
@@ -48,6 +65,12 @@
 
     return {
         isReady: () => isKnown,
+        mayStartLate() {
+            if (areStartsHeld()) {
+                heldAt = clock.now();
+            }
+            return clock.now() - heldAt < HELD_START_GRACE_MS;
+        },
         apply(cluster, { revisions }) {
             isKnown = true;
             cluster.evacuatedZones = new Set(revisions.keys());
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -368,7 +368,9 @@
                     return;
                 }
                 if (!state.isSuspended) {
-                    closeOverdueRuns(state.cluster, closedAfterMs(times), clock.now(), planningLog);
+                    const mayStartLate = evacuationPlanning.mayStartLate();
+                    const overdue = { now: clock.now(), closedAfterMs: closedAfterMs(times), mayStartLate };
+                    closeOverdueRuns(state.cluster, overdue, planningLog);
                     absenceRecorder.update(state, context);
                     removeExpiredJobs(state, context);
                     requestPlan(state, context);
--- a/packages/peer/src/planner/plannerTypes.ts
+++ b/packages/peer/src/planner/plannerTypes.ts
@@ -70,6 +70,8 @@
     farFactor: number;
     /** Whether the deployment uses evacuations; the planner then does not plan before its first view of them. */
     followsEvacuations?: boolean | undefined;
+    /** Whether agents hold starts back because the knowledge of evacuated zones is too old; absent if they never do. */
+    areStartsHeld?: (() => boolean) | undefined;
     /** For how long the state of an ended job is kept. */
     keepMs: number;
 }
--- a/packages/tanagerdeck/src/platform/evacuationState.spec.ts
+++ b/packages/tanagerdeck/src/platform/evacuationState.spec.ts
@@ -17,7 +17,12 @@
         zones = undefined;
         const suspendableClock = { ...clock, wall: () => clock.wall() + suspendedMs };
         const changed = (view: EvacuationView) => changes.push(view);
-        state = createEvacuationState({ clock: suspendableClock, zones: () => zones, changed });
+        state = createEvacuationState({
+            clock: suspendableClock,
+            limitMs: 5_000,
+            zones: () => zones,
+            changed,
+        });
     });
 
     function confirm(view: EvacuationView): void {
@@ -58,6 +63,15 @@
         expect(state.notice()).to.deep.equal({ zones: ["a"], ageMs: 3_000 });
     });
 
+    it("has starts held back before the first reply, and when notices that rest on it are too old", async () => {
+        expect(state.areStartsHeld()).to.equal(true);
+        confirm(one);
+        await clock.advance(2_900);
+        expect(state.areStartsHeld()).to.equal(false);
+        await clock.advance(100);
+        expect(state.areStartsHeld()).to.equal(true);
+    });
+
     it("counts each zone if the settings name none, and otherwise only those", () => {
         expect(state.following.isKnownZone("a")).to.equal(true);
         zones = { a: "north" };
--- a/packages/tanagerdeck/src/platform/evacuationState.ts
+++ b/packages/tanagerdeck/src/platform/evacuationState.ts
@@ -12,11 +12,20 @@
     view(): EvacuationView | undefined;
     /** The evacuated zones and the age of that knowledge at present; undefined while nothing is known. */
     notice(): { zones: string[]; ageMs: number } | undefined;
+    /** Whether agents may hold starts back because their notices, which are older than the view, are too old. */
+    areStartsHeld(): boolean;
 }
 
+/** Margin by which an agent's notice must be below the limit, for the call to the worker and for clock drift. */
+const START_MARGIN_MS = 1_000;
+/** Time for which a notice is used at an agent until the next call replaces it. */
+const NOTICE_USE_MS = 1_000;
+
 /** Dependencies of the state. */
 export interface EvacuationStateOptions {
     clock: Clock;
+    /** Time after the acknowledgement of an evacuation after which nothing may start in the zone, in milliseconds. */
+    limitMs: number;
     /** The availability zones of the settings in force; undefined if they name none, so that every zone counts. */
     zones: () => Record<string, string> | undefined;
     /** Called with the first view and with each that differs from the one before. */
@@ -24,7 +33,12 @@
 }
 
 /** Creates the state of an entry that has not heard from the store. */
-export function createEvacuationState({ clock, zones, changed }: EvacuationStateOptions): EvacuationState {
+export function createEvacuationState({
+    clock,
+    limitMs,
+    zones,
+    changed,
+}: EvacuationStateOptions): EvacuationState {
     let known: { view: EvacuationView; confirmedAt: Instant } | undefined;
     return {
         following: {
@@ -48,5 +62,7 @@
                 zones: [...known.view.revisions.keys()],
                 ageMs: elapsedSince(clock, known.confirmedAt),
             },
+        areStartsHeld: () =>
+            !known || elapsedSince(clock, known.confirmedAt) >= limitMs - START_MARGIN_MS - NOTICE_USE_MS,
     };
 }
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -104,6 +104,7 @@
             ? undefined
             : createEvacuationState({
                   clock,
+                  limitMs: settings.evacuationLimitMs,
                   zones: () => settings.zones,
                   changed(view) {
                       metrics.zonesEvacuated(view.revisions);
@@ -184,6 +185,7 @@
             schedule: scheduleRound,
             farFactor: settings.farFactor,
             followsEvacuations: evacuations !== undefined,
+            areStartsHeld: evacuations?.areStartsHeld,
             termEnded: () => log.warn("The store shows that the term has ended.", { term: termNumber }),
             keepMs: settings.keepJobsSeconds * 1_000 + JOB_RETENTION_MARGIN_MS,
         });
