--- a/packages/runtime/src/metrics/schedulerMetrics.ts
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -41,8 +41,14 @@
     manifestRevision(revision: number): void;
     /** Records that the manifest in force was confirmed to be the store's newest. */
     manifestConfirmed(): void;
+    /** Sets the evacuated availability zones with the store revisions of their requests. */
+    zonesEvacuated(revisions: ReadonlyMap<string, number>): void;
+    /** Sets the number of tasks that still run in evacuated zones; 0 if this process does not lead. */
+    tasksInEvacuatedZones(count: number): void;
     fleet(load: FleetCounts): void;
     workerCalled(call: "hold" | "start" | "stop", result: RemoteCallResult | "refused"): void;
+    /** Counts a start that the worker or its agent refused. */
+    startRefused(reason: string): void;
 }
 
 /** Metrics that record nothing, for tests. */
@@ -61,8 +67,11 @@
     storeCalled() {},
     manifestRevision() {},
     manifestConfirmed() {},
+    zonesEvacuated() {},
+    tasksInEvacuatedZones() {},
     fleet() {},
     workerCalled() {},
+    startRefused() {},
 };
 
 const CALL_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
@@ -172,6 +181,17 @@
         help: "Store revision of the manifest in force; 0 before the first.",
         registers,
     });
+    const zones = new Gauge({
+        name: "tanagerdeck_zone_evacuated",
+        help: "Evacuated availability zones; the value is the store revision of the request.",
+        labelNames: ["zone"],
+        registers,
+    });
+    const evacuatedTasks = new Gauge({
+        name: "tanagerdeck_tasks_in_evacuated_zones",
+        help: "Tasks known to the leader that still run in evacuated availability zones.",
+        registers,
+    });
     const workers = new Gauge({
         name: "tanagerdeck_workers",
         help: "Workers known to the leader, by condition.",
@@ -190,6 +210,12 @@
         labelNames: ["call", "result"],
         registers,
     });
+    const refusedStarts = new Counter({
+        name: "tanagerdeck_starts_refused_total",
+        help: "Starts refused by the worker or its agent, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
     new Gauge({
         name: "tanagerdeck_log_lines_dropped",
         help: "Log lines dropped because of the budget or a stopped reader.",
@@ -219,6 +245,13 @@
         manifestConfirmed() {
             manifestConfirmedAtMs = clock.now();
         },
+        zonesEvacuated(revisions) {
+            zones.reset();
+            for (const [zone, requestRevision] of revisions) {
+                zones.set({ zone }, requestRevision);
+            }
+        },
+        tasksInEvacuatedZones: count => evacuatedTasks.set(count),
         fleet(load) {
             workers.reset();
             for (const [condition, count] of Object.entries(load.workers)) {
@@ -228,5 +261,6 @@
             groups.set({ phase: "placed" }, load.placedGroups);
         },
         workerCalled: (call, result) => workerCalls.inc({ call, result }),
+        startRefused: reason => refusedStarts.inc({ reason }),
     };
 }
