Date an empty reply of the watch by the end of its poll

Change: an empty reply shows the store as of the end of the poll, since the store has held the call until then, as the replica's copy counts already; both tasks share the rule.

--- a/packages/store/src/manifest/evacuationFollower.ts
+++ b/packages/store/src/manifest/evacuationFollower.ts
@@ -21,8 +21,8 @@
     /** Whether the availability zone exists; requests for others have no effect. */
     isKnownZone: (zone: string) => boolean;
     /**
-     * Called after each reply with the view that it confirms and the time at which its call was sent: the reply may have been
-     * delayed, but cannot be older than its call. The view is the same object while it does not change.
+     * Called after each reply with the view that it confirms and the time as of which it does so, whatever the delay of the
+     * reply. The view is the same object while it does not change.
      */
     onView: (view: EvacuationView, confirmedAt: Instant) => void;
 }
@@ -30,9 +30,9 @@
 /** Follows the operators' keys other than the manifest. */
 export interface EvacuationFollower {
     /** Applies a complete listing. */
-    listed(listing: Listing, sentAt: Instant): void;
+    listed(listing: Listing, confirmedAt: Instant): void;
     /** Applies the changes of a watch, and confirms the view if there are none. */
-    changed(reply: { changes: Change[]; revision: number }, sentAt: Instant): void;
+    changed(reply: { changes: Change[]; revision: number }, confirmedAt: Instant): void;
     /** Features that keys ask for and that do not exist. */
     unsupported(): string[];
 }
@@ -42,8 +42,8 @@
     const { decodeKey, isKnownZone, onView } = options;
     let history = createEvacuationHistory();
     let view = history.view;
-    /** Revision of the newest reply, and the time at which its call was sent. */
-    let newest: { revision: number; sentAt: Instant } | undefined;
+    /** Revision of the newest reply, and the time as of which it shows the store. */
+    let newest: { revision: number; confirmedAt: Instant } | undefined;
     const loggedZones = new Set<string>();
     const unsupportedKeys = new Map<string, string>();
 
@@ -76,19 +76,19 @@
     }
 
     /** An older reply may tell of a change, but does not confirm that nothing else has changed since. */
-    function publish(revision: number, sentAt: Instant): void {
-        newest = newest && newest.revision > revision ? newest : { revision, sentAt };
+    function publish(revision: number, confirmedAt: Instant): void {
+        newest = newest && newest.revision > revision ? newest : { revision, confirmedAt };
         const next = viewOfKnownZones();
         for (const { zone, revision, isEvacuated } of changesBetween(view, next)) {
             const message = isEvacuated ? "A zone is evacuated." : "The evacuation of a zone has ended.";
             log.info(message, { zone, revision });
         }
         view = next;
-        onView(view, newest.sentAt);
+        onView(view, newest.confirmedAt);
     }
 
     return {
-        listed({ items, revision }, sentAt) {
+        listed({ items, revision }, confirmedAt) {
             const requests = new Map<string, number>();
             unsupportedKeys.clear();
             for (const item of items) {
@@ -99,9 +99,9 @@
                 }
             }
             history = applyListing(history, requests, revision);
-            publish(revision, sentAt);
+            publish(revision, confirmedAt);
         },
-        changed({ changes, revision }, sentAt) {
+        changed({ changes, revision }, confirmedAt) {
             for (const { key, revision: changedAt, value } of changes) {
                 const decoded = decodeKey(key);
                 noteUnsupported(key, decoded, value !== undefined);
@@ -110,7 +110,7 @@
                     history = apply(history, decoded.zone, changedAt);
                 }
             }
-            publish(revision, sentAt);
+            publish(revision, confirmedAt);
         },
         unsupported: () => [...unsupportedKeys.values()],
     };
--- a/packages/store/src/manifest/manifestTask.ts
+++ b/packages/store/src/manifest/manifestTask.ts
@@ -5,8 +5,9 @@
 import { instantNow, type Instant } from "@tanagerdeck/runtime/clock/instant";
 import type { Log } from "@tanagerdeck/runtime/log/log";
 import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
-import type { Item, KeyValueStore, WatchReply } from "../keyvalue/keyValueTypes.ts";
+import type { Change, Item, KeyValueStore, WatchReply } from "../keyvalue/keyValueTypes.ts";
 import { listAll, type Listing } from "../keyvalue/listing.ts";
+import { confirmedAfterMs } from "../keyvalue/watchConfirmation.ts";
 import { createEvacuationFollower, type EvacuationOptions } from "./evacuationFollower.ts";
 import { createFeatureNotice } from "./featureNotice.ts";
 
@@ -97,6 +98,12 @@
         onConfirmed();
     }
 
+    function confirmedByWatch(sentAt: Instant, changes: Change[]): Instant {
+        const elapsedMs = clock.now() - sentAt.now;
+        const afterMs = confirmedAfterMs({ elapsedMs, waitMs: WATCH_WAIT_MS, changes });
+        return { now: sentAt.now + afterMs, wall: sentAt.wall + afterMs };
+    }
+
     function noteUnsupported({ manifest }: ManifestState): void {
         noteFeatures([...(manifest?.unsupported ?? []), ...(follower?.unsupported() ?? [])]);
     }
@@ -158,7 +165,7 @@
                             context.post({ kind: "read" });
                             return;
                         }
-                        follower?.changed(reply, sentAt);
+                        follower?.changed(reply, confirmedByWatch(sentAt, reply.changes));
                         for (const { key: changedKey, revision, value } of reply.changes) {
                             if (changedKey === key && value !== undefined) {
                                 apply(state, { key, revision, value });
--- a/packages/store/src/replica/replicaTask.ts
+++ b/packages/store/src/replica/replicaTask.ts
@@ -5,6 +5,7 @@
 import { startTask, type Reply, type Task, type TaskContext } from "@tanagerdeck/runtime/task/task";
 import type { Change, Item, KeyValueStore, WatchReply } from "../keyvalue/keyValueTypes.ts";
 import { listAll, type Listing } from "../keyvalue/listing.ts";
+import { confirmedAfterMs } from "../keyvalue/watchConfirmation.ts";
 
 /** Messages of the replica task. */
 export type ReplicaMessage =
@@ -94,15 +95,6 @@
         );
     }
 
-    /**
-     * The time as of which a reply of the watch surely shows the store. The reply may have been held up, so the time of
-     * its arrival does not count; without changes the store has sent it when the poll ended.
-     */
-    function confirmedByWatch(calledAtMs: number, changes: Change[]): number {
-        const pollEndsAtMs = calledAtMs + WATCH_WAIT_MS;
-        return changes.length === 0 && clock.now() >= pollEndsAtMs ? pollEndsAtMs : calledAtMs;
-    }
-
     function noteFailure(state: ReplicaState, problem: Failure): void {
         if (!state.isWatchFailing) {
             state.isWatchFailing = true;
@@ -168,7 +160,14 @@
                             apply(state, change);
                         }
                         state.revision = Math.max(state.revision, reply.revision);
-                        onConfirmed(confirmedByWatch(calledAtMs, reply.changes));
+                        onConfirmed(
+                            calledAtMs +
+                                confirmedAfterMs({
+                                    elapsedMs: clock.now() - calledAtMs,
+                                    waitMs: WATCH_WAIT_MS,
+                                    changes: reply.changes,
+                                }),
+                        );
                         const pauseMs = WATCH_PAUSE_MS - (clock.now() - calledAtMs);
                         if (reply.changes.length > 0 && pauseMs > 0) {
                             context.after(pauseMs, { kind: "watch" });
