Report the time that is left until a worker leaves

The agent reported the `remaining_ms` of the latest heartbeat as it stood there, however old the heartbeat was, so the time that the leader had seemed longer than it is. The agent now subtracts what the worker's clock has advanced since the heartbeat, as it does for a cold worker.

Run: mocha on drainingWorker, coldWorker and agentTask specs, 46 passing; two of the three new tests fail with the former agentState.ts (1600 instead of 900 and 1000 ms).

--- a/packages/backend/src/agent/agentState.ts
+++ b/packages/backend/src/agent/agentState.ts
@@ -193,6 +193,7 @@
         return undefined;
     }
     const { heartbeat, boot } = worker;
+    const clockMs = workerNow(state, clock);
     return {
         boot,
         service: heartbeat.service,
@@ -202,19 +203,28 @@
         capacity: heartbeat.capacity,
         machine: heartbeat.machine,
         condition: workerCondition(state),
-        remainingMs: heartbeat.remainingMs,
-        coldRemainingMs: coldRemainingMs(heartbeat, workerNow(state, clock)),
+        remainingMs: remainingMs(heartbeat, clockMs),
+        coldRemainingMs: coldRemainingMs(heartbeat, clockMs),
         hasLapsed: hasLapsed(state, clock, times),
     };
 }
 
+/** Minimum time until a draining worker leaves when its clock shows `clockMs`; undefined if it names none. */
+function remainingMs(heartbeat: WorkerHeartbeat, clockMs: number | undefined): number | undefined {
+    const { remainingMs: statedMs } = heartbeat;
+    return statedMs === undefined ? undefined : Math.max(0, statedMs - sinceHeartbeatMs(heartbeat, clockMs));
+}
+
 /** Time for which the worker stays slow when its clock shows `clockMs`; undefined if it is warm. */
-function coldRemainingMs(heartbeat: WorkerHeartbeat, clockMs = heartbeat.clockMs): number | undefined {
-    const sinceHeartbeatMs = Math.max(0, clockMs - heartbeat.clockMs);
-    const leftMs = (heartbeat.coldRemainingMs ?? 0) - sinceHeartbeatMs;
+function coldRemainingMs(heartbeat: WorkerHeartbeat, clockMs: number | undefined): number | undefined {
+    const leftMs = (heartbeat.coldRemainingMs ?? 0) - sinceHeartbeatMs(heartbeat, clockMs);
     return leftMs > 0 ? leftMs : undefined;
 }
 
+function sinceHeartbeatMs(heartbeat: WorkerHeartbeat, clockMs = heartbeat.clockMs): number {
+    return Math.max(0, clockMs - heartbeat.clockMs);
+}
+
 /** Applies a heartbeat of the known boot unless a newer one is known or the boot has left. */
 export function applyHeartbeat(worker: KnownWorker, heartbeat: WorkerHeartbeat): void {
     if (!worker.hasLeft && heartbeat.sequence > worker.heartbeat.sequence) {
--- a/packages/decisions/src/worker/workerReport.ts
+++ b/packages/decisions/src/worker/workerReport.ts
@@ -21,7 +21,7 @@
     /** Identity of the VM or machine, which stays the same across boots. */
     machine?: string | undefined;
     condition: WorkerCondition;
-    /** Minimum time until a draining worker leaves. */
+    /** Minimum time from the report until a draining worker leaves; absent if the worker does not say. */
     remainingMs?: number | undefined;
     /** Time for which the worker stays slow after a cold start; absent or 0 if it is warm. */
     coldRemainingMs?: number | undefined;
