Move groups from workers that leave

Whatever ran on a worker that had announced its departure was lost with it: it restarted only after the worker had left, without the progress since its last checkpoint. A scheduling round now first looks at the placed groups with a task on a leaving worker that are expected to outlast it by half. Those that fit elsewhere are stopped at once and their room is reserved until the stop is confirmed; checkpointing groups without room are stopped when less than 1,200 ms are left. The job entry notes the time and run of a move, so that no group is moved twice within 5 s. The leader logs and counts each move.

The plain round decides the same, and the property test draws departures. The test of preempted long-running work checks the kind of a placement explicitly, as there is a third kind now.

--- a/packages/decisions/src/plan/clusterState.ts
+++ b/packages/decisions/src/plan/clusterState.ts
@@ -56,6 +56,8 @@
     runs: Map<string, OpenRunState>;
     /** Workers on which a group has failed, with the time of the latest failure, by group key. */
     failedOn: Map<string, Map<string, number>>;
+    /** Latest move of a group from a worker that leaves: its time and the run that was closed, by group key. */
+    moves: Map<string, { at: number; run: number }>;
     /** Time since when the job has had groups that may start and no task at work; undefined while that is not so. */
     idleSince: number | undefined;
     /** Time on the leader's monotonic clock since when it has known that the job has ended. */
@@ -158,6 +160,7 @@
         isWriting: false,
         runs: new Map(),
         failedOn: new Map(),
+        moves: new Map(),
         idleSince: undefined,
         endKnownAt: undefined,
     };
--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -1,4 +1,5 @@
 import { addResources, NO_RESOURCES, subtractResources, type Resources } from "../job/jobTypes.ts";
+import { groupLeavesInMs, leavingWorkers, noteMove } from "../departure/leavingWorkers.ts";
 import { closeRun, groupProgress, openRun } from "../job/progressChange.ts";
 import type { TaskPlacement } from "../job/progressTypes.ts";
 import { dueAtMs, type TaskGroup } from "../job/taskGroups.ts";
@@ -243,6 +244,7 @@
     context: RoundContext,
 ): PlacedGroup[] {
     const placed: PlacedGroup[] = [];
+    const leaving = leavingWorkers(cluster, context.now);
     for (const entry of cluster.jobs.values()) {
         for (const [key, run] of entry.runs) {
             const group = entry.groupsByKey.get(key)!;
@@ -258,6 +260,7 @@
                 isClosing: progress.phase !== "placed" || isCancelledOrEnded(entry),
                 value: lookUpValue(entry, group),
                 remainingMs: expectedRemainingMs(group, run, context.now),
+                leavesInMs: groupLeavesInMs(leaving, entry, key, context.now),
                 lostCoreSeconds: (cores * lostMs) / 1_000,
                 lostMs,
             });
@@ -293,7 +296,10 @@
         return;
     }
     const progress = groupProgress(entry.progress, decision.group);
-    if (decision.kind === "preempt") {
+    if (decision.kind === "move") {
+        noteMove(entry, decision.group, now);
+    }
+    if (decision.kind !== "place") {
         updateGroup(cluster, entry, decision.group, closeRun(progress));
         return;
     }
--- a/packages/decisions/src/plan/preemptedLongRunning.spec.ts
+++ b/packages/decisions/src/plan/preemptedLongRunning.spec.ts
@@ -73,7 +73,7 @@
                 tasks.get(decision.job)!.stopsAt ??= now + STOP_MS[decision.job]!;
             } else if (decision.job === "gang") {
                 isGangPlaced = true;
-            } else {
+            } else if (decision.kind === "place") {
                 tasks.set(decision.job, { worker: decision.places[0]!.worker, run, stopsAt: undefined });
             }
         }
--- a/packages/decisions/src/schedule/scheduleTypes.ts
+++ b/packages/decisions/src/schedule/scheduleTypes.ts
@@ -53,6 +53,8 @@
     value: JobValue;
     /** Expected time until its run ends, in milliseconds. */
     remainingMs: number;
+    /** Time until the first of its workers leaves; absent if none does or the group may not be moved. */
+    leavesInMs?: number | undefined;
     /** Work that a preemption would lose, in core-seconds. */
     lostCoreSeconds: number;
     /** Run time that a preemption would lose, in milliseconds. */
@@ -70,7 +72,9 @@
     /** `isFar`: tasks run on another rack than their data or than each other and are slower. */
     | { kind: "place"; job: string; group: string; places: TaskPlace[]; isFar: boolean }
     /** Closes a group's run to free capacity for the job `for`. */
-    | { kind: "preempt"; job: string; group: string; for: string };
+    | { kind: "preempt"; job: string; group: string; for: string }
+    /** Closes a group's run because one of its workers leaves before the group's expected end. */
+    | { kind: "move"; job: string; group: string };
 
 /** Key under which a step's tasks are counted on a worker. */
 export function stepKey(job: string, group: Pick<TaskGroup, "occurrence" | "stepIndex">): string {
--- a/packages/decisions/src/schedule/schedulingRound.property.spec.ts
+++ b/packages/decisions/src/schedule/schedulingRound.property.spec.ts
@@ -35,6 +35,8 @@
     remainingMs: fc.integer({ min: 0, max: 9_000 }),
     lostCoreSeconds: fc.integer({ min: 0, max: 200 }),
     isClosing: fc.boolean(),
+    checkpointing: fc.boolean(),
+    leavesInMs: fc.option(fc.integer({ min: 0, max: 6_000 }), { nil: undefined }),
 });
 
 const workerFields = fc.record({
@@ -76,9 +78,12 @@
         ...rest,
     }));
     const shared = (fields: GroupFields, number: number, kind: string) => {
-        const { cores, gpus, ...step } = fields.step;
+        const { cores, gpus, ...rest } = fields.step;
+        const step = { ...rest, checkpointing: fields.checkpointing };
         const resources = { cpuMillis: cores * 1_000, memoryMb: 1_000, gpus };
-        const job = jobOf(`${kind}${number}`, [stepOf({ ...step, resources })], { service: fields.service });
+        const job = jobOf(`${kind}${number}`, [stepOf({ ...step, resources })], {
+            service: fields.service,
+        });
         const { priority, isGuaranteed } = fields;
         return { job, priority, isGuaranteed, value: valueOf(fields) };
     };
@@ -91,7 +96,7 @@
     const placedGroups: PlacedGroup[] = [];
     for (const [number, fields] of placed.entries()) {
         const common = shared(fields, number, "placed");
-        const { isClosing, remainingMs, lostCoreSeconds } = fields;
+        const { isClosing, remainingMs, lostCoreSeconds, leavesInMs } = fields;
         const group = taskGroupsOf(common.job, 0)[0]!;
         const { cpuMillis, memoryMb, gpus } = group.step.resources;
         const hosts = group.indexes.map(index => views[(fields.at + index) % views.length]!);
@@ -109,7 +114,7 @@
             }
         }
         const workersOfGroup = hosts.map(({ name }) => name);
-        const times = { remainingMs, lostCoreSeconds, lostMs: 1_000 };
+        const times = { remainingMs, leavesInMs, lostCoreSeconds, lostMs: 1_000 };
         placedGroups.push({ ...common, group, workers: workersOfGroup, isClosing, ...times });
     }
     return { nowMs: NOW_MS, workers: views, waiting: waitingGroups, placed: placedGroups, farFactor: 3 };
--- a/packages/decisions/src/schedule/schedulingRound.ts
+++ b/packages/decisions/src/schedule/schedulingRound.ts
@@ -1,3 +1,4 @@
+import { moveDepartingGroups } from "../departure/departureMoves.ts";
 import type { Resources } from "../job/jobTypes.ts";
 import {
     addAt,
@@ -65,7 +66,7 @@
 /** Expected time until a preempted group has freed its capacity. */
 export const EXPECTED_STOP_MS = 1_000;
 
-/** Decides which waiting groups start where, and which placed groups are preempted. */
+/** Decides which waiting groups start where, and which placed groups are moved or preempted. */
 export function scheduleRound(input: RoundInput): Decision[] {
     const fleet = createFleetTable(input.workers);
     const round: Round = {
@@ -81,6 +82,10 @@
     for (const { job } of input.waiting) {
         round.waitingOfJob.set(job.id, (round.waitingOfJob.get(job.id) ?? 0) + 1);
     }
+    moveDepartingGroups(round, {
+        allocate: (candidate, places) => allocate(round, candidate, places),
+        preempt: (candidate, plan) => preempt(round, candidate, plan),
+    });
     for (const candidate of sortWaiting(input)) {
         scheduleGroup(round, candidate);
     }
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -212,7 +212,7 @@
         planningLog.round(state.cluster, input);
         planningLog.quarantine(quarantinedWorkers(state.cluster, clock.now()));
         for (const decision of separateSuspects(state.cluster, schedule(input), clock.now())) {
-            planningLog.decision(state.cluster, decision);
+            planningLog.decision(state.cluster, decision, input);
             applyDecision(state.cluster, decision, clock.now());
         }
     }
--- a/packages/peer/src/planner/planningLog.spec.ts
+++ b/packages/peer/src/planner/planningLog.spec.ts
@@ -12,6 +12,7 @@
     let log: PlanningLog;
     let delays: number[];
     let lines: Record<string, unknown>[];
+    let moves: number;
     const cluster = createClusterState();
     const entry = addJob(cluster, jobOf("j", [stepOf({ count: 2 })]), undefined, 0);
 
@@ -19,11 +20,16 @@
         clock = createManualClock();
         delays = [];
         lines = [];
+        moves = 0;
         log = createPlanningLog({
             term: 7,
             clock,
             log: { ...noopLog, info: (message, fields) => lines.push({ message, ...fields }) },
-            metrics: { ...noopSchedulerMetrics, endRecorded: seconds => delays.push(seconds) },
+            metrics: {
+                ...noopSchedulerMetrics,
+                endRecorded: seconds => delays.push(seconds),
+                groupMoved: () => (moves += 1),
+            },
             termsOf: ({ job }) => job.terms,
         });
     });
@@ -56,4 +62,32 @@
             ]);
         });
     });
+
+    describe("when a group is moved", () => {
+        // Guards against moves that an operator can neither count nor tell from other stops.
+        it("counts the move and says how long the worker and the run would have lasted", () => {
+            const [group] = entry.groups;
+            const value = { fullValue: 1, runMs: 1, workCoreSeconds: 1, objectiveAtMs: 1, zeroValueAtMs: 2 };
+            const terms = { isGuaranteed: false, isClosing: false, priority: 1, value };
+            const times = { remainingMs: 9_000.4, leavesInMs: 1_599.6, lostCoreSeconds: 1, lostMs: 1 };
+            const placed = [{ job: entry.job, group: group!, workers: ["a", "b"], ...terms, ...times }];
+            log.decision(
+                cluster,
+                { kind: "move", job: "j", group: group!.key },
+                { nowMs: 0, workers: [], waiting: [], placed, farFactor: 3 },
+            );
+            expect(moves).to.equal(1);
+            expect(lines).to.deep.equal([
+                {
+                    message: "A group is moved from a worker that leaves.",
+                    term: 7,
+                    job: "j",
+                    group: group!.key,
+                    workers: "a b",
+                    leftMs: 1_600,
+                    expectedMs: 9_000,
+                },
+            ]);
+        });
+    });
 });
--- a/packages/peer/src/planner/planningLog.ts
+++ b/packages/peer/src/planner/planningLog.ts
@@ -14,8 +14,8 @@
 export interface PlanningLog {
     events(cluster: ClusterState, events: PlanEvent[]): void;
     round(cluster: ClusterState, input: RoundInput): void;
-    /** Must be called before the decision is applied to the cluster state. */
-    decision(cluster: ClusterState, decision: Decision): void;
+    /** Must be called before the decision, which was made on the input, is applied to the cluster state. */
+    decision(cluster: ClusterState, decision: Decision, input: RoundInput): void;
     stalled(run: StalledRun): void;
     stuckStart(run: StuckStart): void;
     unlisted(run: UnlistedRun): void;
@@ -112,6 +112,19 @@
         });
     }
 
+    function logMove({ job, group }: Decision & { kind: "move" }, { placed }: RoundInput): void {
+        metrics.groupMoved();
+        const moved = placed.find(candidate => candidate.job.id === job && candidate.group.key === group);
+        log.info("A group is moved from a worker that leaves.", {
+            term,
+            job,
+            group,
+            workers: moved?.workers.join(" "),
+            leftMs: moved?.leavesInMs === undefined ? undefined : Math.round(moved.leavesInMs),
+            expectedMs: moved && Math.round(moved.remainingMs),
+        });
+    }
+
     function logRecordedEnds(job: string, ends: UnrecordedEnd[]): void {
         let delayMs = 0;
         for (const { reportedAt } of ends) {
@@ -148,9 +161,11 @@
             const workers = countByCondition(cluster);
             metrics.fleet({ workers, waitingGroups: waiting.length, placedGroups: placed.length });
         },
-        decision(cluster, decision) {
+        decision(cluster, decision, input) {
             if (decision.kind === "place") {
                 logPlacement(cluster, decision);
+            } else if (decision.kind === "move") {
+                logMove(decision, input);
             } else {
                 logPreemption(cluster, decision);
             }
--- a/packages/runtime/src/metrics/schedulerMetrics.ts
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -27,6 +27,8 @@
     groupStarted(priority: number, seconds: number): void;
     groupPlaced(isFar: boolean): void;
     groupPreempted(): void;
+    /** Counts a group that is stopped because a worker of it leaves. */
+    groupMoved(): void;
     /** Duration of a scheduling round with its records and orders, in seconds. */
     roundEnded(seconds: number): void;
     runEnded(end: string): void;
@@ -55,6 +57,7 @@
     groupStarted() {},
     groupPlaced() {},
     groupPreempted() {},
+    groupMoved() {},
     roundEnded() {},
     runEnded() {},
     endRecorded() {},
@@ -118,6 +121,11 @@
         help: "Groups closed to make room for others.",
         registers,
     });
+    const moves = new Counter({
+        name: "tanagerdeck_moves_total",
+        help: "Groups stopped because a worker of theirs leaves.",
+        registers,
+    });
     const rounds = new Histogram({
         name: "tanagerdeck_round_seconds",
         help: "Time of scheduling rounds, with building the records and orders that follow from them.",
@@ -215,6 +223,7 @@
         groupStarted: (priority, seconds) => starts.observe({ priority }, seconds),
         groupPlaced: isFar => placements.inc({ far: String(isFar) }),
         groupPreempted: () => preemptions.inc(),
+        groupMoved: () => moves.inc(),
         roundEnded: seconds => rounds.observe(seconds),
         runEnded: end => runs.inc({ end }),
         endRecorded: seconds => endRecords.observe(seconds),
--- a/standins/src/plan/plain/plainSchedulingRound.ts
+++ b/standins/src/plan/plain/plainSchedulingRound.ts
@@ -1,5 +1,6 @@
 import { addResources, subtractResources, type Resources } from "@tanagerdeck/decisions/job/jobTypes";
 import { estimateOf, valueAt } from "@tanagerdeck/decisions/schedule/jobValue";
+import { plainMoveDepartingGroups } from "./plainDeparture.ts";
 import {
     isLocalitySensitive,
     findAnyPlaces,
@@ -60,6 +61,14 @@
     for (const { job } of input.waiting) {
         round.waitingOfJob.set(job.id, (round.waitingOfJob.get(job.id) ?? 0) + 1);
     }
+    plainMoveDepartingGroups({
+        input,
+        decisions: round.decisions,
+        victims: round.victims,
+        freeOf: worker => freeOf(round, worker),
+        allocate: (candidate, places) => allocate(round, candidate, places),
+        preempt: (candidate, plan) => preempt(round, candidate, plan),
+    });
     for (const candidate of sortWaiting(input)) {
         scheduleGroup(round, candidate);
     }
