Expect the end of a loaded run from its estimate and progress

A new leader counts the time of a run from when it has loaded it, but divided that time by the progress of the whole run. Shortly after a change of the leader every run seemed to end at once, so the leader moved nothing from a worker that leaves, and planned places too early. Until the run restarts, the remaining time is now the rest of the estimate that the progress leaves.

Run: mocha on the specs of plan, planner and departure, 161 passing. Before the change, the planner test of a move by the next leader failed (1 move, not 2).

--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -5,7 +5,7 @@
 import { dueAtMs, type TaskGroup } from "../job/taskGroups.ts";
 import type { QueueTerms } from "../job/jobTypes.ts";
 import { guaranteedJobs } from "../schedule/guarantees.ts";
-import { coreEquivalents, estimateOf, valueOf, type JobValue } from "../schedule/jobValue.ts";
+import { coreEquivalents, valueOf, type JobValue } from "../schedule/jobValue.ts";
 import {
     stepKey,
     type Decision,
@@ -20,12 +20,12 @@
     openPlacements,
     type JobEntry,
     type ClusterState,
-    type OpenRunState,
     type WorkerEntry,
 } from "./clusterState.ts";
 import { isEvacuated } from "./evacuatedWorkers.ts";
 import { idleServices, isIdleForLong, noteIdleTime } from "./idleness.ts";
 import { readyGroups, type ReadyContext } from "./readyGroups.ts";
+import { expectedRemainingMs } from "./remainingTime.ts";
 import { isSeparated, workersOfStartingSuspects } from "./suspectGroups.ts";
 import { isQuarantineAllowed, isQuarantined, countRecentFaults } from "./workerQuarantine.ts";
 
@@ -269,25 +269,6 @@
     return placed;
 }
 
-/** Least progress at which the pace so far predicts the remaining time better than the submitter's estimate. */
-const MIN_PERCENT_TO_EXTRAPOLATE = 10;
-
-/** Expected time until a run ends, based on its slowest task. */
-function expectedRemainingMs({ step }: TaskGroup, run: OpenRunState, now: number): number {
-    const elapsedMs = now - run.openedAt;
-    let percent = 100;
-    for (const task of run.tasks.values()) {
-        percent = Math.min(percent, task.percent);
-    }
-    if (run.tasks.size > 0 && percent >= MIN_PERCENT_TO_EXTRAPOLATE) {
-        return (elapsedMs * (100 - percent)) / percent;
-    }
-    return Math.max(MIN_REMAINING_MS, estimateOf(step) - elapsedMs);
-}
-
-/** Lower bound for a remaining time that is based on the submitter's estimate, as a run may exceed its estimate. */
-const MIN_REMAINING_MS = 500;
-
 /** Applies a round's decision to the cluster state. */
 export function applyDecision(cluster: ClusterState, decision: Decision, now: number): void {
     const entry = cluster.jobs.get(decision.job);
