Measure moves from leaving workers in the plan bench

The plan bench simulated no departures. Its simulation can now take workers away in turn at short notice, with the loss of what runs there, and two loads of today's site use it: at high load, and with half the jobs. The baseline is the same round without moves. Notices end with the arrivals, as a wide gang may otherwise never end.

--- a/scripts/bench/planBench.ts
+++ b/scripts/bench/planBench.ts
@@ -5,7 +5,7 @@
 import type { Measure } from "./benchTypes.ts";
 import { plainScheduleRound } from "@tanagerdeck/standins/plan/plain/plainSchedulingRound";
 import { simulatePlan, type PlanPolicy, type PlanResult } from "./planSimulation.ts";
-import { DEPLOYMENTS, planJobs } from "./planWorkload.ts";
+import { DEPLOYMENTS, LEAVING_DEPLOYMENTS, planJobs, type Deployment } from "./planWorkload.ts";
 
 /** One of this many rounds is also decided by the plain searches, which take many times as long. */
 const PLAIN_ROUND_INTERVAL = 40;
@@ -13,18 +13,15 @@
 /**
  * Measures the earned value, the wasted work, the stops and the time of a round of the scheduler under high load. The
  * baseline is first-come first-fit, but for the median and the 95th percentile of a round: there it is the round with
- * plain searches on the same input. The measure `worth` is the earned value divided by the value of all jobs.
+ * plain searches on the same input. The measure `worth` is the earned value divided by the value of all jobs. Loads with
+ * workers that leave follow, whose baseline is the same round without moves.
  */
 export async function planBench(): Promise<Measure[]> {
     const measures: Measure[] = [];
     for (const deployment of DEPLOYMENTS) {
-        const run = (policy: PlanPolicy): PlanResult[] =>
-            Array.from({ length: deployment.seeds }, (_, seed) =>
-                simulatePlan(deployment, planJobs(deployment, seed + 1), policy),
-            );
         const times = createRoundTimes();
-        const measured = run(times.policy);
-        const baseline = run(firstComeFirstFit);
+        const measured = simulateSeeds(deployment, times.policy);
+        const baseline = simulateSeeds(deployment, firstComeFirstFit);
         const measure = (
             name: string,
             unit: string,
@@ -65,9 +62,45 @@
             });
         }
     }
+    return [...measures, ...departureMeasures()];
+}
+
+function simulateSeeds(deployment: Deployment, policy: PlanPolicy): PlanResult[] {
+    return Array.from({ length: deployment.seeds }, (_, seed) =>
+        simulatePlan(deployment, planJobs(deployment, seed + 1), policy),
+    );
+}
+
+/** Measures the moves from workers that leave at short notice. The baseline is the same round without moves. */
+export function departureMeasures(): Measure[] {
+    const measures: Measure[] = [];
+    const units = {
+        earnedValueRatio: ["worth", "of what is owed"],
+        wastedWorkRatio: ["wasted", "of the work"],
+        affectedEndMs: ["affected.end", "ms"],
+        moves: ["moves", "a minute"],
+    } as const;
+    for (const deployment of LEAVING_DEPLOYMENTS) {
+        const measured = simulateSeeds(deployment, scheduleRound);
+        const baseline = simulateSeeds(deployment, withoutMoves);
+        for (const field of ["earnedValueRatio", "wastedWorkRatio", "affectedEndMs", "moves"] as const) {
+            const [name, unit] = units[field];
+            measures.push({
+                name: `plan.${deployment.name}.${name}`,
+                unit,
+                value: Number(mean(measured.map(result => result[field])).toFixed(3)),
+                baseline: Number(mean(baseline.map(result => result[field])).toFixed(3)),
+            });
+        }
+    }
     return measures;
 }
 
+function withoutMoves(input: RoundInput): Decision[] {
+    const placed = input.placed.map(group => ({ ...group, leavesInMs: undefined }));
+    return scheduleRound({ ...input, placed });
+}
+
 /** A policy that schedules rounds, with the durations of its rounds and of some decided by the plain searches. */
 function createRoundTimes(): { policy: PlanPolicy; searchMs: number[]; plainMs: number[] } {
     const searchMs: number[] = [];
--- a/scripts/bench/planSimulation.ts
+++ b/scripts/bench/planSimulation.ts
@@ -21,6 +21,7 @@
     type WorkerView,
 } from "@tanagerdeck/decisions/schedule/scheduleTypes";
 import type { RoundInput } from "@tanagerdeck/decisions/schedule/schedulingRound";
+import { groupLeavesInMs, simulateDepartures, type DepartureSimulation } from "./planDepartures.ts";
 import type { Deployment, PlanJob } from "./planWorkload.ts";
 
 /** Decides which waiting groups start and which placed groups are preempted. */
@@ -30,17 +31,20 @@
 export interface PlanResult {
     /** Earned value divided by the value of all jobs. */
     earnedValueRatio: number;
-    /** Work lost by stops divided by the work of all jobs. */
+    /** Work lost by stops and departures divided by the work of all jobs. */
     wastedWorkRatio: number;
     stops: number;
     /** Jobs that had nothing running for `STARVED_MS` although there was room for a waiting group twice over. */
     starvedJobs: number;
     /** Duration of the longest call of the policy, in milliseconds. */
     longestRoundMs: number;
+    moves: number;
+    /** Mean time from the notice of a worker that leaves until the end of the groups that ran there. */
+    affectedEndMs: number;
 }
 
 /** A task group of a job with its state in the simulation. */
-interface SimulatedGroup {
+export interface SimulatedGroup {
     owner: PlanJob;
     group: TaskGroup;
     places: TaskPlace[];
@@ -51,6 +55,9 @@
     factor: number;
     phase: "waiting" | "running" | "stopping" | "done";
     endsAtMs: number;
+    movedAtMs: number;
+    /** Whether it is being stopped because a worker of it leaves. */
+    isMoving: boolean;
 }
 
 const FAR_FACTOR = 3;
@@ -75,7 +82,10 @@
         stops: 0,
         starvedJobs: 0,
         longestRoundMs: 0,
+        moves: 0,
+        affectedEndMs: 0,
     };
+    const departures = simulateDepartures(deployment.departures, deployment.workers, STOP_MS);
     const waits: Waits = { idleSince: new Map(), roomSince: new Map(), starved: new Set() };
     let offeredValue = 0;
     let offeredWork = 0;
@@ -99,7 +109,15 @@
                 result.earnedValueRatio += earnedValue(owner, nowMs);
             }
         });
-        const input = inputOf(workers, groups, jobs.slice(0, arrived), deployment, nowMs);
+        result.wastedWorkRatio += departures.advance(groups, nowMs);
+        const input = inputOf({
+            workers,
+            groups,
+            arrivedJobs: jobs.slice(0, arrived),
+            deployment,
+            departures,
+            nowMs,
+        });
         noteWaits(waits, input, groups);
         const startedAt = performance.now();
         const decisions = policy(input);
@@ -107,12 +125,14 @@
         for (const decision of decisions) {
             result.wastedWorkRatio += applyDecision(groups, decision, nowMs);
             result.stops += decision.kind === "preempt" ? 1 : 0;
+            result.moves += decision.kind === "move" ? 1 : 0;
         }
-        nowMs = nextTime(groups, jobs[arrived]?.job.acceptedAtMs, nowMs);
+        nowMs = nextTime({ groups, arrivalMs: jobs[arrived]?.job.acceptedAtMs, departures, nowMs });
     }
     return {
         ...result,
         starvedJobs: waits.starved.size,
+        affectedEndMs: departures.meanEndMs(nowMs),
         earnedValueRatio: result.earnedValueRatio / offeredValue,
         wastedWorkRatio: result.wastedWorkRatio / offeredWork,
     };
@@ -216,6 +236,8 @@
         factor: 1,
         phase: "waiting",
         endsAtMs: Infinity,
+        movedAtMs: -Infinity,
+        isMoving: false,
     }));
 }
 
@@ -242,10 +264,21 @@
     return tookMs <= LATE_VALUE_OBJECTIVES * objectiveMs ? lateValue : 0;
 }
 
-function nextTime(groups: SimulatedGroup[], arrivalMs: number | undefined, nowMs: number): number {
-    let next = arrivalMs ?? Infinity;
-    for (const { endsAtMs, phase } of groups) {
-        next = Math.min(next, phase === "waiting" ? nowMs + ROUND_MS : endsAtMs);
+function nextTime({
+    groups,
+    arrivalMs = Infinity,
+    departures,
+    nowMs,
+}: {
+    groups: SimulatedGroup[];
+    arrivalMs: number | undefined;
+    departures: DepartureSimulation;
+    nowMs: number;
+}): number {
+    let next = Math.min(arrivalMs, departures.nextEventMs());
+    for (const { endsAtMs, phase, places } of groups) {
+        const isLeaving = places.some(({ worker }) => departures.leavesInMs(worker, nowMs) !== undefined);
+        next = Math.min(next, phase === "waiting" || isLeaving ? nowMs + ROUND_MS : endsAtMs, endsAtMs);
     }
     return next;
 }
@@ -259,11 +292,14 @@
         simulated.places = decision.places;
         simulated.factor = decision.isFar ? FAR_FACTOR : 1;
         simulated.phase = "running";
+        simulated.isMoving = false;
         simulated.startedAtMs = nowMs;
         simulated.endsAtMs = nowMs + simulated.leftMs * simulated.factor;
         return 0;
     }
     const workedMs = nowMs - simulated.startedAtMs;
+    simulated.isMoving = decision.kind === "move";
+    simulated.movedAtMs = simulated.isMoving ? nowMs : simulated.movedAtMs;
     simulated.phase = "stopping";
     simulated.endsAtMs = nowMs + STOP_MS;
     if (simulated.group.step.checkpointing) {
@@ -273,14 +309,27 @@
     return (coreEquivalents(simulated.group.step.resources) * simulated.places.length * workedMs) / 1_000;
 }
 
-function inputOf(
-    workers: WorkerView[],
-    groups: SimulatedGroup[],
-    arrivedJobs: PlanJob[],
-    { workers: count, capacity }: Deployment,
-    nowMs: number,
-): RoundInput {
-    const views = new Map(workers.map(view => [view.name, { ...view, tasksByStep: new Map() }]));
+function inputOf({
+    workers,
+    groups,
+    arrivedJobs,
+    deployment: { workers: count, capacity },
+    departures,
+    nowMs,
+}: {
+    workers: WorkerView[];
+    groups: SimulatedGroup[];
+    arrivedJobs: PlanJob[];
+    deployment: Deployment;
+    departures: DepartureSimulation;
+    nowMs: number;
+}): RoundInput {
+    const viewOf = (view: WorkerView): WorkerView => ({
+        ...view,
+        isSchedulable: !departures.isUnavailable(view.name),
+        tasksByStep: new Map(),
+    });
+    const views = new Map(workers.map(view => [view.name, viewOf(view)]));
     const workByQueue = new Map<string, { sum: number; count: number }>();
     for (const { job } of arrivedJobs) {
         const { sum, count: earlier } = workByQueue.get(job.queue) ?? { sum: 0, count: 0 };
@@ -310,7 +359,8 @@
         }
         const isClosing = simulated.phase === "stopping";
         occupyResources(views, simulated, isClosing);
-        placed.push({ ...shared, isClosing, ...progressOf(simulated, nowMs) });
+        const leavesInMs = groupLeavesInMs(departures, simulated, nowMs);
+        placed.push({ ...shared, isClosing, leavesInMs, ...progressOf(simulated, nowMs) });
     }
     return { nowMs, workers: [...views.values()], waiting, placed, farFactor: FAR_FACTOR };
 }
--- a/scripts/bench/planWorkload.ts
+++ b/scripts/bench/planWorkload.ts
@@ -2,6 +2,7 @@
 import { congruential32 } from "pure-rand/generator/congruential32";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { Job, Resources, Step } from "@tanagerdeck/decisions/job/jobTypes";
+import type { Departures } from "./planDepartures.ts";
 
 /** Arrival rate, sizes, durations and value of the jobs of one queue. */
 interface JobStream {
@@ -34,6 +35,7 @@
     streams: JobStream[];
     /** Number of seeds to average over: on a small site, one different placement changes a seed's result by 0.1. */
     seeds: number;
+    departures?: Departures | undefined;
 }
 
 /** A job with its true durations and its value, which the scheduler does not see. */
@@ -152,6 +154,25 @@
     },
 ];
 
+/** About one of the 11 workers of today's site is away at any time. */
+const DEPARTURES: Departures = {
+    intervalMs: 8_000,
+    noticeMs: 2_000,
+    awayMs: 10_000,
+    untilMs: TRAFFIC_MS,
+};
+
+/** Today's site with workers that leave: at high load, and with half the jobs, so that there often is room elsewhere. */
+export const LEAVING_DEPLOYMENTS: readonly Deployment[] = [
+    { ...DEPLOYMENTS[0]!, name: "leaving", departures: DEPARTURES },
+    {
+        ...DEPLOYMENTS[0]!,
+        name: "leaving-calm",
+        streams: streamsOf({ rates: [0.143, 0.131, 0.055], tasks: [2, 3, 9], batchMs: 13_571 }),
+        departures: DEPARTURES,
+    },
+];
+
 /** Generates the jobs of one seed, in order of arrival. */
 export function planJobs(deployment: Deployment, seed: number): PlanJob[] {
     const random = congruential32(seed);
