--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -216,7 +216,7 @@
         const decisions = separateSuspects(state.cluster, schedule(input), clock.now());
         evacuationPlanning.round(state.cluster, input.waiting, decisions);
         for (const decision of decisions) {
-            planningLog.decision(state.cluster, decision);
+            planningLog.decision(state.cluster, decision, input);
             applyDecision(state.cluster, decision, clock.now());
         }
     }
--- a/packages/runtime/src/metrics/schedulerMetrics.ts
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -27,6 +27,8 @@
     groupStarted(priority: number, seconds: number): void;
     groupPlaced(isFar: boolean): void;
     groupPreempted(): void;
+    /** Counts a group that is stopped because a worker of it leaves. */
+    groupMoved(): void;
     /** Duration of a scheduling round with its records and orders, in seconds. */
     roundEnded(seconds: number): void;
     runEnded(end: string): void;
@@ -59,6 +61,7 @@
     groupStarted() {},
     groupPlaced() {},
     groupPreempted() {},
+    groupMoved() {},
     roundEnded() {},
     runEnded() {},
     endRecorded() {},
@@ -124,6 +127,11 @@
         help: "Groups closed to make room for others.",
         registers,
     });
+    const moves = new Counter({
+        name: "tanagerdeck_moves_total",
+        help: "Groups stopped because a worker of theirs leaves.",
+        registers,
+    });
     const rounds = new Histogram({
         name: "tanagerdeck_round_seconds",
         help: "Time of scheduling rounds, with building the records and orders that follow from them.",
@@ -232,6 +240,7 @@
         groupStarted: (priority, seconds) => starts.observe({ priority }, seconds),
         groupPlaced: isFar => placements.inc({ far: String(isFar) }),
         groupPreempted: () => preemptions.inc(),
+        groupMoved: () => moves.inc(),
         roundEnded: seconds => rounds.observe(seconds),
         runEnded: end => runs.inc({ end }),
         endRecorded: seconds => endRecords.observe(seconds),
