--- a/standins/src/emulator/emulatedDeployment.ts
+++ b/standins/src/emulator/emulatedDeployment.ts
@@ -59,7 +59,7 @@
     const storeServer = await startStoreServer(`${STORE_IP}:0`, store, () => storeDelay.ms);
     const context: DeploymentContext = {
         options,
-        group: createProcessGroup({ programs: options.programs }),
+        group: createProcessGroup({ programs: options.programs, nodeFlags: options.nodeFlags ?? [] }),
         network,
         storeAddress: storeServer.address,
         seeds: Array.from(
@@ -220,6 +220,7 @@
         keepJobsSeconds: 120,
         graceSeconds: 6,
         ...settings,
+        ...options.settings,
     };
     let restarting: Promise<void> | undefined;
     let earlierOutput = "";
--- a/standins/src/emulator/emulatorTypes.ts
+++ b/standins/src/emulator/emulatorTypes.ts
@@ -29,6 +29,10 @@
     /** Time after which a gang task ends as `alone` if its gang is incomplete. */
     gangTimeoutMs: number;
     heartbeatIntervalMs: number;
+    /** Node flags of all entries and agents. */
+    nodeFlags?: string[];
+    /** Further settings of all entries and agents. */
+    settings?: object;
 }
 
 /** A process of the system that a test can end and restart. */
--- a/standins/src/emulator/entryFixture.ts
+++ b/standins/src/emulator/entryFixture.ts
@@ -36,8 +36,12 @@
 /** Peer address of another entry, which the fixture's entry knows as its seed. Nothing listens there. */
 export const OTHER_ENTRY = `${NETWORK}.11:${PEER_PORT}`;
 
-/** Starts the fixture; `programs` is the folder of the bundles. */
-export async function startEntryFixture(programs: string, nodeFlags: string[] = []): Promise<EntryFixture> {
+/** Starts the fixture; `programs` is the folder of the bundles, `changes` adds to or replaces the entry's settings. */
+export async function startEntryFixture(
+    programs: string,
+    nodeFlags: string[] = [],
+    changes: object = {},
+): Promise<EntryFixture> {
     const ip = `${NETWORK}.10`;
     const store = createMemoryStore(systemClock);
     store.write("op/config", fixtureManifest(1));
@@ -59,6 +63,7 @@
         farFactor: 3,
         callerAddress,
         readyAddress: `${ip}:8523`,
+        ...changes,
     };
     async function stop(): Promise<void> {
         await group.stopAll();
