--- a/standins/src/emulator/emulatedDeployment.ts
+++ b/standins/src/emulator/emulatedDeployment.ts
@@ -64,7 +64,7 @@
     const storeServer = await startStoreServer(`${STORE_IP}:0`, store, () => storeDelay.ms);
     const context: DeploymentContext = {
         options,
-        group: createProcessGroup({ programs: options.programs }),
+        group: createProcessGroup({ programs: options.programs, nodeFlags: options.nodeFlags ?? [] }),
         network,
         storeAddress: storeServer.address,
         seeds: Array.from(
@@ -259,6 +259,7 @@
         graceSeconds: 6,
         ...(options.followsEvacuations ? { evacuationLimitMs: EVACUATION_LIMIT_MS } : {}),
         ...settings,
+        ...options.settings,
     };
     let restarting: Promise<void> | undefined;
     let earlierOutput = "";
--- a/standins/src/emulator/emulatorTypes.ts
+++ b/standins/src/emulator/emulatorTypes.ts
@@ -31,6 +31,10 @@
     heartbeatIntervalMs: number;
     /** Whether the settings of the processes turn on the evacuation of availability zones; false if absent. */
     followsEvacuations?: boolean;
+    /** Node flags of all entries and agents. */
+    nodeFlags?: string[];
+    /** Further settings of all entries and agents. */
+    settings?: object;
 }
 
 /** A process of the system that a test can end and restart. */
