--- a/packages/decisions/src/manifest/access.spec.ts
+++ b/packages/decisions/src/manifest/access.spec.ts
@@ -16,6 +16,9 @@
         services: [],
         clientAccounts: [{ name: "firm", keys: ["k1", "k2"], guaranteedGpus: 0 }],
         bodyLimitBytes: 1_000,
+        headerLimitBytes: 1_000,
+        headerTimeoutMs: 1_000,
+        idleTimeoutMs: 1_000,
     };
     const index = indexManifest(manifest);
 
--- a/packages/decisions/src/manifest/manifestTypes.ts
+++ b/packages/decisions/src/manifest/manifestTypes.ts
@@ -38,5 +38,12 @@
     queues: Queue[];
     services: Service[];
     clientAccounts: ClientAccount[];
+    /** Longest body of a request. */
     bodyLimitBytes: number;
+    /** Longest head of a request. */
+    headerLimitBytes: number;
+    /** Time until the head of a request must be complete. */
+    headerTimeoutMs: number;
+    /** Time without progress after which a connection is closed. */
+    idleTimeoutMs: number;
 }
--- a/packages/store/src/manifest/manifestTask.spec.ts
+++ b/packages/store/src/manifest/manifestTask.spec.ts
@@ -21,7 +21,8 @@
             return Left("no version");
         }
         const version = Number(value.slice("version ".length));
-        return Right({ revision, version, queues: [], services: [], clientAccounts: [], bodyLimitBytes: 0 });
+        const limits = { bodyLimitBytes: 0, headerLimitBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 };
+        return Right({ revision, version, queues: [], services: [], clientAccounts: [], ...limits });
     }
 
     beforeEach(async () => {
