Pass requests to the parser only within the intake's limits

A listener read each request as it arrived, however many were unanswered, and kept a buffer for each chunk. A stream between socket and parser now passes bytes in slices that end where a head ends, so the parser yields one request at a time, and stops reading at the limits. Bodies are collected in one growing buffer. An error is answered after the answers to the requests before it.

--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -1,11 +1,15 @@
 import {
-    createServer,
+    createServer as createHttpServer,
     type IncomingMessage,
     type RequestListener,
-    type Server,
+    type Server as HttpServer,
     type ServerResponse,
 } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { createServer as createNetServer, type AddressInfo, type Server as NetServer } from "node:net";
+import { createInternalIntake, type Intake } from "../intake/intake.ts";
+import { createBodyBuffer } from "./bodyBuffer.ts";
+import { answerError, refuseLongHead } from "./connectionErrors.ts";
+import { IntakeStream, PARSED_HEAD_BYTES } from "./intakeStream.ts";
 import { readReceived } from "./replyTimer.ts";
 
 /** Handle of an HTTP listener, which owns its sockets. */
@@ -18,46 +22,47 @@
     close(): Promise<void>;
 }
 
-/** A request that was read, at least its header, and has no whole answer yet. */
-interface OpenRequest {
-    request: IncomingMessage;
-    response: ServerResponse;
-    /** Whether the client lets the connection stay open after the answer. */
-    isKept: boolean;
-}
-
 /** An HTTP server with its open connections. */
 interface ListenerState {
-    server: Server;
-    /** Open requests of each connection in the order in which they were read. */
-    connections: Map<Socket, OpenRequest[]>;
+    acceptor: NetServer;
+    streams: Set<IntakeStream>;
     isRetiring: boolean;
+    isClosing: boolean;
 }
 
 /** Longest time for which a closing listener accepts connections that wait, as new ones may come all the time. */
 const ACCEPT_LIMIT_MS = 200;
 /** Time that a closing listener gives clients to send the rest of a request, or the first one of a connection. */
 const INCOMPLETE_REQUEST_LIMIT_MS = 1_000;
-
-/** Starts an HTTP listener on `ip:port`; port 0 selects a free port. Rejects if the address is in use. */
-export function startListener(address: string, handle: RequestListener): Promise<Listener> {
+/** How much earlier clients are told that an idle connection ends, so that no request is on its way then. */
+const KEEP_ALIVE_MARGIN_MS = 1_000;
+/**
+ * Starts an HTTP listener on `ip:port`; port 0 selects a free port. Rejects if the address is in use. `intake` limits
+ * what its connections may hold; listeners can share one.
+ */
+export function startListener(
+    address: string,
+    handle: RequestListener,
+    intake: Intake = createInternalIntake(),
+): Promise<Listener> {
     const { host, port } = splitAddress(address);
-    const server = createServer((request, response) => {
-        trackRequest(state, request, response);
-        handle(request, response);
-    });
-    const state: ListenerState = { server, connections: new Map(), isRetiring: false };
-    server.on("connection", (socket: Socket) => {
-        state.connections.set(socket, []);
-        socket.once("close", () => state.connections.delete(socket));
+    const server = createRequestServer((request, response) => trackRequest(state, request, response), handle);
+    const acceptor = createNetServer({ pauseOnConnect: true, noDelay: true }, socket => {
+        const stream = new IntakeStream(socket, intake, refuseLongHead);
+        if (stream.destroyed) {
+            return;
+        }
+        state.streams.add(stream);
+        stream.once("close", () => state.streams.delete(stream));
+        server.keepAliveTimeout = Math.max(1, intake.limits.idleTimeoutMs - KEEP_ALIVE_MARGIN_MS);
+        server.emit("connection", stream);
     });
-    // Node would close an idle connection whose keep-alive time is over without a look at what it has received.
-    server.on("timeout", (socket: Socket) => void closeUnlessUnread(socket));
+    const state: ListenerState = { acceptor, streams: new Set(), isRetiring: false, isClosing: false };
     return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, host, () => {
-            server.off("error", reject);
-            const bound = server.address() as AddressInfo;
+        acceptor.once("error", reject);
+        acceptor.listen(port, host, () => {
+            acceptor.off("error", reject);
+            const bound = acceptor.address() as AddressInfo;
             resolve({
                 address: `${bound.address}:${bound.port}`,
                 retire: () => retire(state),
@@ -84,15 +89,38 @@
  * A longer body is read to its end as well, since the connection could carry no other request otherwise.
  */
 export async function readBody(request: IncomingMessage, limitBytes: number): Promise<string | undefined> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        if (bytes <= limitBytes) {
-            chunks.push(chunk);
-        }
+    const stream = request.socket as unknown as IntakeStream;
+    const { buffers } = stream.intake;
+    const body = createBodyBuffer({
+        limitBytes,
+        take: buffers.take,
+        give: stream.intake.giveBuffer,
+        onCapacity: differenceBytes => stream.chargeBody(differenceBytes),
+    });
+    try {
+        await collect(request, chunk => {
+            stream.noteCollected(request, chunk.length);
+            body.add(chunk);
+        });
+        return body.text();
+    } finally {
+        body.release();
     }
-    return bytes > limitBytes ? undefined : Buffer.concat(chunks).toString("utf8");
+}
+
+/** Passes all bytes of a request's body on; rejects if the client disconnects. */
+function collect(request: IncomingMessage, add: (chunk: Buffer) => void): Promise<void> {
+    return new Promise((resolve, reject) => {
+        const fail = () => reject(new Error("The client disconnected."));
+        if (request.destroyed) {
+            fail();
+            return;
+        }
+        request.on("data", add);
+        request.once("end", resolve);
+        request.once("error", fail);
+        request.once("close", fail);
+    });
 }
 
 /** Sends a response with a JSON body and ends it. */
@@ -111,26 +139,57 @@
     response.end(body);
 }
 
+/** Creates the server that parses requests; it is given its connections and does not listen itself. */
+function createRequestServer(
+    track: (request: IncomingMessage, response: ServerResponse) => void,
+    handle: RequestListener,
+): HttpServer {
+    // Node would answer a request without a host itself, and it would not be counted among the unanswered ones.
+    const options = { requireHostHeader: false, maxHeaderSize: PARSED_HEAD_BYTES };
+    const server = createHttpServer(options, (request, response) => {
+        track(request, response);
+        if (request.httpVersion === "1.1" && request.headers.host === undefined) {
+            response.writeHead(400, { connection: "close" }).end();
+            return;
+        }
+        handle(request, response);
+    });
+    // Headers beyond the default of 2,000 would be dropped; their bytes are limited instead.
+    server.maxHeadersCount = 0;
+    server.on("checkExpectation", (request: IncomingMessage, response: ServerResponse) => {
+        track(request, response);
+        response.writeHead(417).end();
+    });
+    server.on("clientError", (error: NodeJS.ErrnoException, stream) =>
+        answerError(stream as unknown as IntakeStream, error),
+    );
+    return server;
+}
+
 function trackRequest(state: ListenerState, request: IncomingMessage, response: ServerResponse): void {
-    const openRequests = state.connections.get(request.socket) ?? [];
-    const earlier = openRequests.at(-1);
-    const opened: OpenRequest = { request, response, isKept: response.shouldKeepAlive };
-    openRequests.push(opened);
+    const stream = request.socket as unknown as IntakeStream;
+    const earlier = stream.openRequests.at(-1);
+    stream.begin(request, response);
     if (state.isRetiring) {
-        response.shouldKeepAlive = false;
+        // A request behind this one would be lost if its answer ended the connection.
+        response.shouldKeepAlive &&= stream.hasPendingBehind;
         if (earlier) {
             // The client has not waited for the answer to its earlier request, which must not end the connection.
             earlier.response.shouldKeepAlive = earlier.isKept;
         }
     }
-    response.once("close", () => openRequests.splice(openRequests.indexOf(opened), 1));
+    response.once("close", () => {
+        if (state.isClosing && stream.isIdle) {
+            stream.destroySoon();
+        }
+    });
 }
 
 function retire(state: ListenerState): void {
     state.isRetiring = true;
-    for (const openRequests of state.connections.values()) {
+    for (const { openRequests, hasPendingBehind } of state.streams) {
         const latest = openRequests.at(-1);
-        if (latest) {
+        if (latest && !hasPendingBehind) {
             latest.response.shouldKeepAlive = false;
         }
     }
@@ -141,45 +200,46 @@
  * the stop, until the keep-alive timeout. Idle connections are closed after a look at what they have received.
  */
 async function closeListener(state: ListenerState): Promise<void> {
-    const { server } = state;
+    const { acceptor, streams } = state;
     retire(state);
     await acceptWaiting(state);
     await readReceived();
-    const closed = new Promise<void>(resolve => server.close(() => resolve()));
+    acceptor.close();
+    state.isClosing = true;
+    for (const stream of streams) {
+        if (stream.isIdle) {
+            stream.destroy();
+        }
+    }
     const timer = setInterval(() => void closeIncomplete(state), INCOMPLETE_REQUEST_LIMIT_MS);
-    await closed;
+    while (streams.size > 0) {
+        const [stream] = streams;
+        await new Promise(resolve => stream?.once("close", resolve));
+    }
     clearInterval(timer);
 }
 
 /** Accepts the connections that wait at the listening socket: the event loop accepts one each time it reads. */
-async function acceptWaiting({ server }: ListenerState): Promise<void> {
+async function acceptWaiting({ acceptor }: ListenerState): Promise<void> {
     const endsAt = performance.now() + ACCEPT_LIMIT_MS;
     let hasAccepted = true;
     const noteAccepted = () => {
         hasAccepted = true;
     };
-    server.on("connection", noteAccepted);
+    acceptor.on("connection", noteAccepted);
     while (hasAccepted && performance.now() < endsAt) {
         hasAccepted = false;
         await readReceived();
     }
-    server.off("connection", noteAccepted);
+    acceptor.off("connection", noteAccepted);
 }
 
 /** Closes the connections without a whole request in flight. */
-async function closeIncomplete({ connections }: ListenerState): Promise<void> {
+async function closeIncomplete({ streams }: ListenerState): Promise<void> {
     await readReceived();
-    for (const [socket, openRequests] of connections) {
-        if (!openRequests.some(({ request }) => request.complete)) {
-            socket.destroy();
+    for (const stream of streams) {
+        if (!stream.openRequests.some(({ request }) => request.complete)) {
+            stream.destroy();
         }
     }
 }
-
-async function closeUnlessUnread(socket: Socket): Promise<void> {
-    const { bytesRead } = socket;
-    await readReceived();
-    if (socket.bytesRead === bytesRead) {
-        socket.destroy();
-    }
-}
