Limit what the listeners of entries and agents take in

Callers share one intake whose limits come from the settings, the manifest or defaults; peers, probes and the worker's heartbeats have their own, so that none crowds out another. Closed connections are counted by cause and logged in one line a second.

--- a/packages/peer/src/link/peerListener.ts
+++ b/packages/peer/src/link/peerListener.ts
@@ -8,6 +8,7 @@
 } from "@trpc/server";
 import { bearerToken, matchesDigest, tokenDigest } from "@tanagerdeck/runtime/access/token";
 import { readBody, sendJson, startListener, type Listener } from "@tanagerdeck/runtime/http/listener";
+import type { Intake } from "@tanagerdeck/runtime/intake/intake";
 import { startNoopSpan, type StartSpan } from "@tanagerdeck/runtime/trace/traceTypes";
 import type { CallContext } from "./trpcBase.ts";
 
@@ -24,16 +25,21 @@
     token: string,
     router: AnyRouter,
     startSpan: StartSpan = startNoopSpan,
+    intake?: Intake,
 ): Promise<Listener> {
     const digest = tokenDigest(token);
-    return startListener(address, (request, response) => {
-        const context: CallContext = {
-            authorized: matchesDigest(bearerToken(request) ?? "", digest),
-            traceparent: singleHeader(request.headers.traceparent),
-            startSpan,
-        };
-        serveCall(router, context, request, response).catch(() => request.socket.destroy());
-    });
+    return startListener(
+        address,
+        (request, response) => {
+            const context: CallContext = {
+                authorized: matchesDigest(bearerToken(request) ?? "", digest),
+                traceparent: singleHeader(request.headers.traceparent),
+                startSpan,
+            };
+            serveCall(router, context, request, response).catch(() => request.socket.destroy());
+        },
+        intake,
+    );
 }
 
 async function serveCall(
--- a/packages/runtime/src/metrics/exposition.ts
+++ b/packages/runtime/src/metrics/exposition.ts
@@ -1,11 +1,13 @@
 import { Registry } from "prom-client";
 import type { Clock } from "../clock/clock.ts";
+import { createIntakeMetrics, type IntakeMetrics } from "./intakeMetrics.ts";
 import { measureProcess } from "./promMetrics.ts";
 import { createSchedulerMetrics, type SchedulerMetrics } from "./schedulerMetrics.ts";
 
 /** The scheduler's metrics of one process and their exposition to Prometheus. */
 export interface Exposition {
     metrics: SchedulerMetrics;
+    intake: IntakeMetrics;
     contentType: string;
     /** Renders the metrics in the Prometheus text format. */
     text(): Promise<string>;
@@ -18,6 +20,7 @@
     const stop = measureProcess(registry, clock);
     return {
         metrics: createSchedulerMetrics(registry, clock, droppedLines),
+        intake: createIntakeMetrics(registry),
         contentType: registry.contentType,
         text: () => registry.metrics(),
         stop,
--- a/packages/runtime/src/metrics/metricsListener.ts
+++ b/packages/runtime/src/metrics/metricsListener.ts
@@ -1,4 +1,5 @@
 import { sendJson, startListener, type Listener } from "../http/listener.ts";
+import type { Intake } from "../intake/intake.ts";
 import { findRoute, type Routes } from "../http/routes.ts";
 
 /** Health of a process as its health check reports it to the load balancer. */
@@ -10,6 +11,7 @@
     contentType: string;
     text: () => Promise<string>;
     health: () => ProcessHealth;
+    intake?: Intake;
 }
 
 /** Serves `GET /metrics` and `GET /health`; the health check answers 503 once a graceful stop has begun. */
@@ -25,13 +27,17 @@
             sendJson(response, health === "serving" ? 200 : 503, { health });
         },
     };
-    return startListener(options.address, (request, response) => {
-        const found = findRoute(routes, request);
-        if (!found) {
-            sendJson(response, 404, {});
-            return;
-        }
-        const call = { context: undefined, segments: found.segments, request, response };
-        found.route(call).catch(() => request.socket.destroy());
-    });
+    return startListener(
+        options.address,
+        (request, response) => {
+            const found = findRoute(routes, request);
+            if (!found) {
+                sendJson(response, 404, {});
+                return;
+            }
+            const call = { context: undefined, segments: found.segments, request, response };
+            found.route(call).catch(() => request.socket.destroy());
+        },
+        options.intake,
+    );
 }
--- a/packages/tanagerdeck/src/platform/platformAgent.ts
+++ b/packages/tanagerdeck/src/platform/platformAgent.ts
@@ -17,6 +17,7 @@
 import { startAgentPresenceTask } from "@tanagerdeck/store/presence/agentPresenceTask";
 import { agentKey } from "@tanagerdeck/store/replica/storeKeys";
 import { createExposition } from "@tanagerdeck/runtime/metrics/exposition";
+import { createIntakeSet } from "./intakeLimits.ts";
 import { PLATFORM_PEER_TOKEN } from "./peerToken.ts";
 import type { PlatformAgentSettings } from "./platformSettings.ts";
 import { reloadSettings } from "./reloadSettings.ts";
@@ -36,6 +37,7 @@
     const log = createLog(settings.name, "info", sink);
     const exposition = createExposition(clock, sink.dropped);
     const { metrics } = exposition;
+    const intakes = createIntakeSet({ clock, log: log.part("ingress"), metrics: exposition.intake });
     const clients = createPlanClients(PLATFORM_PEER_TOKEN);
     const peerAddress = `${settings.ip}:${settings.peerPort}`;
     const incarnation = nanoid(10);
@@ -80,6 +82,8 @@
                 return agent.ask((reply: Reply<SyncReply>) => ({ kind: "sync", request, reply }));
             },
         }),
+        undefined,
+        intakes.forPeers(),
     );
     const registration = await startRegistrationListener({
         address: settings.registrationAddress,
@@ -88,12 +92,14 @@
             agent.ask((reply: Reply<void>) => ({ kind: "heartbeat", heartbeat, reply })),
         onLeave: leave => agent.ask((reply: Reply<void>) => ({ kind: "left", ...leave, reply })),
         log: log.part("registration"),
+        intake: intakes.forWorker(),
     });
     const metricsListener = await startMetricsListener({
         address: `${settings.ip}:${settings.metricsPort}`,
         contentType: exposition.contentType,
         text: exposition.text,
         health: () => "serving",
+        intake: intakes.forProbes(),
     });
     log.info("The agent is serving.", { peerAddress, worker: settings.workerAddress });
 
--- a/packages/tanagerdeck/src/platform/platformEntry.ts
+++ b/packages/tanagerdeck/src/platform/platformEntry.ts
@@ -33,6 +33,7 @@
 import { startReplicaTask } from "@tanagerdeck/store/replica/replicaTask";
 import { entryKey, parseStoreKey, ROOT_PREFIX } from "@tanagerdeck/store/replica/storeKeys";
 import { createExposition } from "@tanagerdeck/runtime/metrics/exposition";
+import { cacheLimits, createIntakeSet } from "./intakeLimits.ts";
 import { PLATFORM_PEER_TOKEN } from "./peerToken.ts";
 import type { PlatformEntrySettings } from "./platformSettings.ts";
 import { createSessionSet, type SessionSet } from "./sessionSet.ts";
@@ -72,6 +73,7 @@
     const log = createLog(settings.name, "info", sink);
     const exposition = createExposition(clock, sink.dropped);
     const { metrics } = exposition;
+    const intakes = createIntakeSet({ clock, log: log.part("ingress"), metrics: exposition.intake });
     const times = leaseTimes(settings.longestHoldMs);
     const clients = createPlanClients(PLATFORM_PEER_TOKEN);
     const peerAddress = `${settings.ip}:${settings.peerPort}`;
@@ -252,10 +254,13 @@
             learn: async item => replica.send({ kind: "learned", item }),
             doubt: async id => jobApiTask.send({ kind: "doubt", id }),
         }),
+        undefined,
+        intakes.forPeers(),
     );
     const readyListener = await startReadyListener(
         settings.readyAddress,
         () => manifestIndex !== undefined && !isStopping && !storeAccess.isUnavailable(),
+        intakes.forProbes(),
     );
     const jobListener = await startJobListener({
         address: settings.callerAddress,
@@ -263,12 +268,19 @@
         access: call => manifestIndex && checkAccess(manifestIndex, call),
         bodyLimitBytes: () => manifestIndex?.manifest.bodyLimitBytes ?? 0,
         log: log.part("ingress"),
+        intake: intakes.forCallers(
+            cacheLimits(
+                () => settings,
+                () => manifestIndex?.manifest,
+            ),
+        ),
     });
     const metricsListener = await startMetricsListener({
         address: `${settings.ip}:${settings.metricsPort}`,
         contentType: exposition.contentType,
         text: exposition.text,
         health: () => (isStopping ? "stopping" : "serving"),
+        intake: intakes.forProbes(),
     });
     log.info("The entry is serving.", { callerAddress: settings.callerAddress, peerAddress });
 
--- a/packages/tanagerdeck/src/platform/platformSettings.ts
+++ b/packages/tanagerdeck/src/platform/platformSettings.ts
@@ -29,6 +29,25 @@
         .transform(limitMs => limitMs ?? undefined),
 };
 
+const optionalPositive = z
+    .number()
+    .positive()
+    .nullish()
+    .transform(value => value ?? undefined);
+
+/** Limits for what callers may make an entry hold; each has a default. */
+const intakeSchema = z.object({
+    /** Memory for all connections of callers, in MB. */
+    memoryMb: optionalPositive,
+    maxConnections: optionalPositive,
+    /** Unanswered requests of a connection up to which it is read. */
+    readAhead: optionalPositive,
+    /** Replaces the manifest's `header_timeout_ms`. */
+    headTimeoutMs: optionalPositive,
+    /** Replaces the manifest's `idle_timeout_ms`. */
+    idleTimeoutMs: optionalPositive,
+});
+
 /** Settings of an entry process on the users' platform. */
 export const platformEntrySchema = z.object({
     ...commonSettings,
@@ -40,6 +59,11 @@
     cpuShare: z.number().positive().default(1),
     /** Speed of that core relative to a standard core. */
     cpuSpeed: z.number().positive().default(1),
+    /** Memory of the VM in MB. */
+    memoryMb: optionalPositive,
+    /** File descriptors that the process may open. */
+    maxDescriptors: optionalPositive,
+    intake: intakeSchema.nullish().transform(intake => intake ?? undefined),
     /** All availability zones with their regions; an evacuation of another zone has no effect. */
     zones: z
         .record(z.string(), z.string())
--- a/packages/tanagerdeck/src/platform/reloadSettings.ts
+++ b/packages/tanagerdeck/src/platform/reloadSettings.ts
@@ -2,7 +2,7 @@
 import type { Log } from "@tanagerdeck/runtime/log/log";
 
 /** Settings that take effect on a reload; changes of the others need a restart of the process. */
-const RELOADABLE = new Set(["seeds", "keepJobsSeconds"]);
+const RELOADABLE = new Set(["seeds", "keepJobsSeconds", "memoryMb", "maxDescriptors", "intake"]);
 
 /** Returns the settings read again, or the current ones if the new ones cannot be read. */
 export function reloadSettings<T extends object>(
