Bound the connections that pass bytes on in one turn

With 900 connections sending, each turn of the event loop passed a slice of each, and the loop accepts one connection a turn, so an ordinary caller waited for more than 5 s to be accepted. At most 64 connections pass bytes on in a turn.

--- a/packages/runtime/src/http/intakeStream.ts
+++ b/packages/runtime/src/http/intakeStream.ts
@@ -208,6 +208,11 @@
         this.#schedule();
     }
 
+    takeTurn(): void {
+        this.#isScheduled = false;
+        this.#pump();
+    }
+
     override _read(): void {
         if (this.hasPending || this.#isEnded) {
             this.#schedule();
@@ -282,10 +287,7 @@
     #schedule(): void {
         if (!this.#isScheduled && !this.destroyed) {
             this.#isScheduled = true;
-            setImmediate(() => {
-                this.#isScheduled = false;
-                this.#pump();
-            });
+            this.#intake.schedule(this);
         }
     }
 
--- a/packages/runtime/src/intake/intake.ts
+++ b/packages/runtime/src/intake/intake.ts
@@ -15,6 +15,8 @@
     close(): void;
     /** Called when the connection may be read again after `waitForRoom`. */
     readAgain(): void;
+    /** Called in a turn of the event loop after `schedule`. */
+    takeTurn(): void;
 }
 
 /** Controls what the listeners of a process take in. Several listeners can share one. */
@@ -32,6 +34,8 @@
     mayPass(state: ConnectionState): boolean;
     /** Registers a connection that may not be read now, if it waits for others and not for its own answers. */
     waitForRoom(connection: IntakeConnection): void;
+    /** Lets a connection pass bytes on in one of the next turns of the event loop. */
+    schedule(connection: IntakeConnection): void;
     /** Takes back a buffer that has collected a body. */
     giveBuffer(buffer: Buffer): void;
     /** Counts a connection that its listener closes. */
@@ -49,6 +53,11 @@
 /** Interval at which time limits are checked while connections are open; small against the shortest limit of seconds. */
 const SWEEP_INTERVAL_MS = 500;
 
+/**
+ * Connections that pass bytes on in one turn of the event loop. A turn then takes a few milliseconds at most; the event
+ * loop accepts one connection a turn, so those of other clients would wait for seconds otherwise.
+ */
+const CONNECTIONS_PER_TURN = 64;
 /** Part of the memory budget that buffers may take between two uses, beyond the budget. */
 const POOLED_PART = 0.25;
 /** Time after a search that found no connection to close; each search looks at all connections. */
@@ -88,6 +97,7 @@
     const buffers = createBufferPool();
     const connections = new Map<ConnectionState, IntakeConnection>();
     const waiting = new Set<IntakeConnection>();
+    let scheduled: IntakeConnection[] = [];
     let stopSweepTimer: TimerStop | undefined;
     let isSweeping = false;
     let isResuming = false;
@@ -141,6 +151,17 @@
         }
     }
 
+    function takeTurns(): void {
+        const taken = scheduled.slice(0, CONNECTIONS_PER_TURN);
+        scheduled = scheduled.slice(CONNECTIONS_PER_TURN);
+        if (scheduled.length > 0) {
+            setImmediate(takeTurns);
+        }
+        for (const connection of taken) {
+            connection.takeTurn();
+        }
+    }
+
     function resumeIfRoom(): void {
         if (waiting.size > 0 && hasRoom(ledger, limits())) {
             resumeWaiting();
@@ -245,6 +266,12 @@
                 waiting.add(connection);
             }
         },
+        schedule(connection) {
+            scheduled.push(connection);
+            if (scheduled.length === 1) {
+                setImmediate(takeTurns);
+            }
+        },
         giveBuffer(buffer) {
             buffers.give(buffer, limits().memoryBytes * POOLED_PART);
         },
