--- a/packages/store/src/manifest/manifestEvacuation.spec.ts
+++ b/packages/store/src/manifest/manifestEvacuation.spec.ts
@@ -49,8 +49,9 @@
     }
 
     function decode({ revision }: Item): Either<string, Manifest> {
-        const empty = { queues: [], services: [], clientAccounts: [], bodyLimitBytes: 0 };
-        return Right({ revision, version: 1, ...empty, unsupported });
+        const empty = { queues: [], services: [], clientAccounts: [] };
+        const limits = { bodyLimitBytes: 0, headerLimitBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 };
+        return Right({ revision, version: 1, ...empty, ...limits, unsupported });
     }
 
     async function start(): Promise<void> {
