End the requests of a closing listener within seconds

Callers saw nothing, but a leader that was told to stop under a crowd did not end within 20 s and would have been killed: as long as clients send requests ahead, each connection has a whole request in flight, and the listener waited for all of them.

Cause: the closing listener went on reading requests behind whole ones, and waited for clients that read no answer. Change: 1 s after the stop no more requests are read, and a client that reads nothing for 2 s is given up.

--- a/packages/runtime/src/http/intakeStream.ts
+++ b/packages/runtime/src/http/intakeStream.ts
@@ -159,6 +159,11 @@
         }
     }
 
+    /** Time for which the client has not read an answer that is ready; 0 if it has read all. */
+    unreadForMs(): number {
+        return this.writableLength > 0 ? this.#intake.clock.now() - this.state.sentAtMs : 0;
+    }
+
     /** Stops reading requests; what is received from now on is dropped. */
     stopReading(): void {
         this.#isStopped = true;
--- a/packages/runtime/src/http/listener.ts
+++ b/packages/runtime/src/http/listener.ts
@@ -34,6 +34,8 @@
 const ACCEPT_LIMIT_MS = 200;
 /** Time that a closing listener gives clients to send the rest of a request, or the first one of a connection. */
 const INCOMPLETE_REQUEST_LIMIT_MS = 1_000;
+/** Time without progress after which a closing listener no longer waits for a client to read its answers. */
+const UNREAD_ANSWER_LIMIT_MS = 2_000;
 /** How much earlier clients are told that an idle connection ends, so that no request is on its way then. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 /**
@@ -211,7 +213,7 @@
             stream.destroy();
         }
     }
-    const timer = setInterval(() => void closeIncomplete(state), INCOMPLETE_REQUEST_LIMIT_MS);
+    const timer = setInterval(() => void endRequests(state), INCOMPLETE_REQUEST_LIMIT_MS);
     while (streams.size > 0) {
         const [stream] = streams;
         await new Promise(resolve => stream?.once("close", resolve));
@@ -234,12 +236,19 @@
     acceptor.off("connection", noteAccepted);
 }
 
-/** Closes the connections without a whole request in flight. */
-async function closeIncomplete({ streams }: ListenerState): Promise<void> {
+/**
+ * Closes the connections without a whole request in flight, and those whose clients do not read. From the others no more
+ * requests are read, as a client that always sends the next one would delay the stop until the process is killed.
+ */
+async function endRequests({ streams }: ListenerState): Promise<void> {
     await readReceived();
     for (const stream of streams) {
-        if (!stream.openRequests.some(({ request }) => request.complete)) {
+        const isWhole = stream.openRequests.some(({ request }) => request.complete);
+        if (!isWhole || stream.unreadForMs() > UNREAD_ANSWER_LIMIT_MS) {
             stream.destroy();
+        } else {
+            stream.stopReading();
+            stream.openRequests.at(-1)!.response.shouldKeepAlive = false;
         }
     }
 }
