Do not refuse a request for its chunk extensions

Cause: framing beyond 12 bytes for each byte of the body counted against the limit of heads. Extensions are dropped by the parser and cost no memory. Change: only framing beyond 256 bytes for each byte is refused, so that long trailers still are; what is charged to the memory budget stays.

--- a/packages/runtime/src/http/intakeStream.ts
+++ b/packages/runtime/src/http/intakeStream.ts
@@ -37,8 +37,10 @@
 const UNREAD_BODY_BYTES = 256;
 /** Largest write, so that the progress of a client that reads a long answer slowly can be seen. */
 const WRITE_BYTES = 64 * 1024;
-/** Framing that each body byte may have: chunks of one byte with a size of several digits. */
+/** Framing of each body byte that is not charged: chunks of one byte with a size of several digits. */
 const FRAMING_FACTOR = 12;
+/** Framing of each body byte that is not refused: chunks of one byte with an extension, which the parser drops. */
+const EXTENSION_FACTOR = 256;
 /**
  * What the parser accepts of a head or of trailers. It is fixed for each connection, so it lies far above the limit in
  * force, which then applies at once when it is raised. Manifests with a higher limit are served up to this one.
@@ -484,7 +486,8 @@
         const bodyBytes = this.#collectedBytes + (this.#latest?.readableLength ?? 0);
         const extraBytes = Math.max(0, part.passedBytes - bodyBytes * (1 + FRAMING_FACTOR));
         state.headBytes = Math.min(extraBytes, PARSED_HEAD_BYTES);
-        if (this.#collectedBytes > 0 && extraBytes > this.#intake.limits.headerBytes) {
+        const refusedBytes = part.passedBytes - bodyBytes * (1 + EXTENSION_FACTOR);
+        if (this.#collectedBytes > 0 && refusedBytes > this.#intake.limits.headerBytes) {
             this.#onLongHead(this);
         }
     }
