Learn the speeds of workers from the progress of tasks

Workers may differ in speed by a factor of 2.7 while they describe themselves alike. The leader now notes the pace of each single task and estimates a factor for each worker from the tasks of the same steps. The pace is measured between two reports, as a task may resume from a checkpoint. Gangs, long-running tasks, tasks away from their data and the time for which a worker is cold are left out. Factors between 0.8 and 1.25 count as 1; outside of that the mean without the two additional observations is used, as a worker of 0.6 otherwise counts as 0.7, which is enough for objectives that it misses.

--- a/packages/decisions/src/plan/clusterState.ts
+++ b/packages/decisions/src/plan/clusterState.ts
@@ -10,6 +10,8 @@
 import { createGroupIndex, movePhase, type GroupIndex } from "./groupIndex.ts";
 import { expectedCoreSeconds } from "../schedule/jobValue.ts";
 import type { RunId, SyncReport, WorkerDescription } from "../worker/workerReport.ts";
+import type { ProgressPoint } from "../speed/speedObservations.ts";
+import { createSpeedRecord, type SpeedRecord } from "../speed/speedTypes.ts";
 import { layoutFor, slotOf, type ProgressRecording, type ProgressSlot } from "./progressSlots.ts";
 import { withFault, type WorkerFault } from "./workerQuarantine.ts";
 
@@ -20,6 +22,8 @@
     progressedAt: number;
     /** Time of the latest report that listed the task as running, on the leader's clock. */
     listedAt: number;
+    /** Point from which the pace of the task is measured. */
+    paceFrom?: ProgressPoint | undefined;
     saved?: string | undefined;
 }
 
@@ -98,6 +102,8 @@
     cancelledBeforeAdded: Set<string>;
     /** Names of the evacuated availability zones, in which nothing may start. */
     evacuatedZones: ReadonlySet<string>;
+    /** What is known of the workers' speeds. */
+    speeds: SpeedRecord;
 }
 
 /** Creates an empty cluster state. */
@@ -108,6 +114,7 @@
         placements: new Map(),
         cancelledBeforeAdded: new Set(),
         evacuatedZones: new Set(),
+        speeds: createSpeedRecord(),
     };
 }
 
--- a/packages/decisions/src/plan/planReport.ts
+++ b/packages/decisions/src/plan/planReport.ts
@@ -16,6 +16,7 @@
     type RunId,
     type SyncReport,
 } from "../worker/workerReport.ts";
+import { observeTask, paceOrigin } from "../speed/speedObservations.ts";
 import {
     markChanged,
     updateGroup,
@@ -128,11 +129,14 @@
     if (!run) {
         return;
     }
+    const latest = { at: now, percent: row.percent };
+    const paceFrom = paceOrigin(taskProgress?.paceFrom, worker, latest);
     if (!taskProgress) {
         run.tasks.set(found.index, {
             percent: row.percent,
             progressedAt: now,
             listedAt: now,
+            paceFrom,
             saved: row.saved,
         });
         events.push(eventOf("started", worker, row, found.entry.job.id));
@@ -142,10 +146,12 @@
         }
     } else {
         taskProgress.listedAt = now;
+        taskProgress.paceFrom = paceFrom;
         taskProgress.saved = row.saved ?? taskProgress.saved;
         if (row.percent > taskProgress.percent) {
             taskProgress.percent = row.percent;
             taskProgress.progressedAt = now;
+            observeTask(cluster.speeds, worker, found, paceFrom, latest);
         }
     }
     if (!found.entry.progress.begun) {
@@ -162,7 +168,15 @@
     for (const { entry, group, rows: ends } of groupRows(cluster, unknownEnds)) {
         const progress = groupProgress(entry.progress, group.key);
         const expected = ends.filter(({ index }) => placementOf(progress, index)?.worker === worker.name);
+        const tasks = entry.runs.get(group.key)?.tasks;
         for (const row of applyEnds(cluster, entry, group, expected)) {
+            if (row.end === "done") {
+                const from = tasks?.get(row.index)?.paceFrom;
+                observeTask(cluster.speeds, worker, { entry, group, index: row.index }, from, {
+                    at: now,
+                    percent: 100,
+                });
+            }
             events.push({ ...eventOf("ended", worker, row, entry.job.id), detail: row.end });
             updateFaults(worker, { entry, group, index: row.index }, row.end, now);
             if (!entry.progress.begun) {
