Place urgent groups on workers that are fast enough

An urgent gang with a task on a slow worker misses its objective, as it runs at the pace of its slowest member. A waiting group now states the factor that it needs; workers that have it come first, in the order used until now, and the others follow, fastest first. A gang within one rack prefers the rack with the fewest tasks on workers that are too slow. Runs without progress are expected to end later on slow workers. Where workers are known to differ, single tasks without haste go first to workers without observations, up to two of a step, as the tightest fit would leave half of the workers unknown; for urgent groups these count as hardly faster than the slowest. Where all factors are 1 the order is unchanged.

Run: specs of schedule, plan and speed, 160 passing, among them the property test against the plain searches with random speeds.

--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -13,6 +13,8 @@
     type WorkerView,
 } from "../schedule/scheduleTypes.ts";
 import type { RoundInput } from "../schedule/schedulingRound.ts";
+import { refreshSpeeds, slowestSpeed, speedViewOf } from "../speed/speedEstimate.ts";
+import { neededSpeedOf } from "../speed/sufficientSpeed.ts";
 import {
     updateGroup,
     isCancelledOrEnded,
@@ -51,6 +53,7 @@
         openJobs.map(({ entry, terms }) => ({ job: entry.job, priority: terms.priority })),
         context.guaranteedGpus,
     );
+    refreshSpeeds(cluster.speeds, context.now);
     const lookUpValue = createValueLookup(cluster, context);
     const startingSuspects = workersOfStartingSuspects(cluster, context.now);
     const idle = idleServices(cluster);
@@ -64,12 +67,14 @@
         noteIdleTime(entry, ready.groups.length > 0, context.now);
         const isOverdue = idle.has(entry.job.service) && isIdleForLong(entry, context.now);
         for (const group of ready.groups) {
+            const value = lookUpValue(entry, group);
             waiting.push({
                 job: entry.job,
                 group,
                 isGuaranteed: guaranteed.has(entry.job.id),
                 priority: terms.priority,
-                value: lookUpValue(entry, group),
+                value,
+                neededSpeed: neededSpeedOf(group.step, value, context.wallMs),
                 failedOn: workersToAvoid(entry, group, startingSuspects, context.now),
                 // A long-running task earns for each second at work, wherever it runs.
                 takesAnyRoom: group.step.longRunning || isOverdue,
@@ -201,6 +206,7 @@
             isQuarantined: quarantined.has(worker.name),
             recentFaults: countRecentFaults(worker.faults, now),
             isCold: (description.coldRemainingMs ?? 0) > 0,
+            ...speedViewOf(cluster.speeds, worker.name, description.boot),
             tasksByStep: usage?.steps ?? new Map(),
         });
     }
@@ -257,7 +263,9 @@
                 workers: progress.placements.map(placement => placement.worker),
                 isClosing: progress.phase !== "placed" || isCancelledOrEnded(entry),
                 value: lookUpValue(entry, group),
-                remainingMs: expectedRemainingMs(group, run, context.now),
+                remainingMs: expectedRemainingMs(group, run, context.now, () =>
+                    slowestSpeed(cluster.speeds, progress.placements),
+                ),
                 lostCoreSeconds: (cores * lostMs) / 1_000,
                 lostMs,
             });
@@ -270,7 +278,12 @@
 const MIN_PERCENT_TO_EXTRAPOLATE = 10;
 
 /** Expected time until a run ends, based on its slowest task. */
-function expectedRemainingMs({ step }: TaskGroup, run: OpenRunState, now: number): number {
+function expectedRemainingMs(
+    { step }: TaskGroup,
+    run: OpenRunState,
+    now: number,
+    slowest: () => number,
+): number {
     const elapsedMs = now - run.openedAt;
     let percent = 100;
     for (const task of run.tasks.values()) {
@@ -279,7 +292,7 @@
     if (run.tasks.size > 0 && percent >= MIN_PERCENT_TO_EXTRAPOLATE) {
         return (elapsedMs * (100 - percent)) / percent;
     }
-    return Math.max(MIN_REMAINING_MS, estimateOf(step) - elapsedMs);
+    return Math.max(MIN_REMAINING_MS, estimateOf(step) / slowest() - elapsedMs);
 }
 
 /** Lower bound for a remaining time that is based on the submitter's estimate, as a run may exceed its estimate. */
--- a/packages/decisions/src/schedule/placementSearch.ts
+++ b/packages/decisions/src/schedule/placementSearch.ts
@@ -1,4 +1,5 @@
 import { countFitting, subtractResources, type Resources } from "../job/jobTypes.ts";
+import { speedShortfall } from "../speed/sufficientSpeed.ts";
 import {
     addAt,
     copyColumns,
@@ -34,6 +35,8 @@
     position: number;
     worker: WorkerView;
     slots: number;
+    /** 0 if the worker is fast enough; otherwise greater for slower workers. */
+    shortfall: number;
     /** Sum of the unused fractions of each resource if the worker took `slots` tasks; smaller is a tighter fit. */
     leftover: number;
 }
@@ -190,18 +193,21 @@
         const slots = Math.min(countFitting(free, needed), slotLimit(fleet, request, position));
         if (slots > 0) {
             const worker = fleet.workers[position]!;
-            candidates.push({ position, worker, slots, leftover: leftoverOf(worker, free, needed, slots) });
+            const shortfall = speedShortfall(worker, request.waiting);
+            const leftover = leftoverOf(worker, free, needed, slots);
+            candidates.push({ position, worker, slots, shortfall, leftover });
         }
     }
     return candidates.sort(compareCandidates);
 }
 
 /**
- * Orders by fewest recent faults, then warm before cold, then by tightest fit, so that whole workers stay free for large
- * tasks.
+ * Orders by fast enough before too slow and faster before slower among the latter, then by fewest recent faults, then warm
+ * before cold, then by tightest fit, so that whole workers stay free for large tasks.
  */
 function compareCandidates(left: Candidate, right: Candidate): number {
     return (
+        left.shortfall - right.shortfall ||
         left.worker.recentFaults - right.worker.recentFaults ||
         Number(left.worker.isCold ?? false) - Number(right.worker.isCold ?? false) ||
         left.leftover - right.leftover ||
@@ -228,8 +234,8 @@
 }
 
 /**
- * Assigns all tasks to one rack: the one with the fewest recent faults on the used workers, then the fewest cold ones among
- * them, then the fewest slots.
+ * Assigns all tasks to one rack: the one with the fewest tasks on workers that are too slow, then the fewest recent faults
+ * on the used workers, then the fewest cold ones among them, then the fewest slots.
  */
 function assignWithinRack(
     fleet: FleetTable,
@@ -253,6 +259,7 @@
             continue;
         }
         const used = new Set(places.map(place => place.worker));
+        const slowTasks = countSlowTasks(members, indexes.length);
         let recentFaults = 0;
         let coldWorkers = 0;
         let slots = 0;
@@ -263,7 +270,7 @@
             }
             slots += workerSlots;
         }
-        const rank = [recentFaults, coldWorkers, slots];
+        const rank = [slowTasks, recentFaults, coldWorkers, slots];
         if (!best || compareRanks(rank, best.rank) < 0) {
             best = { places, rank };
         }
@@ -271,6 +278,15 @@
     return best?.places;
 }
 
+/** Number of tasks that are assigned to workers that are too slow; these come last among the candidates. */
+function countSlowTasks(members: Candidate[], count: number): number {
+    let fastSlots = 0;
+    for (const { shortfall, slots } of members) {
+        fastSlots += shortfall <= 0 ? slots : 0;
+    }
+    return Math.max(0, count - fastSlots);
+}
+
 /** Compares ranks by their first numbers, and those with equal ones by the next. */
 function compareRanks(left: number[], right: number[]): number {
     for (const [position, number] of left.entries()) {
--- a/packages/decisions/src/schedule/scheduleTypes.ts
+++ b/packages/decisions/src/schedule/scheduleTypes.ts
@@ -22,6 +22,10 @@
     recentFaults: number;
     /** Whether the worker is slow after a cold start; among those with as many faults, warm ones are preferred. */
     isCold?: boolean | undefined;
+    /** Learned speed factor: 1 if absent, 0.5 if tasks take twice as long. */
+    speed?: number | undefined;
+    /** Whether nothing is known of the worker's speed although others differ. */
+    isSpeedUnknown?: boolean | undefined;
     /** Number of open tasks by step, keyed `job.occurrence.step`. */
     tasksByStep: Map<string, number>;
 }
@@ -38,6 +42,8 @@
     failedOn: ReadonlySet<string>;
     /** Whether the group takes any free capacity at once: that of planned places, and that far from its data, too. */
     takesAnyRoom: boolean;
+    /** Speed factor that workers need for the group to end within its objective; all suffice if absent. */
+    neededSpeed?: number | undefined;
 }
 
 /** A group with open placements. */
--- a/packages/decisions/src/schedule/schedulingRound.property.spec.ts
+++ b/packages/decisions/src/schedule/schedulingRound.property.spec.ts
@@ -30,6 +30,7 @@
     slackMs: fc.integer({ min: -5_000, max: 30_000 }),
     failedOn: fc.uniqueArray(fc.integer({ min: 0, max: 7 }), { maxLength: 2 }),
     takesAnyRoom: fc.constantFrom(false, false, false, true),
+    neededSpeed: fc.constantFrom(undefined, 0.5, 0.9, 1.4, Infinity),
     /** Position of the first worker, for placed groups. */
     at: fc.integer({ min: 0, max: 11 }),
     remainingMs: fc.integer({ min: 0, max: 9_000 }),
@@ -45,6 +46,8 @@
     recentFaults: fc.constantFrom(0, 0, 0, 2),
     isCold: fc.constantFrom(false, false, true),
     hasRack: fc.constantFrom(true, true, true, false),
+    speed: fc.constantFrom(undefined, 0.6, 1, 1.6),
+    isSpeedUnknown: fc.constantFrom(false, false, true),
 });
 
 type GroupFields = typeof groupFields extends fc.Arbitrary<infer Fields> ? Fields : never;
@@ -85,8 +88,9 @@
     const waitingGroups: WaitingGroup[] = waiting.flatMap((fields, number) => {
         const common = shared(fields, number, "waiting");
         const failedOn = new Set(fields.failedOn.map(position => `w${position}`));
-        const { takesAnyRoom } = fields;
-        return taskGroupsOf(common.job, 0).map(group => ({ ...common, group, failedOn, takesAnyRoom }));
+        const { takesAnyRoom, neededSpeed } = fields;
+        const own = { failedOn, takesAnyRoom, neededSpeed };
+        return taskGroupsOf(common.job, 0).map(group => ({ ...common, ...own, group }));
     });
     const placedGroups: PlacedGroup[] = [];
     for (const [number, fields] of placed.entries()) {
--- a/standins/src/plan/plain/plainPlacementSearch.ts
+++ b/standins/src/plan/plain/plainPlacementSearch.ts
@@ -20,6 +20,8 @@
 interface Candidate {
     worker: WorkerView;
     slots: number;
+    /** 0 if the worker is fast enough; otherwise greater for slower workers. */
+    shortfall: number;
     /** Sum of the unused fractions of each resource if the worker took `slots` tasks; smaller is a tighter fit. */
     leftover: number;
 }
@@ -102,18 +104,21 @@
             group.indexes.length,
         );
         if (slots > 0) {
-            candidates.push({ worker, slots, leftover: leftoverOf(worker, free, resources, slots) });
+            const shortfall = shortfallOf(worker, waiting);
+            const leftover = leftoverOf(worker, free, resources, slots);
+            candidates.push({ worker, slots, shortfall, leftover });
         }
     }
     return candidates.sort(compareCandidates);
 }
 
 /**
- * Orders by fewest recent faults, then warm before cold, then by tightest fit, so that whole workers stay free for large
- * tasks.
+ * Orders by fast enough before too slow and faster before slower among the latter, then by fewest recent faults, then warm
+ * before cold, then by tightest fit, so that whole workers stay free for large tasks.
  */
 function compareCandidates(left: Candidate, right: Candidate): number {
     return (
+        left.shortfall - right.shortfall ||
         left.worker.recentFaults - right.worker.recentFaults ||
         Number(left.worker.isCold ?? false) - Number(right.worker.isCold ?? false) ||
         left.leftover - right.leftover ||
@@ -122,6 +127,16 @@
     );
 }
 
+/** Slower workers fall shorter; those of unknown speed come first for two tasks of each step outside of gangs. */
+function shortfallOf({ speed = 1, isSpeedUnknown, tasksByStep }: WorkerView, waiting: WaitingGroup): number {
+    if (speed < (waiting.neededSpeed ?? 0)) {
+        return 1 / speed;
+    }
+    const { step } = waiting.group;
+    const started = tasksByStep.get(stepKey(waiting.job.id, waiting.group)) ?? 0;
+    return isSpeedUnknown && !step.gang && !step.longRunning && started < 2 ? -1 : 0;
+}
+
 function slotsLeft(worker: WorkerView, { job, group }: WaitingGroup): number {
     const { maxPerWorker } = group.step;
     if (maxPerWorker === undefined) {
@@ -148,8 +163,8 @@
 }
 
 /**
- * Assigns all tasks to one rack: the one with the fewest recent faults on the used workers, then the fewest cold ones among
- * them, then the fewest slots.
+ * Assigns all tasks to one rack: the one with the fewest tasks on workers that are too slow, then the fewest recent faults
+ * on the used workers, then the fewest cold ones among them, then the fewest slots.
  */
 function assignWithinRack(candidates: Candidate[], indexes: number[]): TaskPlace[] | undefined {
     const racks = new Map<string, Candidate[]>();
@@ -157,7 +172,7 @@
         const rack = candidate.worker.rack ?? candidate.worker.name;
         racks.set(rack, [...(racks.get(rack) ?? []), candidate]);
     }
-    let best: { places: TaskPlace[]; recentFaults: number; cold: number; slots: number } | undefined;
+    let best: { places: TaskPlace[]; rank: number[] } | undefined;
     for (const members of racks.values()) {
         const places = assignTasks(members, indexes);
         if (!places) {
@@ -171,13 +186,14 @@
             slots += workerSlots;
         }
         const cold = members.filter(({ worker }) => worker.isCold && used.has(worker.name)).length;
-        const isBetter =
-            !best ||
-            recentFaults < best.recentFaults ||
-            (recentFaults === best.recentFaults && cold < best.cold) ||
-            (recentFaults === best.recentFaults && cold === best.cold && slots < best.slots);
-        if (isBetter) {
-            best = { places, recentFaults, cold, slots };
+        const slowNames = new Set(
+            members.filter(({ shortfall }) => shortfall > 0).map(({ worker }) => worker.name),
+        );
+        const slow = places.filter(({ worker }) => slowNames.has(worker)).length;
+        const rank = [slow, recentFaults, cold, slots];
+        const differing = rank.findIndex((number, position) => number !== best?.rank[position]);
+        if (!best || (differing >= 0 && rank[differing]! < best.rank[differing]!)) {
+            best = { places, rank };
         }
     }
     return best?.places;
