Keep the learned speeds across a change of leader

The leader records the factors under tanagerdeck-handover/speeds, by worker and boot, under the same condition as the absences, at most every 5 s and only if a factor has changed by more than a tenth. The next leader starts from them, each as at most 4 observations. A malformed value is logged and ignored. At most 1,000 workers are stored, so that the value stays near 110 KB. A log line names a worker whose speed becomes known, and tanagerdeck_worker_speeds counts the workers by speed.

--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -33,6 +33,7 @@
 import { createPlanningLog } from "./planningLog.ts";
 import { applyCommittedWrite, setFinalStates, createWrites, type RecordWrite } from "./progressRecording.ts";
 import { reloadJobs } from "./progressReloading.ts";
+import { createSpeedRecorder } from "./speedRecording.ts";
 
 interface PlannerState {
     cluster: ClusterState;
@@ -92,6 +93,7 @@
     };
     const planningLog = createPlanningLog({ term, clock, log, metrics, termsOf: queueTermsOf });
     const startCommit = createStartCommit(commit);
+    const halt = () => haltAndNotify(state);
     const absenceRecorder = createAbsenceRecorder({
         term,
         formerTerm: options.formerTerm,
@@ -100,8 +102,9 @@
         newWriteId,
         sessions,
         commit: startCommit,
-        halt: () => haltAndNotify(state),
+        halt,
     });
+    const speedRecorder = createSpeedRecorder({ ...options, commit: startCommit, halt });
 
     function queueTermsOf({ job }: JobEntry): QueueTerms {
         return state.index?.queuesByName.get(job.queue)?.terms ?? job.terms;
@@ -123,6 +126,7 @@
             logUnreadable(key);
         }
         absenceRecorder.load(state, items);
+        speedRecorder.load(state, items);
     }
 
     function register(state: PlannerState, name: string, item: { key: string; value: string }): void {
@@ -290,6 +294,7 @@
         handlers: {
             withheld: absenceRecorder.withheld,
             "absences-recorded": absenceRecorder["absences-recorded"],
+            "speeds-recorded": speedRecorder["speeds-recorded"],
             loaded(state, { result }, context) {
                 result.caseOf({
                     Left(problem) {
@@ -379,6 +384,7 @@
                 if (!state.isSuspended) {
                     closeOverdueRuns(state.cluster, closedAfterMs(times), clock.now(), planningLog);
                     absenceRecorder.update(state, context);
+                    speedRecorder.update(state, context);
                     removeExpiredJobs(state, context);
                     requestPlan(state, context);
                 }
--- a/packages/peer/src/planner/plannerTypes.ts
+++ b/packages/peer/src/planner/plannerTypes.ts
@@ -15,6 +15,7 @@
 import type { AgentOrders } from "../session/sessionTask.ts";
 import type { AbsenceMessage } from "./absenceRecording.ts";
 import type { RecordWrite } from "./progressRecording.ts";
+import type { SpeedMessage } from "./speedRecording.ts";
 
 /** Messages of the planner's task. */
 export type PlannerMessage =
@@ -32,6 +33,7 @@
     | { kind: "tick" }
     | { kind: "recorded"; write: RecordWrite; result: Either<Failure, CommitReply> }
     | AbsenceMessage
+    | SpeedMessage
     | { kind: "halt"; reply: Reply<void> };
 
 /** Operations of the planner on its sessions with the agents. */
--- a/packages/runtime/src/metrics/schedulerMetrics.ts
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -42,6 +42,8 @@
     /** Records that the manifest in force was confirmed to be the store's newest. */
     manifestConfirmed(): void;
     fleet(load: FleetCounts): void;
+    /** Sets the number of workers by learned speed. */
+    workerSpeeds(counts: Record<"slow" | "normal" | "fast", number>): void;
     workerCalled(call: "hold" | "start" | "stop", result: RemoteCallResult | "refused"): void;
     /** Counts a start that the worker or its agent refused. */
     startRefused(reason: string): void;
@@ -64,6 +66,7 @@
     manifestRevision() {},
     manifestConfirmed() {},
     fleet() {},
+    workerSpeeds() {},
     workerCalled() {},
     startRefused() {},
 };
@@ -181,6 +184,12 @@
         labelNames: ["condition"],
         registers,
     });
+    const speeds = new Gauge({
+        name: "tanagerdeck_worker_speeds",
+        help: "Workers known to the leader, by learned speed.",
+        labelNames: ["speed"],
+        registers,
+    });
     const groups = new Gauge({
         name: "tanagerdeck_groups",
         help: "Task groups known to the leader that wait for a place or have one.",
@@ -236,6 +245,11 @@
             groups.set({ phase: "waiting" }, load.waitingGroups);
             groups.set({ phase: "placed" }, load.placedGroups);
         },
+        workerSpeeds(counts) {
+            for (const [speed, count] of Object.entries(counts)) {
+                speeds.set({ speed }, count);
+            }
+        },
         workerCalled: (call, result) => workerCalls.inc({ call, result }),
         startRefused: reason => refusedStarts.inc({ reason }),
     };
--- a/packages/store/src/replica/storeKeys.ts
+++ b/packages/store/src/replica/storeKeys.ts
@@ -13,6 +13,9 @@
 /** Key of the agents that have not reported to the leader for some time. */
 export const ABSENCES_KEY = `${HANDOVER_PREFIX}absences`;
 
+/** Key of the learned speeds of the workers. */
+export const SPEEDS_KEY = `${HANDOVER_PREFIX}speeds`;
+
 /** Parts of a stored job; each part has its own key. */
 export type JobPart = "definition" | "cancel" | "progress";
 
@@ -23,7 +26,8 @@
     | { kind: "entry"; name: string }
     | { kind: "agent"; name: string }
     | { kind: "leader" }
-    | { kind: "absences" };
+    | { kind: "absences" }
+    | { kind: "speeds" };
 
 /** Key of the leader, the only process that plans. It is bound to the leader's lease. */
 export const LEADER_KEY = `${ROOT_PREFIX}leader`;
@@ -63,6 +67,9 @@
     if (key === ABSENCES_KEY) {
         return { kind: "absences" };
     }
+    if (key === SPEEDS_KEY) {
+        return { kind: "speeds" };
+    }
     const [, id, number] = PROGRESS_PART_KEY.exec(key) ?? [];
     if (id !== undefined) {
         return { kind: "progress-part", id, number: Number(number) };
--- a/packages/store/src/replica/storedContentSchema.ts
+++ b/packages/store/src/replica/storedContentSchema.ts
@@ -124,5 +124,15 @@
     "progress-part": z.looseObject({ groups: z.record(z.string(), group) }),
     registration,
     leader: registration,
+    speeds: z.looseObject({
+        workers: z.record(
+            z.string(),
+            z.object({
+                boot: z.object({ id: z.string(), bornMs: z.number() }),
+                factor: z.number().positive(),
+                observations: z.number().nonnegative(),
+            }),
+        ),
+    }),
     absences: z.looseObject({ agents: z.record(z.string(), z.number().nonnegative()) }),
 } as const;
--- a/packages/store/src/replica/storedValueCodec.spec.ts
+++ b/packages/store/src/replica/storedValueCodec.spec.ts
@@ -31,6 +31,7 @@
         registration,
         leader: registration,
         absences: { agents: { a: 2_500 } },
+        speeds: { workers: { a: { boot: { id: "i-a", bornMs: 1 }, factor: 0.6, observations: 7 } } },
     };
     const kinds = Object.keys(contents) as (keyof StoredContents)[];
 
--- a/packages/store/src/replica/storedValueCodec.ts
+++ b/packages/store/src/replica/storedValueCodec.ts
@@ -46,6 +46,16 @@
      * leader grants a lease to a listed agent.
      */
     absences: { agents: Record<string, number> };
+    /** Learned speeds by worker. */
+    speeds: { workers: Record<string, StoredSpeed> };
+}
+
+/** Learned speed of a worker in one boot. */
+export interface StoredSpeed {
+    boot: Boot;
+    /** 1: normal, 0.5: tasks take twice as long. */
+    factor: number;
+    observations: number;
 }
 
 /** Levels of nesting above which a stored value is not decoded; those written here have less than ten. */
