Bench the plan with workers of unequal speed

Adds a load with workers of speeds 0.6, 1 and 1.6 in turn, whose speeds the simulation learns as the leader does.

--- a/scripts/bench/planBench.ts
+++ b/scripts/bench/planBench.ts
@@ -4,8 +4,10 @@
 import { scheduleRound, type RoundInput } from "@tanagerdeck/decisions/schedule/schedulingRound";
 import type { Measure } from "./benchTypes.ts";
 import { plainScheduleRound } from "@tanagerdeck/standins/plan/plain/plainSchedulingRound";
+import { createSpeedRecord } from "@tanagerdeck/decisions/speed/speedTypes";
 import { simulatePlan, type PlanPolicy, type PlanResult } from "./planSimulation.ts";
-import { DEPLOYMENTS, planJobs } from "./planWorkload.ts";
+import type { SpeedKnowledge } from "./planSpeeds.ts";
+import { DEPLOYMENTS, planJobs, UNEQUAL_DEPLOYMENT } from "./planWorkload.ts";
 
 /** One of this many rounds is also decided by the plain searches, which take many times as long. */
 const PLAIN_ROUND_INTERVAL = 40;
@@ -65,6 +67,49 @@
             });
         }
     }
+    measures.push(...speedMeasures());
+    return measures;
+}
+
+/** Added to a seed for the jobs that run before those that are measured. */
+const EARLIER_SEED = 100;
+
+/**
+ * Measures the earned value, of all jobs and by queue, where workers differ in speed. The baseline is the same scheduler
+ * with equal factors for all workers. `fresh` knows nothing at first, `learned` has run the same load once before, and
+ * `known` has the true factors.
+ */
+export function speedMeasures(): Measure[] {
+    const deployment = UNEQUAL_DEPLOYMENT;
+    const run = (knowledge: SpeedKnowledge, hasRunBefore = false): PlanResult[] =>
+        Array.from({ length: deployment.seeds }, (_, seed) => {
+            const record = createSpeedRecord();
+            if (hasRunBefore) {
+                const earlier = planJobs(deployment, EARLIER_SEED + seed + 1);
+                simulatePlan(deployment, earlier, scheduleRound, knowledge, record);
+            }
+            return simulatePlan(deployment, planJobs(deployment, seed + 1), scheduleRound, knowledge, record);
+        });
+    const equal = run("nothing");
+    const measures: Measure[] = [];
+    for (const [name, results] of [
+        ["fresh", run("learned")],
+        ["learned", run("learned", true)],
+        ["known", run("all")],
+    ] as const) {
+        const measure = (kind: string, valueOf: (result: PlanResult) => number): Measure => ({
+            name: `plan.${deployment.name}.${name}.${kind}`,
+            unit: "of what is owed",
+            value: Number(mean(results.map(valueOf)).toFixed(3)),
+            baseline: Number(mean(equal.map(valueOf)).toFixed(3)),
+        });
+        measures.push(measure("worth", ({ earnedValueRatio }) => earnedValueRatio));
+        for (const { queue } of deployment.streams) {
+            measures.push(
+                measure(`worth.${queue}`, ({ valueRatioByQueue }) => valueRatioByQueue[queue] ?? 0),
+            );
+        }
+    }
     return measures;
 }
 
--- a/scripts/bench/planSimulation.ts
+++ b/scripts/bench/planSimulation.ts
@@ -20,7 +20,10 @@
     type WaitingGroup,
     type WorkerView,
 } from "@tanagerdeck/decisions/schedule/scheduleTypes";
+import { createSpeedRecord, type SpeedRecord } from "@tanagerdeck/decisions/speed/speedTypes";
+import { neededSpeedOf } from "@tanagerdeck/decisions/speed/sufficientSpeed";
 import type { RoundInput } from "@tanagerdeck/decisions/schedule/schedulingRound";
+import { knownSpeed, observeGroups, type SpeedKnowledge } from "./planSpeeds.ts";
 import type { Deployment, PlanJob } from "./planWorkload.ts";
 
 /** Decides which waiting groups start and which placed groups are preempted. */
@@ -30,6 +33,8 @@
 export interface PlanResult {
     /** Earned value divided by the value of all jobs. */
     earnedValueRatio: number;
+    /** The same for the jobs of each queue. */
+    valueRatioByQueue: Record<string, number>;
     /** Work lost by stops divided by the work of all jobs. */
     wastedWorkRatio: number;
     stops: number;
@@ -40,14 +45,14 @@
 }
 
 /** A task group of a job with its state in the simulation. */
-interface SimulatedGroup {
+export interface SimulatedGroup {
     owner: PlanJob;
     group: TaskGroup;
     places: TaskPlace[];
     /** Remaining work, as run time near the data. */
     leftMs: number;
     startedAtMs: number;
-    /** Factor by which the tasks run slower at their places than near the data. */
+    /** Factor by which the tasks run slower at their places than near the data on workers of normal speed. */
     factor: number;
     phase: "waiting" | "running" | "stopping" | "done";
     endsAtMs: number;
@@ -65,12 +70,25 @@
 /** Share of the run after which the observed pace shows the true duration. */
 const KNOWN_PACE_SHARE = 0.1;
 
-/** Simulates jobs under a policy until all have ended. Only arrivals, ends and stops are simulated. */
-export function simulatePlan(deployment: Deployment, jobs: PlanJob[], policy: PlanPolicy): PlanResult {
+/**
+ * Simulates jobs under a policy until all have ended. Only arrivals, ends and stops are simulated. `record` holds what is
+ * known of the speeds at the start.
+ */
+export function simulatePlan(
+    deployment: Deployment,
+    jobs: PlanJob[],
+    policy: PlanPolicy,
+    knowledge: SpeedKnowledge = "learned",
+    record: SpeedRecord = createSpeedRecord(),
+): PlanResult {
     const workers = workersOf(deployment);
+    const speeds = new Map(workers.map(({ name, speed }) => [name, speed ?? 1]));
+    // The times of a simulation begin at 0, also after an earlier one that has filled the record.
+    record.estimatedAt = -Infinity;
     const groups: SimulatedGroup[] = [];
     const result: PlanResult = {
         earnedValueRatio: 0,
+        valueRatioByQueue: {},
         wastedWorkRatio: 0,
         stops: 0,
         starvedJobs: 0,
@@ -78,6 +96,7 @@
     };
     const waits: Waits = { idleSince: new Map(), roomSince: new Map(), starved: new Set() };
     let offeredValue = 0;
+    const offeredByQueue = new Map<string, number>();
     let offeredWork = 0;
     let arrived = 0;
     let nowMs = 0;
@@ -89,27 +108,39 @@
             groups.push(...added);
             open.set(owner, added.length);
             offeredValue += owner.value;
+            const { queue } = owner.job;
+            offeredByQueue.set(queue, (offeredByQueue.get(queue) ?? 0) + owner.value);
             offeredWork += expectedCoreSeconds(owner.job.steps);
         }
+        if (deployment.speeds) {
+            observeGroups(record, groups, nowMs);
+        }
         finishDueGroups(groups, nowMs, owner => {
             const groupsLeft = open.get(owner)! - 1;
             open.set(owner, groupsLeft);
             if (groupsLeft === 0) {
                 open.delete(owner);
-                result.earnedValueRatio += earnedValue(owner, nowMs);
+                const earned = earnedValue(owner, nowMs);
+                result.earnedValueRatio += earned;
+                const { queue } = owner.job;
+                result.valueRatioByQueue[queue] = (result.valueRatioByQueue[queue] ?? 0) + earned;
             }
         });
         const input = inputOf(workers, groups, jobs.slice(0, arrived), deployment, nowMs);
         noteWaits(waits, input, groups);
+        input.workers = input.workers.map(view => ({ ...view, ...knownSpeed(record, view, knowledge) }));
         const startedAt = performance.now();
         const decisions = policy(input);
         result.longestRoundMs = Math.max(result.longestRoundMs, performance.now() - startedAt);
         for (const decision of decisions) {
-            result.wastedWorkRatio += applyDecision(groups, decision, nowMs);
+            result.wastedWorkRatio += applyDecision(groups, decision, speeds, nowMs);
             result.stops += decision.kind === "preempt" ? 1 : 0;
         }
         nowMs = nextTime(groups, jobs[arrived]?.job.acceptedAtMs, nowMs);
     }
+    for (const [queue, offered] of offeredByQueue) {
+        result.valueRatioByQueue[queue] = (result.valueRatioByQueue[queue] ?? 0) / offered;
+    }
     return {
         ...result,
         starvedJobs: waits.starved.size,
@@ -190,7 +221,7 @@
     return slots >= 2 * group.indexes.length;
 }
 
-function workersOf({ workers, workersPerRack, capacity }: Deployment): WorkerView[] {
+function workersOf({ workers, workersPerRack, capacity, speeds }: Deployment): WorkerView[] {
     return Array.from({ length: workers }, (_, number) => ({
         name: `w${number}`,
         service: "desk",
@@ -202,6 +233,7 @@
         isSchedulable: true,
         isQuarantined: false,
         recentFaults: 0,
+        speed: speeds?.[number % speeds.length],
         tasksByStep: new Map(),
     }));
 }
@@ -251,13 +283,19 @@
 }
 
 /** Applies a decision and returns the core-seconds of work that it loses. */
-function applyDecision(groups: SimulatedGroup[], decision: Decision, nowMs: number): number {
+function applyDecision(
+    groups: SimulatedGroup[],
+    decision: Decision,
+    speeds: ReadonlyMap<string, number>,
+    nowMs: number,
+): number {
     const simulated = groups.find(
         ({ owner, group }) => owner.job.id === decision.job && group.key === decision.group,
     )!;
     if (decision.kind === "place") {
         simulated.places = decision.places;
-        simulated.factor = decision.isFar ? FAR_FACTOR : 1;
+        const slowest = Math.min(...decision.places.map(({ worker }) => speeds.get(worker) ?? 1));
+        simulated.factor = (decision.isFar ? FAR_FACTOR : 1) / slowest;
         simulated.phase = "running";
         simulated.startedAtMs = nowMs;
         simulated.endsAtMs = nowMs + simulated.leftMs * simulated.factor;
@@ -305,7 +343,8 @@
         const { isGuaranteed } = simulated.owner;
         const shared = { job, group: simulated.group, isGuaranteed, priority, value };
         if (simulated.phase === "waiting") {
-            waiting.push({ ...shared, failedOn: new Set(), takesAnyRoom: false });
+            const neededSpeed = neededSpeedOf(simulated.group.step, value, nowMs);
+            waiting.push({ ...shared, failedOn: new Set(), takesAnyRoom: false, neededSpeed });
             continue;
         }
         const isClosing = simulated.phase === "stopping";
--- a/scripts/bench/planWorkload.ts
+++ b/scripts/bench/planWorkload.ts
@@ -23,6 +23,8 @@
     gangShare: number;
     sameRackShare: number;
     checkpointShare: number;
+    /** Maximum factor of a task's run time around that of its step; `TASK_SPREAD` if absent. */
+    taskSpread?: number;
 }
 
 /** Size of a deployment and its streams of jobs. */
@@ -34,6 +36,12 @@
     streams: JobStream[];
     /** Number of seeds to average over: on a small site, one different placement changes a seed's result by 0.1. */
     seeds: number;
+    /** Speed factors of the workers, in turn; all are 1 if absent. */
+    speeds?: readonly number[];
+    /** Time during which jobs arrive; `TRAFFIC_MS` if absent. */
+    trafficMs?: number;
+    /** Factor on the arrival rates; `HIGH_LOAD_FACTOR` if absent. */
+    loadFactor?: number;
 }
 
 /** A job with its true durations and its value, which the scheduler does not see. */
@@ -57,6 +65,8 @@
 const SPREAD = 3;
 /** Maximum size of a job, relative to the mean, that adds to its value. */
 const MAX_RELATIVE_SIZE = 4;
+/** Maximum factor between the run time of a task outside of gangs and that of its step. */
+const TASK_SPREAD = 1.15;
 /** Share of the urgent jobs that the guarantees cover. */
 const GUARANTEED_SHARE = 0.6;
 /** Share of the value of a job of mean size that does not depend on the size. */
@@ -152,16 +162,41 @@
     },
 ];
 
+/**
+ * A site on a quiet day whose workers differ in speed although they describe themselves alike. Tasks of a step differ by
+ * 30 percent for other reasons.
+ */
+export const UNEQUAL_DEPLOYMENT: Deployment = {
+    name: "unequal",
+    workers: 56,
+    workersPerRack: 4,
+    capacity: { cpuMillis: 128_000, memoryMb: 262_144, gpus: 8 },
+    streams: unequalStreams(),
+    seeds: 10,
+    speeds: [0.6, 1, 1.6],
+    trafficMs: 34_000,
+    loadFactor: 1,
+};
+
+function unequalStreams(): JobStream[] {
+    const [large, urgent, wide] = streamsOf({ rates: [0.46, 0.87, 0.25], tasks: [6, 5, 39], batchMs: 7_400 });
+    return [
+        { ...large!, meanMs: 10_000, cpuMillis: 52_000 },
+        { ...urgent!, meanMs: 3_000, cpuMillis: 15_000 },
+        { ...wide!, cpuMillis: 11_000, taskSpread: 1.3 },
+    ];
+}
+
 /** Generates the jobs of one seed, in order of arrival. */
 export function planJobs(deployment: Deployment, seed: number): PlanJob[] {
     const random = congruential32(seed);
+    const { trafficMs = TRAFFIC_MS, loadFactor = HIGH_LOAD_FACTOR } = deployment;
     const jobs: PlanJob[] = [];
     for (const stream of deployment.streams) {
         let atMs = 0;
         while (true) {
-            atMs +=
-                (-Math.log(1 - uniformFloat32(random)) * 1_000) / (stream.jobsPerSecond * HIGH_LOAD_FACTOR);
-            if (atMs >= TRAFFIC_MS) {
+            atMs += (-Math.log(1 - uniformFloat32(random)) * 1_000) / (stream.jobsPerSecond * loadFactor);
+            if (atMs >= trafficMs) {
                 break;
             }
             jobs.push(randomJob(stream, random, atMs, `${stream.queue}-${jobs.length}`));
@@ -178,6 +213,7 @@
     const gang = chance(stream.gangShare);
     const gpus = stream.gpus[Math.floor(uniformFloat32(random) * stream.gpus.length)]!;
     const baseMs = logUniformAround(stream.meanMs, SPREAD / 2);
+    const { taskSpread = TASK_SPREAD } = stream;
     const step: Step = {
         count,
         resources: { cpuMillis: stream.cpuMillis, memoryMb: 4_000, gpus },
@@ -189,7 +225,9 @@
         speculative: false,
         longRunning: false,
     };
-    const taskMs = Array.from({ length: count }, () => (gang ? baseMs : logUniformAround(baseMs, 1.15)));
+    const taskMs = Array.from({ length: count }, () =>
+        gang ? baseMs : logUniformAround(baseMs, taskSpread),
+    );
     const relativeSize = (count * baseMs) / (stream.meanTasks * stream.meanMs);
     const sizeFactor =
         SIZE_INDEPENDENT_SHARE + (1 - SIZE_INDEPENDENT_SHARE) * Math.min(MAX_RELATIVE_SIZE, relativeSize);
