--- a/scripts/bench/planSimulation.ts
+++ b/scripts/bench/planSimulation.ts
@@ -128,7 +128,9 @@
         });
         const input = inputOf(workers, groups, jobs.slice(0, arrived), deployment, nowMs);
         noteWaits(waits, input, groups);
-        input.workers = input.workers.map(view => ({ ...view, ...knownSpeed(record, view, knowledge) }));
+        if (deployment.speeds) {
+            input.workers = input.workers.map(view => ({ ...view, ...knownSpeed(record, view, knowledge) }));
+        }
         const startedAt = performance.now();
         const decisions = policy(input);
         result.longestRoundMs = Math.max(result.longestRoundMs, performance.now() - startedAt);
