--- a/packages/decisions/src/plan/planRound.ts
+++ b/packages/decisions/src/plan/planRound.ts
@@ -14,6 +14,8 @@
     type WorkerView,
 } from "../schedule/scheduleTypes.ts";
 import type { RoundInput } from "../schedule/schedulingRound.ts";
+import { refreshSpeeds, slowestSpeed, speedViewOf } from "../speed/speedEstimate.ts";
+import { neededSpeedOf } from "../speed/sufficientSpeed.ts";
 import {
     updateGroup,
     isCancelledOrEnded,
@@ -52,6 +54,7 @@
         openJobs.map(({ entry, terms }) => ({ job: entry.job, priority: terms.priority })),
         context.guaranteedGpus,
     );
+    refreshSpeeds(cluster.speeds, context.now);
     const lookUpValue = createValueLookup(cluster, context);
     const startingSuspects = workersOfStartingSuspects(cluster, context.now);
     const idle = idleServices(cluster);
@@ -65,12 +68,14 @@
         noteIdleTime(entry, ready.groups.length > 0, context.now);
         const isOverdue = idle.has(entry.job.service) && isIdleForLong(entry, context.now);
         for (const group of ready.groups) {
+            const value = lookUpValue(entry, group);
             waiting.push({
                 job: entry.job,
                 group,
                 isGuaranteed: guaranteed.has(entry.job.id),
                 priority: terms.priority,
-                value: lookUpValue(entry, group),
+                value,
+                neededSpeed: neededSpeedOf(group.step, value, context.wallMs),
                 failedOn: workersToAvoid(entry, group, startingSuspects, context.now),
                 // A long-running task earns for each second at work, wherever it runs.
                 takesAnyRoom: group.step.longRunning || isOverdue,
@@ -202,6 +207,7 @@
             isQuarantined: quarantined.has(worker.name),
             recentFaults: countRecentFaults(worker.faults, now),
             isCold: (description.coldRemainingMs ?? 0) > 0,
+            ...speedViewOf(cluster.speeds, worker.name, description.boot),
             tasksByStep: usage?.steps ?? new Map(),
         });
     }
@@ -259,7 +265,9 @@
                 workers: progress.placements.map(placement => placement.worker),
                 isClosing: progress.phase !== "placed" || isCancelledOrEnded(entry),
                 value: lookUpValue(entry, group),
-                remainingMs: expectedRemainingMs(group, run, context.now),
+                remainingMs: expectedRemainingMs(group, run, context.now, () =>
+                    slowestSpeed(cluster.speeds, progress.placements),
+                ),
                 leavesInMs: groupLeavesInMs(leaving, entry, key, context.now),
                 lostCoreSeconds: (cores * lostMs) / 1_000,
                 lostMs,
--- a/packages/peer/src/planner/plannerTask.ts
+++ b/packages/peer/src/planner/plannerTask.ts
@@ -34,6 +34,7 @@
 import { createPlanningLog } from "./planningLog.ts";
 import { applyCommittedWrite, setFinalStates, createWrites, type RecordWrite } from "./progressRecording.ts";
 import { reloadJobs } from "./progressReloading.ts";
+import { createSpeedRecorder } from "./speedRecording.ts";
 
 interface PlannerState {
     cluster: ClusterState;
@@ -94,6 +95,7 @@
     const planningLog = createPlanningLog({ term, clock, log, metrics, termsOf: queueTermsOf });
     const evacuationPlanning = createEvacuationPlanning(options);
     const startCommit = createStartCommit(commit);
+    const halt = () => haltAndNotify(state);
     const absenceRecorder = createAbsenceRecorder({
         term,
         formerTerm: options.formerTerm,
@@ -102,8 +104,9 @@
         newWriteId,
         sessions,
         commit: startCommit,
-        halt: () => haltAndNotify(state),
+        halt,
     });
+    const speedRecorder = createSpeedRecorder({ ...options, commit: startCommit, halt });
 
     function queueTermsOf({ job }: JobEntry): QueueTerms {
         return state.index?.queuesByName.get(job.queue)?.terms ?? job.terms;
@@ -125,6 +128,7 @@
             logUnreadable(key);
         }
         absenceRecorder.load(state, items);
+        speedRecorder.load(state, items);
     }
 
     function register(state: PlannerState, name: string, item: { key: string; value: string }): void {
@@ -278,6 +282,7 @@
         handlers: {
             withheld: absenceRecorder.withheld,
             "absences-recorded": absenceRecorder["absences-recorded"],
+            "speeds-recorded": speedRecorder["speeds-recorded"],
             loaded(state, { result }, context) {
                 result.caseOf({
                     Left(problem) {
@@ -372,6 +377,7 @@
                     const overdue = { now: clock.now(), closedAfterMs: closedAfterMs(times), mayStartLate };
                     closeOverdueRuns(state.cluster, overdue, planningLog);
                     absenceRecorder.update(state, context);
+                    speedRecorder.update(state, context);
                     removeExpiredJobs(state, context);
                     requestPlan(state, context);
                 }
--- a/packages/runtime/src/metrics/schedulerMetrics.ts
+++ b/packages/runtime/src/metrics/schedulerMetrics.ts
@@ -48,6 +48,8 @@
     /** Sets the number of tasks that still run in evacuated zones; 0 if this process does not lead. */
     tasksInEvacuatedZones(count: number): void;
     fleet(load: FleetCounts): void;
+    /** Sets the number of workers by learned speed. */
+    workerSpeeds(counts: Record<"slow" | "normal" | "fast", number>): void;
     workerCalled(call: "hold" | "start" | "stop", result: RemoteCallResult | "refused"): void;
     /** Counts a start that the worker or its agent refused. */
     startRefused(reason: string): void;
@@ -73,6 +75,7 @@
     zonesEvacuated() {},
     tasksInEvacuatedZones() {},
     fleet() {},
+    workerSpeeds() {},
     workerCalled() {},
     startRefused() {},
 };
@@ -206,6 +209,12 @@
         labelNames: ["condition"],
         registers,
     });
+    const speeds = new Gauge({
+        name: "tanagerdeck_worker_speeds",
+        help: "Workers known to the leader, by learned speed.",
+        labelNames: ["speed"],
+        registers,
+    });
     const groups = new Gauge({
         name: "tanagerdeck_groups",
         help: "Task groups known to the leader that wait for a place or have one.",
@@ -269,6 +278,11 @@
             groups.set({ phase: "waiting" }, load.waitingGroups);
             groups.set({ phase: "placed" }, load.placedGroups);
         },
+        workerSpeeds(counts) {
+            for (const [speed, count] of Object.entries(counts)) {
+                speeds.set({ speed }, count);
+            }
+        },
         workerCalled: (call, result) => workerCalls.inc({ call, result }),
         startRefused: reason => refusedStarts.inc({ reason }),
     };
