Move the parts of a message out of the intake's stream

Change: messagePart.ts holds what follows a head, how many bytes the parser is given at once, and what framing is charged or refused. No behaviour changes.

--- a/packages/runtime/src/http/intakeStream.ts
+++ b/packages/runtime/src/http/intakeStream.ts
@@ -6,6 +6,14 @@
 import { openState, type ConnectionState } from "../intake/intakeTypes.ts";
 import { moveToReadTarget } from "./bufferedSocket.ts";
 import { createHeadScanner } from "./headScanner.ts";
+import {
+    excessFraming,
+    hasNextHead,
+    partAfterHead,
+    sliceLength,
+    type ChunkedPart,
+    type MessagePart,
+} from "./messagePart.ts";
 
 /** A request that was read, at least its header, and has no whole answer yet. */
 export interface OpenRequest {
@@ -16,8 +24,6 @@
     headBytes: number;
 }
 
-/** Bytes that are passed to the parser at once while more requests may be behind them. */
-const SLICE_BYTES = 1_024;
 /** Bytes of one read, and so the most that a connection keeps while it is not read any further. */
 const READ_BYTES = 4_096;
 /** Bytes of one read while a body of known length is received. */
@@ -37,27 +43,14 @@
 const UNREAD_BODY_BYTES = 256;
 /** Largest write, so that the progress of a client that reads a long answer slowly can be seen. */
 const WRITE_BYTES = 64 * 1024;
-/** Framing of each body byte that is not charged: chunks of one byte with a size of several digits. */
-const FRAMING_FACTOR = 12;
-/** Framing of each body byte that is not refused: chunks of one byte with an extension, which the parser drops. */
-const EXTENSION_FACTOR = 256;
 /**
  * What the parser accepts of a head or of trailers. It is fixed for each connection, so it lies far above the limit in
  * force, which then applies at once when it is raised. Manifests with a higher limit are served up to this one.
  */
 export const PARSED_HEAD_BYTES = 256 * 1024;
-const MESSAGE_END = Buffer.from("\r\n\r\n", "latin1");
 /** Time for which input is dropped after an error answer; closing at once could reset the connection before it arrives. */
 const LINGER_MS = 500;
 
-/** What the next bytes of a connection belong to. */
-type Part = { kind: "head" } | { kind: "body"; remainingBytes: number } | ChunkedPart;
-
-interface ChunkedPart {
-    kind: "chunked";
-    passedBytes: number;
-}
-
 /** Called when a head is longer than the limit. */
 type LongHeadHandler = (stream: IntakeStream) => void;
 
@@ -76,7 +69,7 @@
     readonly #intake: Intake;
     readonly #onLongHead: LongHeadHandler;
     readonly #scanner = createHeadScanner();
-    #part: Part = { kind: "head" };
+    #part: MessagePart = { kind: "head" };
     /** Bytes that were taken from the socket and not passed on. */
     #rest: Buffer | undefined;
     #latest: IncomingMessage | undefined;
@@ -119,7 +112,7 @@
 
     /** Whether bytes were received that lie behind the latest request; unknown, and so false, behind a chunked body. */
     get hasPendingBehind(): boolean {
-        const part = this.#part.kind === "head" ? this.#partAfterHead() : this.#part;
+        const part = this.#part.kind === "head" ? partAfterHead(this.#latest) : this.#part;
         return (
             part.kind !== "chunked" && this.#pendingBytes() > (part.kind === "body" ? part.remainingBytes : 0)
         );
@@ -391,17 +384,11 @@
     }
 
     #takeSlice(): Buffer | undefined {
-        const part = this.#part;
         const rest = this.#rest;
         if (!rest) {
             return undefined;
         }
-        let end = Math.min(rest.length, SLICE_BYTES);
-        if (part.kind === "head") {
-            end = this.#scanner.headLength(rest.subarray(0, end));
-        } else if (part.kind === "body") {
-            end = Math.min(rest.length, part.remainingBytes);
-        }
+        const end = sliceLength(this.#part, rest, this.#scanner);
         this.#rest = end < rest.length ? rest.subarray(end) : undefined;
         return end < rest.length ? rest.subarray(0, end) : rest;
     }
@@ -422,8 +409,9 @@
             this.#countFraming(this.#part, slice);
         }
         if (this.#part.kind !== "head" && this.#latest?.complete) {
-            if (this.#part.kind === "chunked") {
-                this.#noteNextHead(slice);
+            if (this.#part.kind === "chunked" && hasNextHead(slice)) {
+                // The number of its bytes is not known and not counted.
+                state.headSinceMs = state.receivedAtMs;
             }
             this.#part = { kind: "head" };
             state.headBytes = 0;
@@ -432,13 +420,6 @@
         this.refresh();
     }
 
-    /** Notes that bytes after a chunked body begin the next head. Their number is not known and not counted. */
-    #noteNextHead(slice: Buffer): void {
-        if (!slice.subarray(-MESSAGE_END.length).equals(MESSAGE_END) && slice.length >= MESSAGE_END.length) {
-            this.state.headSinceMs = this.state.receivedAtMs;
-        }
-    }
-
     /** Counts the bytes of a head; false if it is longer than the limit. */
     #countHead(slice: Buffer): boolean {
         const { state } = this;
@@ -461,19 +442,7 @@
         state.headSinceMs = undefined;
         this.#collectedBytes = 0;
         this.#scanner.reset();
-        this.#part = this.#partAfterHead();
-    }
-
-    /** What follows the head of the latest request. */
-    #partAfterHead(): Part {
-        const request = this.#latest;
-        if (!request || request.complete) {
-            return { kind: "head" };
-        }
-        if (request.headers["transfer-encoding"] !== undefined) {
-            return { kind: "chunked", passedBytes: 0 };
-        }
-        return { kind: "body", remainingBytes: Number(request.headers["content-length"] ?? 0) };
+        this.#part = partAfterHead(this.#latest);
     }
 
     /**
@@ -484,10 +453,9 @@
         const { state } = this;
         part.passedBytes += slice.length;
         const bodyBytes = this.#collectedBytes + (this.#latest?.readableLength ?? 0);
-        const extraBytes = Math.max(0, part.passedBytes - bodyBytes * (1 + FRAMING_FACTOR));
-        state.headBytes = Math.min(extraBytes, PARSED_HEAD_BYTES);
-        const refusedBytes = part.passedBytes - bodyBytes * (1 + EXTENSION_FACTOR);
-        if (this.#collectedBytes > 0 && refusedBytes > this.#intake.limits.headerBytes) {
+        const { charged, refused } = excessFraming(part, bodyBytes);
+        state.headBytes = Math.min(charged, PARSED_HEAD_BYTES);
+        if (this.#collectedBytes > 0 && refused > this.#intake.limits.headerBytes) {
             this.#onLongHead(this);
         }
     }
