Count worker speeds only where enough workers differ

Change: a worker needs three observations, and a quarter of the workers with three must differ before any speed counts.

--- a/packages/decisions/src/speed/speedEstimate.ts
+++ b/packages/decisions/src/speed/speedEstimate.ts
@@ -16,6 +16,15 @@
 /** Factors in this range count as 1, so that noise changes nothing where workers are alike. */
 export const NORMAL_RANGE = { from: 0.8, to: 1.25 } as const;
 
+/** Observations without which a worker counts as normal: one task that takes half or twice the usual time is common. */
+const MIN_OBSERVATIONS = 3;
+
+/**
+ * Part of the known workers that must differ before any speed counts. Where workers are alike, some differ by chance, or
+ * as a fault has slowed them down for a time.
+ */
+const MIN_UNEQUAL_FRACTION = 0.25;
+
 /** Limits of a factor, so that a few odd tasks do not make a worker appear useless. */
 const MIN_FACTOR = 0.3;
 const MAX_FACTOR = 3;
@@ -110,7 +119,7 @@
  * which is enough for objectives that the worker misses.
  */
 export function effectiveFactor({ factor, observations }: WorkerSpeed): number {
-    if (observations <= 0 || (factor >= NORMAL_RANGE.from && factor <= NORMAL_RANGE.to)) {
+    if (observations < MIN_OBSERVATIONS || (factor >= NORMAL_RANGE.from && factor <= NORMAL_RANGE.to)) {
         return 1;
     }
     return limitFactor(Math.exp(meanLogFactor({ factor, observations })));
@@ -121,10 +130,9 @@
     return (Math.log(factor) * (observations + NORMAL_OBSERVATIONS)) / observations;
 }
 
-/** The factor that the plan uses for a worker; 1 if nothing is known of its boot. */
-export function speedOf({ estimate }: SpeedRecord, worker: string, boot: Boot): number {
-    // Most deployments have workers of one speed and no estimate, which costs no key.
-    const known = estimate.size > 0 ? estimate.get(speedKey(worker, boot)) : undefined;
+/** The factor that the plan uses for a worker; 1 if nothing is known of its boot, or if the workers count as equal. */
+export function speedOf({ estimate, slowest }: SpeedRecord, worker: string, boot: Boot): number {
+    const known = slowest === undefined ? undefined : estimate.get(speedKey(worker, boot));
     return known ? effectiveFactor(known) : 1;
 }
 
@@ -153,15 +161,21 @@
 /** Factor by which a worker without observations is preferred to the slowest known one. */
 const UNKNOWN_ABOVE_SLOWEST = 1.05;
 
-/** Sets the least factor, if the known workers differ. */
+/** Sets the least factor, if enough of the known workers differ. */
 function updateSlowest(record: SpeedRecord): void {
     let slowest = 1;
-    let areUnequal = false;
-    for (const known of record.estimate.values()) {
-        const effective = effectiveFactor(known);
+    let known = 0;
+    let unequal = 0;
+    for (const speed of record.estimate.values()) {
+        if (speed.observations < MIN_OBSERVATIONS) {
+            continue;
+        }
+        const effective = effectiveFactor(speed);
         slowest = Math.min(slowest, effective);
-        areUnequal ||= effective !== 1;
+        known += 1;
+        unequal += effective === 1 ? 0 : 1;
     }
+    const areUnequal = unequal > 0 && unequal >= known * MIN_UNEQUAL_FRACTION;
     record.slowest = areUnequal ? slowest : undefined;
 }
 
