Let single observations count once workers are known to differ

Change: what decides whether workers differ at all are those with two observations, at least four of them, of which a quarter must differ; once they do, single observations count again.

--- a/packages/decisions/src/speed/speedEstimate.ts
+++ b/packages/decisions/src/speed/speedEstimate.ts
@@ -16,13 +16,17 @@
 /** Factors in this range count as 1, so that noise changes nothing where workers are alike. */
 export const NORMAL_RANGE = { from: 0.8, to: 1.25 } as const;
 
-/** Observations without which a worker counts as normal: one task that takes half or twice the usual time is common. */
-const MIN_OBSERVATIONS = 3;
+/**
+ * Observations without which a worker does not tell whether the workers of the deployment differ: one task that takes half
+ * or twice the usual time is common.
+ */
+const MIN_OBSERVATIONS = 2;
 
 /**
- * Part of the known workers that must differ before any speed counts. Where workers are alike, some differ by chance, or
- * as a fault has slowed them down for a time.
+ * Workers that must be known, and the part of them that must differ, before any speed counts. Where workers are alike, some
+ * differ by chance, or as a fault has slowed them down for a time.
  */
+const MIN_KNOWN_WORKERS = 4;
 const MIN_UNEQUAL_FRACTION = 0.25;
 
 /** Limits of a factor, so that a few odd tasks do not make a worker appear useless. */
@@ -119,7 +123,7 @@
  * which is enough for objectives that the worker misses.
  */
 export function effectiveFactor({ factor, observations }: WorkerSpeed): number {
-    if (observations < MIN_OBSERVATIONS || (factor >= NORMAL_RANGE.from && factor <= NORMAL_RANGE.to)) {
+    if (observations <= 0 || (factor >= NORMAL_RANGE.from && factor <= NORMAL_RANGE.to)) {
         return 1;
     }
     return limitFactor(Math.exp(meanLogFactor({ factor, observations })));
@@ -175,7 +179,7 @@
         known += 1;
         unequal += effective === 1 ? 0 : 1;
     }
-    const areUnequal = unequal > 0 && unequal >= known * MIN_UNEQUAL_FRACTION;
+    const areUnequal = known >= MIN_KNOWN_WORKERS && unequal > 0 && unequal >= known * MIN_UNEQUAL_FRACTION;
     record.slowest = areUnequal ? slowest : undefined;
 }
 
