--- a/packages/backend/src/agent/evacuationCheck.ts
+++ b/packages/backend/src/agent/evacuationCheck.ts
@@ -1,3 +1,4 @@
+import { START_MARGIN_MS } from "@tanagerdeck/decisions/evacuation/startMargin";
 import type { EvacuationNotice } from "@tanagerdeck/decisions/worker/workerReport";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import { elapsedSince } from "@tanagerdeck/runtime/clock/instant";
@@ -13,9 +14,6 @@
 /** The parts of the agent's state that the check reads. */
 export type EvacuationState = Pick<AgentState, "incarnation" | "evacuation" | "worker">;
 
-/** Time left for the call to the worker and for clock drift when the oldest notice that counts is used. */
-export const START_MARGIN_MS = 1_000;
-
 /** Checks the leader's latest notice. Without a limit, the deployment does not use evacuations and nothing is checked. */
 export function startPermission(
     { incarnation, evacuation, worker }: EvacuationState,
--- a/packages/tanagerdeck/src/platform/evacuationState.ts
+++ b/packages/tanagerdeck/src/platform/evacuationState.ts
@@ -1,3 +1,4 @@
+import { START_MARGIN_MS } from "@tanagerdeck/decisions/evacuation/startMargin";
 import type { EvacuationView } from "@tanagerdeck/decisions/evacuation/evacuationTypes";
 import { decodeOperatorKey, OPERATOR_PREFIX } from "@tanagerdeck/platform/manifest/operatorKeys";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
@@ -16,8 +17,6 @@
     areStartsHeld(): boolean;
 }
 
-/** Margin by which an agent's notice must be below the limit, for the call to the worker and for clock drift. */
-const START_MARGIN_MS = 1_000;
 /** Time for which a notice is used at an agent until the next call replaces it. */
 const NOTICE_USE_MS = 1_000;
 
--- a/packages/tanagerdeck/src/platform/intakeLimits.ts
+++ b/packages/tanagerdeck/src/platform/intakeLimits.ts
@@ -20,7 +20,7 @@
 const DEFAULT_DESCRIPTORS = 4_100;
 /** Fewest connections of callers, for a VM whose descriptors would leave none. */
 const LEAST_CONNECTIONS = 100;
-/** Requests that a client may pipeline without waiting; known clients send fewer than 10. */
+/** Requests of a connection that are read ahead of their answers; further ones wait at the client, so none is refused. */
 const READ_AHEAD = 32;
 /** Limits until the first manifest is known; the platform's own defaults. */
 const DEFAULT_HEADER_BYTES = 16_384;
