Let no start run past the limit of an evacuation on a slow clock

Cause: the deadline of a start is a time on the worker's clock, which may run 2 percent slow, but it was computed as if both clocks ran alike: a start that was held up could run about 60 ms after the bound (review of the agent's part).

Change: the time that is left is divided by 1.02, with the drift that the leases use.

--- a/packages/backend/src/agent/evacuationCheck.ts
+++ b/packages/backend/src/agent/evacuationCheck.ts
@@ -1,4 +1,5 @@
 import { START_MARGIN_MS } from "@tanagerdeck/decisions/evacuation/startMargin";
+import { CLOCK_DRIFT } from "@tanagerdeck/decisions/lease/leaseTimes";
 import type { EvacuationNotice } from "@tanagerdeck/decisions/worker/workerReport";
 import type { Clock } from "@tanagerdeck/runtime/clock/clock";
 import { elapsedSince } from "@tanagerdeck/runtime/clock/instant";
@@ -35,7 +36,7 @@
 }
 
 /**
- * Time in milliseconds for which the worker may still execute a start that is sent now, so that a call held up in the
+ * Time on the worker's clock, which may run slow, for which it may still execute a start that is sent now, so that a call held up in the
  * network is not executed after the limit; infinite without a limit.
  */
 export function startLimitMs(
@@ -46,7 +47,7 @@
     if (limitMs === undefined || !evacuation) {
         return Infinity;
     }
-    return limitMs - noticeAgeMs(evacuation, clock);
+    return (limitMs - noticeAgeMs(evacuation, clock)) / (1 + CLOCK_DRIFT);
 }
 
 /** Age of the leader's knowledge in milliseconds, with the time that the notice was on its way. */
--- a/packages/decisions/src/lease/leaseTimes.ts
+++ b/packages/decisions/src/lease/leaseTimes.ts
@@ -9,7 +9,7 @@
 }
 
 /** Maximum fraction by which a worker's monotonic clock may run slow. */
-const CLOCK_DRIFT = 0.02;
+export const CLOCK_DRIFT = 0.02;
 /** Allowance for timer inaccuracy and scheduling delays of the processes involved. */
 const MARGIN_MS = 300;
 /** Maximum lease, so that the runs of a failed agent end within seconds. */
