--- a/review/standin-3/runner.mjs
+++ b/review/standin-3/runner.mjs
@@ -105,7 +105,16 @@
         const number = boot.nextEnd++;
         const row = [number, run.task, run.run, how, run.needs?.checkpointing ? run.saved : ""];
         boot.ended.push(row);
-        report({ kind: "end", runner: name, boot, task: run.task, run: run.run, how, number });
+        report({
+            kind: "end",
+            runner: name,
+            boot,
+            task: run.task,
+            run: run.run,
+            how,
+            number,
+            needs: run.needs,
+        });
         if (run.gang) {
             const gang = gangs.get(run.gang);
             gangs.delete(run.gang);
@@ -392,7 +401,15 @@
             clearTimeout(beatTimer);
             for (const run of [...boot.runs.values()]) {
                 boot.runs.delete(run.task);
-                report({ kind: "end", runner: name, boot, task: run.task, run: run.run, how: "crashed" });
+                report({
+                    kind: "end",
+                    runner: name,
+                    boot,
+                    task: run.task,
+                    run: run.run,
+                    how: "crashed",
+                    needs: run.needs,
+                });
                 if (run.gang) {
                     const gang = gangs.get(run.gang);
                     gangs.delete(run.gang);
