--- a/review/standin-3/deployment.mjs
+++ b/review/standin-3/deployment.mjs
@@ -162,6 +162,7 @@
             }
             return reply;
         },
+        callAddress: call,
         async submit(front, queue, body, { id = newId(), ...options } = {}) {
             jobs.set(id, body);
             const sent = {
