--- a/review/standin-3/crowd.mjs
+++ b/review/standin-3/crowd.mjs
@@ -13,6 +13,8 @@
 const LARGE_CHUNK = Buffer.alloc(0x40000 - 1, 32);
 const TINY_CHUNKS = Buffer.from("1\r\n \r\n".repeat(250_000));
 
+const MANY_STEPS = `{"spec":"x","steps":[${"{},".repeat(86_999)}{}]}`;
+
 /** Each kind writes to a connected socket. */
 const KINDS = {
     // One chunk of 256 KB, the last byte of which never comes.
@@ -45,6 +47,15 @@
         socket.on("data", send);
         send();
     },
+    // Whole submissions of 262,000 bytes with 87,000 empty steps, one after the other; the answers are read.
+    steps(socket) {
+        const send = () =>
+            socket.write(
+                `POST ${path()} HTTP/1.1\r\n${head}Content-Length: ${MANY_STEPS.length}\r\n\r\n${MANY_STEPS}`,
+            );
+        socket.on("data", send);
+        send();
+    },
     // Connections that send nothing.
     idle() {},
 };
@@ -53,7 +64,7 @@
 function open(kind) {
     const socket = net.connect({ host, port: Number(port), localAddress });
     socket.on("connect", () => KINDS[kind](socket));
-    if (kind !== "ahead" && kind !== "queries") {
+    if (kind !== "ahead" && kind !== "queries" && kind !== "steps") {
         socket.on("data", () => {});
     }
     socket.on("error", () => {});
